Fix the shared nouns and abstract bases

Cause: parts that are built side by side need the same ids, records, result codes, messages, clock and interfaces from the first hour.

Change: the shared nouns; abstract bases of platform, peers, slots, directory, configuration, router, wait queue and filter, each with its baseline; the platform and the peers' network in memory with faults; catalogues of codes, events, metrics and settings whose tables in docs/ are written from the code and compared by a test; the build.

--- /dev/null
+++ b/chervilshore/__init__.py
@@ -0,0 +1,1 @@
+"""A serving system for multi-stage model pipelines."""
--- /dev/null
+++ b/chervilshore/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform, the endpoints and the peers."""
--- /dev/null
+++ b/chervilshore/clients/memory.py
@@ -0,0 +1,293 @@
+"""The platform and the peers' network in memory, with faults.
+
+Embedders and tests use them in place of the real ones; the stand-in of
+the platform serves the same store over HTTP.
+"""
+
+import asyncio
+from collections import abc as collections_abc
+import enum
+import inspect
+
+from chervilshore.clients import peers
+from chervilshore.clients import platform
+from chervilshore import clock as clocks
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import messages
+from chervilshore import records
+
+
+class Fault(enum.Enum):
+    """What goes wrong with one call to the platform."""
+
+    NONE = "none"
+    DOWN = "down"
+    LOST_BEFORE = "lost before"
+    LOST_AFTER = "lost after"
+
+
+FaultPlan = collections_abc.Callable[[str, str], Fault]
+"""Takes the name of a call and a key, and tells what goes wrong."""
+
+
+def plan_nothing(call: str, key: str) -> Fault:
+    """Let every call succeed."""
+    return Fault.NONE
+
+
+class MemoryPlatform(platform.Platform):
+    """The platform's object API in memory.
+
+    Parameters
+    ----------
+    clock : Clock
+        Measures how long a watch waits.
+
+    Attributes
+    ----------
+    faults : FaultPlan
+        Decides what goes wrong with each call.
+    calls : int
+        Calls counted so far.
+    host_list : HostList
+        What `hosts` returns.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.faults: FaultPlan = plan_nothing
+        self.calls = 0
+        self.host_list = records.HostList()
+        self._clock = clock
+        self._objects: dict[str, platform.Stored] = {}
+        self._version = 0
+        self._changed = asyncio.Event()
+
+    async def get(self, key: str) -> platform.Stored:
+        """Read an object; see `Platform.get`."""
+        self._begin_read("get", key)
+        try:
+            return self._objects[key]
+        except KeyError:
+            raise exceptions.ObjectMissing(key) from None
+
+    async def list(
+        self, prefix: str, after: str = "", most: int = 1000
+    ) -> tuple[platform.Stored, ...]:
+        """Read objects by prefix; see `Platform.list`."""
+        self._begin_read("list", prefix)
+        keys = sorted(
+            key
+            for key in self._objects
+            if key.startswith(prefix) and key > after
+        )
+        return tuple(self._objects[key] for key in keys[:most])
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Write a new object; see `Platform.create`."""
+        fault = self._begin_write("create", key, value)
+        if key in self._objects:
+            raise exceptions.VersionConflict(key)
+        return self._finish_write(fault, key, value)
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        """Write an object at a version; see `Platform.update`."""
+        fault = self._begin_write("update", key, value)
+        self._expect(key, version)
+        return self._finish_write(fault, key, value)
+
+    async def delete(self, key: str, version: int) -> None:
+        """Remove an object at a version; see `Platform.delete`."""
+        fault = self._begin_write("delete", key, b"")
+        self._expect(key, version)
+        del self._objects[key]
+        if fault is Fault.LOST_AFTER:
+            raise exceptions.PlatformUnknown(key)
+
+    async def watch(
+        self, prefix: str, since: int, timeout_ms: float
+    ) -> tuple[platform.Stored, ...]:
+        """Wait for changes; see `Platform.watch`."""
+        self._begin_read("watch", prefix)
+        end = self._clock.now() + timeout_ms
+        while True:
+            found = self._changed_since(prefix, since)
+            left = end - self._clock.now()
+            if found or left <= 0:
+                return found
+            changed = self._changed
+            try:
+                await clocks.wait_for(self._clock, changed.wait(), left)
+            except TimeoutError:
+                return ()
+
+    async def hosts(self) -> records.HostList:
+        """Read the host list; see `Platform.hosts`."""
+        self._begin_read("hosts", "")
+        return self.host_list
+
+    def _changed_since(
+        self, prefix: str, since: int
+    ) -> tuple[platform.Stored, ...]:
+        found = [
+            stored
+            for stored in self._objects.values()
+            if stored.version > since and stored.key.startswith(prefix)
+        ]
+        return tuple(sorted(found, key=lambda stored: stored.version))
+
+    def _begin_read(self, call: str, key: str) -> None:
+        self.calls += 1
+        if self.faults(call, key) is not Fault.NONE:
+            raise exceptions.PlatformUnavailable(key)
+
+    def _begin_write(self, call: str, key: str, value: bytes) -> Fault:
+        self.calls += 1
+        if len(value) > platform.MOST_BYTES:
+            raise exceptions.ValueTooLarge(f"{key}: {len(value)} bytes")
+        fault = self.faults(call, key)
+        if fault is Fault.DOWN:
+            raise exceptions.PlatformUnavailable(key)
+        if fault is Fault.LOST_BEFORE:
+            raise exceptions.PlatformUnknown(key)
+        return fault
+
+    def _expect(self, key: str, version: int) -> None:
+        stored = self._objects.get(key)
+        if stored is None or stored.version != version:
+            raise exceptions.VersionConflict(key)
+
+    def _finish_write(self, fault: Fault, key: str, value: bytes) -> int:
+        self._version += 1
+        stored = platform.Stored(key, value, self._version)
+        self._objects[key] = stored
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if fault is Fault.LOST_AFTER:
+            raise exceptions.PlatformUnknown(key)
+        return self._version
+
+
+class MemoryNetwork:
+    """A network between hosts in one process, with cuts.
+
+    Messages are encoded and decoded as on a real network.
+
+    Parameters
+    ----------
+    clock : Clock
+        Measures delays and timeouts.
+
+    Attributes
+    ----------
+    delay_ms : float
+        Milliseconds that a message is on its way.
+    loses : callable
+        Takes the addresses of sender and receiver, and tells whether a
+        message between them is lost.
+    messages, bytes : int
+        What was sent so far.
+    """
+
+    def __init__(self, clock: clocks.Clock, delay_ms: float = 1.0) -> None:
+        self.clock = clock
+        self.delay_ms = delay_ms
+        self.loses = lambda sender, receiver: False
+        self.messages = 0
+        self.bytes = 0
+        self._peers: dict[ids.Address, MemoryPeers] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def join(self, address: ids.Address) -> "MemoryPeers":
+        """Add a host, or replace the one at this address."""
+        joined = MemoryPeers(self, address)
+        self._peers[address] = joined
+        return joined
+
+    def drop(self, address: ids.Address) -> None:
+        """Remove a host as if its process had died."""
+        self._peers.pop(address, None)
+
+    def carry(self, to: ids.Address, data: bytes) -> None:
+        """Bring an encoded message to a host, later or never."""
+        self.messages += 1
+        self.bytes += len(data)
+        task = asyncio.ensure_future(self._deliver(to, data))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _deliver(self, to: ids.Address, data: bytes) -> None:
+        await self.clock.sleep(self.delay_ms)
+        envelope = messages.decode(data)
+        receiver = self._peers.get(to)
+        if receiver is None or self.loses(envelope.sender, to):
+            return
+        await receiver.receive(envelope)
+
+
+class MemoryPeers(peers.Peers):
+    """One host's end of a `MemoryNetwork`."""
+
+    def __init__(self, network: MemoryNetwork, address: ids.Address) -> None:
+        self._network = network
+        self._address = address
+        self._handlers: dict[type, peers.Handler] = {}
+        self._questions: dict[int, asyncio.Future] = {}
+        self._number = 0
+
+    @property
+    def address(self) -> ids.Address:
+        """This host's own address."""
+        return self._address
+
+    def handle(self, kind: type, handler: peers.Handler) -> None:
+        """Name the function for one type; see `Peers.handle`."""
+        self._handlers[kind] = handler
+
+    def send(self, to: ids.Address, message: messages.Message) -> None:
+        """Send a message; see `Peers.send`."""
+        self._carry(to, 0, False, message)
+
+    async def ask(
+        self, to: ids.Address, message: messages.Message, timeout_ms: float
+    ) -> messages.Message:
+        """Send a message and wait for the reply; see `Peers.ask`."""
+        self._number += 1
+        number = self._number
+        future = asyncio.get_running_loop().create_future()
+        self._questions[number] = future
+        self._carry(to, number, False, message)
+        try:
+            return await clocks.wait_for(
+                self._network.clock, future, timeout_ms
+            )
+        except TimeoutError as error:
+            raise exceptions.PeerError(f"{to}: {error}") from error
+        finally:
+            del self._questions[number]
+
+    async def receive(self, envelope: messages.Envelope) -> None:
+        """Take a message that has arrived."""
+        if envelope.reply:
+            future = self._questions.get(envelope.number)
+            if future is not None and not future.done():
+                future.set_result(envelope.body)
+            return
+        handler = self._handlers.get(type(envelope.body))
+        if handler is None:
+            return
+        reply = handler(envelope.sender, envelope.body)
+        if inspect.isawaitable(reply):
+            reply = await reply
+        if reply is not None and envelope.number:
+            self._carry(envelope.sender, envelope.number, True, reply)
+
+    def _carry(
+        self,
+        to: ids.Address,
+        number: int,
+        reply: bool,
+        message: messages.Message,
+    ) -> None:
+        envelope = messages.Envelope(self._address, number, reply, message)
+        self._network.carry(to, messages.encode(envelope))
--- /dev/null
+++ b/chervilshore/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Services that keep the daemon's state up to date."""
--- /dev/null
+++ b/chervilshore/controllers/slots.py
@@ -0,0 +1,87 @@
+"""How a stage of a request gets leave to use an endpoint."""
+
+import abc
+
+import msgspec
+
+from chervilshore.decisions import routing
+from chervilshore import ids
+from chervilshore import records
+
+
+class Slot(msgspec.Struct, frozen=True):
+    """Leave to make one attempt at an endpoint.
+
+    Parameters
+    ----------
+    record : EndpointRecord
+        The endpoint, with its failure domain after assignments.
+    grant : GrantId
+        The slot, within the keeper's epoch.
+    epoch : Epoch
+        The keeper's epoch.
+    """
+
+    record: records.EndpointRecord
+    grant: ids.GrantId = ids.GrantId(0)
+    epoch: ids.Epoch = ids.Epoch(0)
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """How an attempt under a slot went.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        How it ended.
+    millis : float
+        Milliseconds that it took.
+    instance : InstanceId
+        The process that answered; empty when there was no answer.
+    cold : bool
+        Whether the endpoint said that it is cold.
+    """
+
+    outcome: records.Outcome
+    millis: float = 0.0
+    instance: ids.InstanceId = ids.InstanceId("")
+    cold: bool = False
+
+
+class Slots(abc.ABC):
+    """Gives out slots of the endpoints of all pools."""
+
+    @abc.abstractmethod
+    async def acquire(self, need: routing.Need) -> Slot:
+        """Wait for a slot at an endpoint that suits the need.
+
+        Parameters
+        ----------
+        need : Need
+            What the stage asks, with its deadline.
+
+        Returns
+        -------
+        Slot
+            The slot, which must be given back with `release`.
+
+        Raises
+        ------
+        exceptions.RefusalError
+            No slot can be had in time; nothing has run.
+        """
+
+    @abc.abstractmethod
+    def confirm(self, slot: Slot) -> bool:
+        """Check a slot once more, right before the first byte goes out.
+
+        Returns
+        -------
+        bool
+            Whether the slot still holds, and its endpoint is neither
+            leaving nor in a failure domain that is out.
+        """
+
+    @abc.abstractmethod
+    def release(self, slot: Slot, attempt: Attempt) -> None:
+        """Give a slot back and tell how the attempt went."""
--- /dev/null
+++ b/chervilshore/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: state, message and time in, actions out."""
--- /dev/null
+++ b/chervilshore/events.py
@@ -0,0 +1,86 @@
+"""The numbered events that the daemon logs."""
+
+import enum
+import logging
+
+import msgspec
+
+
+class EventSpec(msgspec.Struct, frozen=True):
+    """One row of the catalogue of events.
+
+    Parameters
+    ----------
+    number : int
+        The number; its thousands tell the area.
+    level : int
+        The level of `logging`.
+    text : str
+        What has happened.
+    """
+
+    number: int
+    level: int
+    text: str
+
+
+_DEBUG = logging.DEBUG
+_INFO = logging.INFO
+_WARNING = logging.WARNING
+_ERROR = logging.ERROR
+
+
+class Event(enum.Enum):
+    """Every event; docs/EVENTS.md holds the same catalogue."""
+
+    # The daemon: 1000 to 1999.
+    STARTED = EventSpec(1001, _INFO, "daemon started")
+    READY = EventSpec(1002, _INFO, "daemon ready")
+    DRAINING = EventSpec(1003, _INFO, "daemon draining")
+    STOPPED = EventSpec(1004, _INFO, "daemon stopped")
+    TASK_FAILED = EventSpec(1005, _ERROR, "background task failed")
+
+    # Configuration: 2000 to 2999.
+    GENERATION_IN_FORCE = EventSpec(2001, _INFO, "generation in force")
+    GENERATION_REFUSED = EventSpec(2002, _ERROR, "generation refused")
+
+    # Membership and peers: 3000 to 3999.
+    PEER_GARBAGE = EventSpec(3001, _WARNING, "unusable message from peer")
+
+    # Grants, routing and limits: 4000 to 4999.
+
+    # Claims: 5000 to 5999.
+
+    # Leases and orders: 6000 to 6999.
+
+    # Requests: 7000 to 7999.
+    REQUEST_DONE = EventSpec(7001, _DEBUG, "request done")
+    REQUEST_REFUSED = EventSpec(7002, _INFO, "request refused")
+    ANSWER_DROPPED = EventSpec(7003, _WARNING, "answer dropped")
+    REQUEST_CRASHED = EventSpec(7004, _ERROR, "request crashed")
+
+
+def log_event(logger: logging.Logger, event: Event, **fields) -> None:
+    """Log an event with its number and its fields.
+
+    Parameters
+    ----------
+    logger : logging.Logger
+        Where to log.
+    event : Event
+        What has happened.
+    **fields
+        What it concerns; by convention ``request`` holds a request id.
+    """
+    spec = event.value
+    if not logger.isEnabledFor(spec.level):
+        return
+    words = "".join(f" {name}={value}" for name, value in fields.items())
+    logger.log(
+        spec.level,
+        "%d %s%s",
+        spec.number,
+        spec.text,
+        words,
+        extra={"event": spec.number, "fields": fields},
+    )
--- /dev/null
+++ b/chervilshore/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of filters that each request passes, in order."""
--- /dev/null
+++ b/chervilshore/messages.py
@@ -0,0 +1,240 @@
+"""The typed messages that pass between entry hosts.
+
+Every message is a tagged `msgspec` structure, encoded as MessagePack.
+A host drops what it cannot decode, so that hosts of two versions can
+work together while one of them is being replaced.
+"""
+
+import typing
+
+import msgspec
+
+from chervilshore import ids
+from chervilshore import records
+
+
+class Message(msgspec.Struct, frozen=True, tag_field="t", array_like=True):
+    """The root of all messages."""
+
+
+# Membership.
+
+
+class Ping(Message, frozen=True, tag="mp"):
+    """Asks a host whether it is alive."""
+
+    updates: tuple[records.HostRecord, ...] = ()
+    generation: ids.Generation = ids.Generation(0)
+
+
+class Pong(Message, frozen=True, tag="mq"):
+    """Says that the host is alive."""
+
+    updates: tuple[records.HostRecord, ...] = ()
+    generation: ids.Generation = ids.Generation(0)
+
+
+class PingRequest(Message, frozen=True, tag="mr"):
+    """Asks a host to ping a third one."""
+
+    target: ids.Address
+    updates: tuple[records.HostRecord, ...] = ()
+
+
+class Leave(Message, frozen=True, tag="ml"):
+    """Says that the sender is leaving."""
+
+    record: records.HostRecord
+
+
+# Configuration.
+
+
+class GenerationNotice(Message, frozen=True, tag="cn"):
+    """Says which generation the sender has in force."""
+
+    generation: ids.Generation
+
+
+class HeadRequest(Message, frozen=True, tag="ch"):
+    """Asks a peer for the newest head that it has."""
+
+
+class HeadReply(Message, frozen=True, tag="ci"):
+    """Carries an encoded head; empty when there is none."""
+
+    head: bytes = b""
+
+
+class ChunkRequest(Message, frozen=True, tag="cr"):
+    """Asks a peer for a chunk by the hash of its content."""
+
+    digest: str
+
+
+class ChunkReply(Message, frozen=True, tag="cs"):
+    """Carries a chunk; empty when the peer does not have it."""
+
+    digest: str
+    content: bytes = b""
+
+
+# Grants.
+
+
+class GrantAsk(Message, frozen=True, tag="ga"):
+    """Asks an endpoint's keeper for slots.
+
+    Parameters
+    ----------
+    endpoint : EndpointId
+        The endpoint.
+    holder : HostId
+        The host that wants to send.
+    wanted : int
+        Slots wanted besides the held ones.
+    held : tuple of GrantId
+        Slots held and renewed by this message.
+    epoch : Epoch
+        The keeper's epoch in which they were granted.
+    """
+
+    endpoint: ids.EndpointId
+    holder: ids.HostId
+    wanted: int
+    held: tuple[ids.GrantId, ...] = ()
+    epoch: ids.Epoch = ids.Epoch(0)
+
+
+class GrantReply(Message, frozen=True, tag="gr"):
+    """Grants, renews and withholds slots.
+
+    Parameters
+    ----------
+    endpoint : EndpointId
+        The endpoint.
+    epoch : Epoch
+        The keeper's epoch.
+    granted : tuple of GrantId
+        New slots.
+    renewed : tuple of GrantId
+        Held slots that go on.
+    lifetime_ms : float
+        Milliseconds that they last, counted from when they were asked for.
+    limit : int
+        The endpoint's limit over all hosts now.
+    warmth : Warmth
+        What the keeper thinks the endpoint bears.
+    """
+
+    endpoint: ids.EndpointId
+    epoch: ids.Epoch
+    granted: tuple[ids.GrantId, ...]
+    renewed: tuple[ids.GrantId, ...]
+    lifetime_ms: float
+    limit: int
+    warmth: records.Warmth
+
+
+class GrantReturn(Message, frozen=True, tag="gb"):
+    """Gives slots back and reports what happened under them.
+
+    Parameters
+    ----------
+    endpoint : EndpointId
+        The endpoint.
+    holder : HostId
+        The host that held them.
+    epoch : Epoch
+        The keeper's epoch in which they were granted.
+    returned : tuple of GrantId
+        Slots given back.
+    outcomes : tuple of (Outcome, float)
+        How attempts ended, each with its milliseconds.
+    instance : InstanceId
+        The endpoint's process, as last seen by the holder.
+    """
+
+    endpoint: ids.EndpointId
+    holder: ids.HostId
+    epoch: ids.Epoch
+    returned: tuple[ids.GrantId, ...]
+    outcomes: tuple[tuple[records.Outcome, float], ...] = ()
+    instance: ids.InstanceId = ids.InstanceId("")
+
+
+# Limits.
+
+
+class DemandReport(Message, frozen=True, tag="ld"):
+    """Tells a team's keeper how much a host wants of the team's limit."""
+
+    holder: ids.HostId
+    demand: dict[ids.TeamId, float]
+
+
+class ShareReply(Message, frozen=True, tag="ls"):
+    """Tells a host its share of the teams' limits."""
+
+    shares: dict[ids.TeamId, float]
+    lifetime_ms: float
+
+
+Body = typing.Union[
+    Ping,
+    Pong,
+    PingRequest,
+    Leave,
+    GenerationNotice,
+    HeadRequest,
+    HeadReply,
+    ChunkRequest,
+    ChunkReply,
+    GrantAsk,
+    GrantReply,
+    GrantReturn,
+    DemandReport,
+    ShareReply,
+]
+"""Any message."""
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with its sender.
+
+    Parameters
+    ----------
+    sender : Address
+        The peer address of the sender.
+    number : int
+        The sender's number for a question; 0 for a message without one.
+    reply : bool
+        Whether this answers the question of that number.
+    body : Body
+        The message.
+    """
+
+    sender: ids.Address
+    number: int
+    reply: bool
+    body: Body
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Encode a message for the wire."""
+    return _ENCODER.encode(envelope)
+
+
+def decode(data: bytes) -> Envelope:
+    """Decode a message from the wire.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        The bytes are not a known message.
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/chervilshore/metrics.py
@@ -0,0 +1,184 @@
+"""The metrics that the daemon exposes."""
+
+import enum
+
+import aioprometheus
+import msgspec
+
+SECONDS_BUCKETS = (
+    0.001,
+    0.003,
+    0.01,
+    0.03,
+    0.1,
+    0.3,
+    1.0,
+    2.0,
+    4.0,
+    7.0,
+    15.0,
+)
+"""Upper bounds in seconds of the histograms of times."""
+
+
+class MetricKind(enum.Enum):
+    """How a metric is collected."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+class MetricSpec(msgspec.Struct, frozen=True):
+    """One row of the table of metrics.
+
+    Parameters
+    ----------
+    name : str
+        Its name, with the unit at the end.
+    kind : MetricKind
+        How it is collected.
+    labels : tuple of str
+        The names of its labels.
+    text : str
+        What it counts or measures.
+    """
+
+    name: str
+    kind: MetricKind
+    labels: tuple[str, ...]
+    text: str
+
+
+def _counter(name: str, labels: tuple[str, ...], text: str) -> MetricSpec:
+    return MetricSpec(name, MetricKind.COUNTER, labels, text)
+
+
+def _gauge(name: str, labels: tuple[str, ...], text: str) -> MetricSpec:
+    return MetricSpec(name, MetricKind.GAUGE, labels, text)
+
+
+def _histogram(name: str, labels: tuple[str, ...], text: str) -> MetricSpec:
+    return MetricSpec(name, MetricKind.HISTOGRAM, labels, text)
+
+
+class Metric(enum.Enum):
+    """Every metric; docs/METRICS.md holds the same table."""
+
+    # Requests.
+    REQUESTS = _counter(
+        "chervilshore_requests_total",
+        ("pipeline", "code"),
+        "Requests by pipeline and result code.",
+    )
+    REQUEST_SECONDS = _histogram(
+        "chervilshore_request_seconds",
+        ("class",),
+        "Time from arrival to the end of the answer.",
+    )
+    TEAM_SECONDS = _histogram(
+        "chervilshore_team_request_seconds",
+        ("team",),
+        "The same for the largest teams; the rest stand under 'other'.",
+    )
+    STAGE_SECONDS = _histogram(
+        "chervilshore_stage_seconds",
+        ("pool",),
+        "Time of one attempt at an endpoint.",
+    )
+    ATTEMPTS = _counter(
+        "chervilshore_attempts_total",
+        ("pool", "outcome"),
+        "Attempts at endpoints by outcome.",
+    )
+    IN_FLIGHT = _gauge(
+        "chervilshore_requests_in_flight", (), "Requests in flight."
+    )
+    DROPPED = _counter(
+        "chervilshore_answers_dropped_total",
+        ("reason",),
+        "Answers of endpoints that belonged to no running attempt.",
+    )
+
+    # Grants, routing and limits.
+    QUEUE_SECONDS = _histogram(
+        "chervilshore_queue_seconds",
+        ("class",),
+        "Time that a stage waited for a slot.",
+    )
+
+    # Configuration.
+    GENERATION = _gauge(
+        "chervilshore_generation", (), "The generation in force."
+    )
+
+    # Membership and peers.
+
+    # Claims.
+
+    # Leases and orders.
+
+    # The platform.
+    PLATFORM_CALLS = _counter(
+        "chervilshore_platform_calls_total",
+        ("call", "outcome"),
+        "Calls to the platform.",
+    )
+
+
+class Metrics:
+    """The metrics of one daemon."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self._collectors = {
+            metric: self._make(metric.value) for metric in Metric
+        }
+
+    def _make(self, spec: MetricSpec):
+        if spec.kind is MetricKind.COUNTER:
+            return aioprometheus.Counter(
+                spec.name, spec.text, registry=self.registry
+            )
+        if spec.kind is MetricKind.GAUGE:
+            return aioprometheus.Gauge(
+                spec.name, spec.text, registry=self.registry
+            )
+        return aioprometheus.Histogram(
+            spec.name,
+            spec.text,
+            registry=self.registry,
+            buckets=list(SECONDS_BUCKETS),
+        )
+
+    def count(self, metric: Metric, *labels: str, by: float = 1) -> None:
+        """Add to a counter.
+
+        Parameters
+        ----------
+        metric : Metric
+            The counter.
+        *labels : str
+            The values of its labels, in their order.
+        by : float
+            What to add.
+        """
+        self._collectors[metric].add(self._name(metric, labels), by)
+
+    def set(self, metric: Metric, value: float, *labels: str) -> None:
+        """Set a gauge to a value."""
+        self._collectors[metric].set(self._name(metric, labels), value)
+
+    def observe(self, metric: Metric, millis: float, *labels: str) -> None:
+        """Add a time in milliseconds to a histogram in seconds."""
+        self._collectors[metric].observe(
+            self._name(metric, labels), millis / 1000.0
+        )
+
+    def _name(self, metric: Metric, labels: tuple[str, ...]) -> dict:
+        return dict(zip(metric.value.labels, labels, strict=True))
+
+    def render(self) -> bytes:
+        """Write all metrics in the text format."""
+        content, _ = aioprometheus.render(self.registry, [])
+        return content
--- /dev/null
+++ b/chervilshore/results.py
@@ -0,0 +1,113 @@
+"""The numbered result codes that callers see."""
+
+import enum
+
+import msgspec
+
+
+class Family(enum.Enum):
+    """What a result code says about the effect of the request."""
+
+    DONE = "DONE"
+    NOT_RUN = "NOT RUN"
+    FAILED = "FAILED"
+    UNKNOWN = "UNKNOWN"
+
+
+class Result(msgspec.Struct, frozen=True):
+    """One row of the table of result codes.
+
+    Parameters
+    ----------
+    number : int
+        The number; its thousands tell the family.
+    family : Family
+        What it says about the effect.
+    status : int
+        The HTTP status.
+    text : str
+        What it means, for the caller.
+    """
+
+    number: int
+    family: Family
+    status: int
+    text: str
+
+
+_DONE = Family.DONE
+_NOT_RUN = Family.NOT_RUN
+_FAILED = Family.FAILED
+_UNKNOWN = Family.UNKNOWN
+
+
+class Code(enum.Enum):
+    """Every result code; docs/RESULTS.md holds the same table."""
+
+    OK = Result(0, _DONE, 200, "The whole answer follows.")
+
+    BAD_JSON = Result(1001, _NOT_RUN, 400, "The body is not a JSON object.")
+    BODY_TOO_LARGE = Result(
+        1002, _NOT_RUN, 413, "The body is over the allowed size."
+    )
+    BAD_HEADER = Result(
+        1003, _NOT_RUN, 400, "A header has a value that is not allowed."
+    )
+    UNKNOWN_PIPELINE = Result(
+        1004, _NOT_RUN, 404, "No pipeline or service has this name."
+    )
+    UNKNOWN_TEAM = Result(1005, _NOT_RUN, 403, "No team has this name.")
+    KEY_NEEDED = Result(
+        1006, _NOT_RUN, 400, "This service needs an idempotency key."
+    )
+    KEY_REUSED = Result(
+        1007, _NOT_RUN, 422, "The key was used with another body."
+    )
+    DEADLINE_HOPELESS = Result(
+        1010, _NOT_RUN, 503, "The deadline cannot be met."
+    )
+    DEADLINE_PASSED = Result(
+        1011, _NOT_RUN, 504, "The deadline passed before it was run."
+    )
+    TEAM_LIMIT = Result(1020, _NOT_RUN, 429, "The team is over its limit.")
+    OVERLOADED = Result(
+        1021, _NOT_RUN, 503, "There is more work than can be carried."
+    )
+    NO_ENDPOINT = Result(1022, _NOT_RUN, 503, "No endpoint may be used now.")
+    DRAINING = Result(
+        1030, _NOT_RUN, 503, "This host is leaving; use another one."
+    )
+    NOT_READY = Result(
+        1031, _NOT_RUN, 503, "This host has no configuration yet."
+    )
+    PLATFORM_DOWN = Result(
+        1040, _NOT_RUN, 503, "The claim could not be stored."
+    )
+
+    STAGE_FAILED = Result(
+        2001, _FAILED, 502, "A stage ran and answered with an error."
+    )
+    STAGE_BROKEN = Result(
+        2002, _FAILED, 502, "A repeatable stage broke on every attempt."
+    )
+    DEADLINE_MISSED = Result(
+        2003, _FAILED, 504, "The deadline passed while it was running."
+    )
+    STREAM_BROKEN = Result(
+        2004, _FAILED, 502, "The stream broke and could not be resumed."
+    )
+    INTERNAL = Result(2090, _FAILED, 500, "The daemon failed.")
+
+    OUTCOME_UNKNOWN = Result(
+        3001, _UNKNOWN, 502, "It may have run; its answer was lost."
+    )
+    CLAIM_OPEN = Result(
+        3002, _UNKNOWN, 409, "The key was claimed; no outcome is known."
+    )
+    CLAIM_UNKNOWN = Result(
+        3003, _UNKNOWN, 503, "An earlier use of the key cannot be ruled out."
+    )
+
+
+BY_NUMBER = {code.value.number: code for code in Code}
+"""Result codes by number."""
--- /dev/null
+++ b/chervilshore/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' rules: their file, their checks and their generations."""
--- /dev/null
+++ b/chervilshore/rules/model.py
@@ -0,0 +1,211 @@
+"""What the operators' rules say, as typed values."""
+
+import enum
+
+import msgspec
+
+from chervilshore import ids
+from chervilshore import records
+
+
+class Fencing(enum.Enum):
+    """Whether a pool's endpoints check who gives them an order."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
+class Domain(msgspec.Struct, frozen=True):
+    """A failure domain and whether it may serve."""
+
+    name: ids.DomainId
+    region: ids.RegionId = ids.RegionId("")
+    state: records.DomainState = records.DomainState.IN
+
+
+class Pool(msgspec.Struct, frozen=True):
+    """A set of endpoints that can stand in for each other.
+
+    Parameters
+    ----------
+    name : PoolName
+        Its name, which the host list gives with each endpoint.
+    kind : EndpointKind
+        The protocol of its endpoints.
+    cold : int
+        Calls in flight that a cold endpoint bears.
+    most : int
+        Calls in flight that a warm endpoint is given at most.
+    fencing : Fencing
+        Whether its endpoints check fencing numbers on orders.
+    resume : bool
+        Whether its engines resume a stream at a token offset.
+    model : str
+        The model that its engines serve.
+    """
+
+    name: ids.PoolName
+    kind: records.EndpointKind
+    cold: int = 1
+    most: int = 32
+    fencing: Fencing = Fencing.IGNORED
+    resume: bool = False
+    model: str = ""
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """A step of a pipeline and the pool that does it."""
+
+    name: ids.StageName
+    pool: ids.PoolName
+
+
+class Pipeline(msgspec.Struct, frozen=True):
+    """A pipeline; a service is a pipeline of one stage.
+
+    Parameters
+    ----------
+    name : PipelineName
+        Its name in the callers' interface.
+    stages : tuple of Stage
+        Its steps, in order.
+    class_name : ClassName
+        The class of its requests.
+    repeatable : bool
+        Whether a request may be run again; if not, it needs a key.
+    deadline_ms : int
+        Milliseconds for a request that brings no deadline.
+    path : str
+        For a plain service, the path at its endpoints.
+    """
+
+    name: ids.PipelineName
+    stages: tuple[Stage, ...]
+    class_name: ids.ClassName = ids.ClassName("default")
+    repeatable: bool = True
+    deadline_ms: int = 7000
+    path: str = ""
+
+
+class RequestClass(msgspec.Struct, frozen=True):
+    """A class of requests.
+
+    Parameters
+    ----------
+    name : ClassName
+        Its name.
+    priority : int
+        Lower goes first and is shed last.
+    aging_ms : int
+        Milliseconds of waiting that are worth one step of priority.
+    """
+
+    name: ids.ClassName
+    priority: int = 5
+    aging_ms: int = 1000
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team and its limits over the whole fleet.
+
+    Parameters
+    ----------
+    name : TeamId
+        Its name.
+    rate : float
+        Requests a second.
+    burst : float
+        Requests that may come at once.
+    concurrency : int
+        Requests in flight.
+    """
+
+    name: ids.TeamId
+    rate: float = 100.0
+    burst: float = 100.0
+    concurrency: int = 100
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Sends matching requests to another pool or to certain domains.
+
+    Parameters
+    ----------
+    name : str
+        Its name; of several that match, the first in the file decides.
+    pipeline, team, class_name : str
+        What must match; empty matches all.
+    stage : StageName
+        The stage that is sent elsewhere; empty means all.
+    pool : PoolName
+        The pool to use instead; empty keeps the stage's own.
+    domains : tuple of DomainId
+        The only domains to use; empty allows all.
+    """
+
+    name: str
+    pipeline: ids.PipelineName = ids.PipelineName("")
+    team: ids.TeamId = ids.TeamId("")
+    class_name: ids.ClassName = ids.ClassName("")
+    stage: ids.StageName = ids.StageName("")
+    pool: ids.PoolName = ids.PoolName("")
+    domains: tuple[ids.DomainId, ...] = ()
+
+
+class Assignment(msgspec.Struct, frozen=True):
+    """Puts a host or endpoint into a domain, against the host list."""
+
+    host: str
+    domain: ids.DomainId
+
+
+class Rules(msgspec.Struct, frozen=True):
+    """All rules of one generation, by name.
+
+    Parameters
+    ----------
+    generation : Generation
+        The number under which they were accepted; 0 before that.
+    """
+
+    generation: ids.Generation = ids.Generation(0)
+    domains: dict[ids.DomainId, Domain] = {}
+    pools: dict[ids.PoolName, Pool] = {}
+    pipelines: dict[ids.PipelineName, Pipeline] = {}
+    classes: dict[ids.ClassName, RequestClass] = {}
+    teams: dict[ids.TeamId, Team] = {}
+    routes: tuple[Route, ...] = ()
+    assignments: dict[str, Assignment] = {}
+
+    def is_out(self, domain: ids.DomainId) -> bool:
+        """Tell whether operators have taken a failure domain out."""
+        rule = self.domains.get(domain)
+        return rule is not None and rule.state is records.DomainState.OUT
+
+    def domain_of(self, record: records.EndpointRecord) -> ids.DomainId:
+        """Tell the failure domain of an endpoint, assignments first."""
+        assignment = self.assignments.get(record.endpoint)
+        return assignment.domain if assignment else record.domain
+
+    def class_of(self, pipeline: Pipeline) -> RequestClass:
+        """Find the class of a pipeline's requests."""
+        found = self.classes.get(pipeline.class_name)
+        return found or RequestClass(name=pipeline.class_name)
+
+    def route_for(
+        self,
+        pipeline: Pipeline,
+        team: ids.TeamId,
+        stage: ids.StageName,
+    ) -> Route | None:
+        """Find the first routing rule that matches a stage of a request."""
+        for route in self.routes:
+            if route.pipeline not in ("", pipeline.name):
+                continue
+            if route.team not in ("", team):
+                continue
+            if route.class_name not in ("", pipeline.class_name):
+                continue
+            if route.stage in ("", stage):
+                return route
+        return None
--- /dev/null
+++ b/chervilshore/tables.py
@@ -0,0 +1,111 @@
+"""Write the tables in docs/ from the code."""
+
+from collections import abc as collections_abc
+import logging
+import pathlib
+
+from chervilshore import events
+from chervilshore import metrics
+from chervilshore import results
+from chervilshore import settings
+
+BEGIN = "<!-- table from the code: make tables -->"
+END = "<!-- end of table -->"
+
+
+def _format_table(
+    heads: collections_abc.Sequence[str],
+    rows: collections_abc.Iterable[collections_abc.Sequence[str]],
+) -> str:
+    lines = ["| " + " | ".join(heads) + " |"]
+    lines.append("| " + " | ".join("---" for _ in heads) + " |")
+    lines.extend("| " + " | ".join(row) + " |" for row in rows)
+    return "\n".join(lines)
+
+
+def format_results() -> str:
+    """Write the table of result codes."""
+    rows = [
+        (
+            str(code.value.number),
+            code.name,
+            code.value.family.value,
+            str(code.value.status),
+            code.value.text,
+        )
+        for code in results.Code
+    ]
+    heads = ("number", "name", "family", "HTTP status", "meaning")
+    return _format_table(heads, rows)
+
+
+def format_events() -> str:
+    """Write the catalogue of events."""
+    rows = [
+        (
+            str(event.value.number),
+            event.name,
+            logging.getLevelName(event.value.level).lower(),
+            event.value.text,
+        )
+        for event in events.Event
+    ]
+    return _format_table(("number", "name", "level", "text"), rows)
+
+
+def format_metrics() -> str:
+    """Write the table of metrics."""
+    rows = [
+        (
+            metric.value.name,
+            metric.value.kind.value,
+            ", ".join(metric.value.labels),
+            metric.value.text,
+        )
+        for metric in metrics.Metric
+    ]
+    return _format_table(("name", "kind", "labels", "meaning"), rows)
+
+
+def format_settings() -> str:
+    """Write the table of settings."""
+    rows = [
+        (
+            setting.flag,
+            setting.variable,
+            "required" if setting.default is None else setting.default,
+            setting.kind.allowed,
+            setting.text,
+        )
+        for setting in settings.SETTINGS
+    ]
+    heads = ("flag", "variable", "default", "allowed", "meaning")
+    return _format_table(heads, rows)
+
+
+TABLES = {
+    "RESULTS.md": format_results,
+    "EVENTS.md": format_events,
+    "METRICS.md": format_metrics,
+    "SETTINGS.md": format_settings,
+}
+"""The pages with a table, and what writes it."""
+
+
+def replace_table(page: str, table: str) -> str:
+    """Put a table in the place of the one that a page holds."""
+    before, _, rest = page.partition(BEGIN)
+    _, _, after = rest.partition(END)
+    return f"{before}{BEGIN}\n\n{table}\n\n{END}{after}"
+
+
+def main() -> None:
+    """Rewrite every page with a table."""
+    docs = pathlib.Path(__file__).resolve().parent.parent / "docs"
+    for name, write in TABLES.items():
+        path = docs / name
+        path.write_text(replace_table(path.read_text(), write()))
+
+
+if __name__ == "__main__":
+    main()
