--- /dev/null
+++ b/chervilshore/clients/rest.py
@@ -0,0 +1,158 @@
+"""The platform's object API over HTTP."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from chervilshore.clients import platform
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import metrics
+from chervilshore import records
+
+VERSION_HEADER = "X-Version"
+
+_STORED = msgspec.msgpack.Decoder(tuple[platform.Stored, ...])
+_HOST_LIST = msgspec.msgpack.Decoder(records.HostList)
+
+
+class RestPlatform(platform.Platform):
+    """Calls the platform.
+
+    Parameters
+    ----------
+    address : Address
+        Where the platform is.
+    timeout_ms : float
+        Milliseconds to wait for an answer.
+    counters : Metrics or None
+        Counts the calls.
+    """
+
+    def __init__(
+        self,
+        address: ids.Address,
+        timeout_ms: float = 1000.0,
+        counters: metrics.Metrics | None = None,
+    ) -> None:
+        self._base = f"http://{address}"
+        self._timeout_ms = timeout_ms
+        self._counters = counters
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, key: str) -> platform.Stored:
+        """Read an object; see `Platform.get`."""
+        headers, value = await self._call("GET", f"/objects/{key}", key)
+        return platform.Stored(key, value, int(headers[VERSION_HEADER]))
+
+    async def list(
+        self, prefix: str, after: str = "", most: int = 1000
+    ) -> tuple[platform.Stored, ...]:
+        """Read objects by prefix; see `Platform.list`."""
+        query = {"prefix": prefix, "after": after, "most": str(most)}
+        _, value = await self._call("GET", "/objects", prefix, query=query)
+        return _STORED.decode(value)
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Write a new object; see `Platform.create`."""
+        sent = {"If-None-Match": "*"}
+        return await self._put(key, value, sent)
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        """Write an object at a version; see `Platform.update`."""
+        return await self._put(key, value, {"If-Match": str(version)})
+
+    async def delete(self, key: str, version: int) -> None:
+        """Remove an object at a version; see `Platform.delete`."""
+        sent = {"If-Match": str(version)}
+        await self._call("DELETE", f"/objects/{key}", key, headers=sent)
+
+    async def watch(
+        self, prefix: str, since: int, timeout_ms: float
+    ) -> tuple[platform.Stored, ...]:
+        """Wait for changes; see `Platform.watch`."""
+        query = {
+            "prefix": prefix,
+            "since": str(since),
+            "timeout_ms": str(timeout_ms),
+        }
+        _, value = await self._call(
+            "GET", "/watch", prefix, query=query, wait_ms=timeout_ms
+        )
+        return _STORED.decode(value)
+
+    async def hosts(self) -> records.HostList:
+        """Read the host list; see `Platform.hosts`."""
+        _, value = await self._call("GET", "/hosts", "hosts")
+        return _HOST_LIST.decode(value)
+
+    async def _put(self, key: str, value: bytes, sent: dict) -> int:
+        if len(value) > platform.MOST_BYTES:
+            raise exceptions.ValueTooLarge(f"{key}: {len(value)} bytes")
+        headers, _ = await self._call(
+            "PUT", f"/objects/{key}", key, headers=sent, value=value
+        )
+        return int(headers[VERSION_HEADER])
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        key: str,
+        query: dict | None = None,
+        headers: dict | None = None,
+        value: bytes | None = None,
+        wait_ms: float = 0.0,
+    ) -> tuple[aiohttp.typedefs.LooseHeaders, bytes]:
+        seconds = (self._timeout_ms + wait_ms) / 1000.0
+        try:
+            async with self._open().request(
+                method,
+                self._base + path,
+                params=query,
+                headers=headers,
+                data=value,
+                timeout=aiohttp.ClientTimeout(total=seconds),
+            ) as response:
+                content = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            self._count(method, "unavailable")
+            raise exceptions.PlatformUnavailable(key) from error
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            self._count(method, "unknown")
+            if method == "GET":
+                raise exceptions.PlatformUnavailable(key) from error
+            raise exceptions.PlatformUnknown(key) from error
+        self._count(method, str(response.status))
+        self._check(response.status, method, key)
+        return response.headers, content
+
+    def _check(self, status: int, method: str, key: str) -> None:
+        if status < 300:
+            return
+        if status == 404:
+            raise exceptions.ObjectMissing(key)
+        if status in (409, 412):
+            raise exceptions.VersionConflict(key)
+        if status == 413:
+            raise exceptions.ValueTooLarge(key)
+        if status in (429, 503) or method == "GET":
+            raise exceptions.PlatformUnavailable(f"{key}: {status}")
+        raise exceptions.PlatformUnknown(f"{key}: {status}")
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    def _count(self, method: str, outcome: str) -> None:
+        if self._counters is not None:
+            self._counters.count(
+                metrics.Metric.PLATFORM_CALLS, method.lower(), outcome
+            )
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -58,6 +58,7 @@
     REQUEST_REFUSED = EventSpec(7002, _INFO, "request refused")
     ANSWER_DROPPED = EventSpec(7003, _WARNING, "answer dropped")
     REQUEST_CRASHED = EventSpec(7004, _ERROR, "request crashed")
+    CALLER_GONE = EventSpec(7005, _INFO, "caller gone")
 
 
 def log_event(logger: logging.Logger, event: Event, **fields) -> None:
--- a/chervilshore/filters/base.py
+++ b/chervilshore/filters/base.py
@@ -74,6 +74,9 @@
     dispatched : bool
         Whether the first byte has gone to an endpoint; from then on
         nothing may say NOT RUN.
+    abandoned : bool
+        Whether the caller has its final answer already; from then on no
+        byte may go to an endpoint.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self.deadline = arrived
         self.key = ids.IdempotencyKey("")
         self.dispatched = False
+        self.abandoned = False
 
 
 Proceed = collections_abc.Callable[
--- /dev/null
+++ b/chervilshore/filters/cutoff.py
@@ -0,0 +1,74 @@
+"""Gives the caller its final answer when the deadline passes."""
+
+import asyncio
+
+from chervilshore import clock as clocks
+from chervilshore import exceptions
+from chervilshore.filters import base
+from chervilshore import results
+
+
+class CutoffFilter(base.Filter):
+    """Ends a request at its deadline, or when its caller has gone.
+
+    Work that may be repeated is cancelled then. Work that may not be
+    repeated goes on without its caller, so that its outcome is recorded.
+
+    Parameters
+    ----------
+    clock : Clock
+        Measures the deadline.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._left_behind: set[asyncio.Task] = set()
+
+    async def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Bound the rest of the chain; see `Filter.handle`."""
+        task = asyncio.ensure_future(proceed(exchange))
+        left = exchange.deadline - self._clock.now()
+        timer = asyncio.ensure_future(self._clock.sleep(left))
+        try:
+            await asyncio.wait(
+                {task, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            self._give_up(exchange, task)
+            raise
+        finally:
+            timer.cancel()
+        if task.done():
+            return task.result()
+        self._give_up(exchange, task)
+        raise exceptions.RefusalError(self._choose_code(exchange))
+
+    async def finish(self) -> None:
+        """Wait for the work that goes on without its caller."""
+        while self._left_behind:
+            await asyncio.wait(set(self._left_behind))
+
+    def _give_up(self, exchange: base.Exchange, task: asyncio.Task) -> None:
+        exchange.abandoned = True
+        if task.done():
+            return
+        if exchange.pipeline.repeatable:
+            task.cancel()
+        self._left_behind.add(task)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task) -> None:
+        self._left_behind.discard(task)
+        if not task.cancelled():
+            # Nobody waits for this outcome any more; reading it keeps the
+            # loop from reporting it as lost.
+            task.exception()
+
+    def _choose_code(self, exchange: base.Exchange) -> results.Code:
+        if not exchange.dispatched:
+            return results.Code.DEADLINE_PASSED
+        if exchange.pipeline.repeatable:
+            return results.Code.DEADLINE_MISSED
+        return results.Code.OUTCOME_UNKNOWN
--- /dev/null
+++ b/chervilshore/filters/decode.py
@@ -0,0 +1,94 @@
+"""Checks the form of a request: body, headers, names."""
+
+import msgspec
+
+from chervilshore.controllers import configuration
+from chervilshore import exceptions
+from chervilshore.filters import base
+from chervilshore import ids
+from chervilshore import results
+
+MOST_KEY_LENGTH = 200
+"""Characters that an idempotency key may have."""
+
+MOST_TOKENS = 32_768
+"""Tokens that a request may ask for."""
+
+_BODY = msgspec.json.Decoder(dict)
+
+
+class DecodeFilter(base.Filter):
+    """Decodes the body and pins the rules that decide to the end.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Holds the rules in force.
+    """
+
+    def __init__(self, configuration: configuration.Configuration) -> None:
+        self._configuration = configuration
+
+    async def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Check a request's form; see `Filter.handle`."""
+        rules = self._configuration.rules
+        if not rules.generation:
+            raise exceptions.RefusalError(results.Code.NOT_READY)
+        exchange.rules = rules
+        exchange.pipeline = self._find_pipeline(exchange)
+        exchange.team = self._find_team(exchange)
+        exchange.key = self._read_key(exchange)
+        exchange.body = self._read_body(exchange)
+        return await proceed(exchange)
+
+    def _find_pipeline(self, exchange: base.Exchange):
+        found = exchange.rules.pipelines.get(exchange.pipeline_name)
+        if found is None:
+            raise exceptions.RefusalError(
+                results.Code.UNKNOWN_PIPELINE, exchange.pipeline_name[:80]
+            )
+        return found
+
+    def _find_team(self, exchange: base.Exchange) -> ids.TeamId:
+        team = ids.TeamId(exchange.headers.get("x-team", ""))
+        if team not in exchange.rules.teams:
+            raise exceptions.RefusalError(results.Code.UNKNOWN_TEAM, team[:80])
+        return team
+
+    def _read_key(self, exchange: base.Exchange) -> ids.IdempotencyKey:
+        key = exchange.headers.get("idempotency-key", "")
+        if not key and not exchange.pipeline.repeatable:
+            raise exceptions.RefusalError(results.Code.KEY_NEEDED)
+        if len(key) > MOST_KEY_LENGTH or not key.isprintable():
+            raise exceptions.RefusalError(
+                results.Code.BAD_HEADER,
+                f"Idempotency-Key has at most {MOST_KEY_LENGTH} printable "
+                "characters",
+            )
+        return ids.IdempotencyKey(key)
+
+    def _read_body(self, exchange: base.Exchange) -> dict:
+        try:
+            body = _BODY.decode(exchange.raw)
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise exceptions.RefusalError(
+                results.Code.BAD_JSON, str(error)
+            ) from error
+        if not exchange.pipeline.path:
+            self._check_model_body(body)
+        return body
+
+    def _check_model_body(self, body: dict) -> None:
+        if not isinstance(body.get("input"), str):
+            raise exceptions.RefusalError(
+                results.Code.BAD_JSON, "input must be a string"
+            )
+        tokens = body.get("max_tokens", 1)
+        whole = isinstance(tokens, int) and not isinstance(tokens, bool)
+        if not whole or not 1 <= tokens <= MOST_TOKENS:
+            raise exceptions.RefusalError(
+                results.Code.BAD_JSON,
+                f"max_tokens is a whole number from 1 to {MOST_TOKENS}",
+            )
--- a/chervilshore/results.py
+++ b/chervilshore/results.py
@@ -96,6 +96,9 @@
     STREAM_BROKEN = Result(
         2004, _FAILED, 502, "The stream broke and could not be resumed."
     )
+    STAGE_UNSERVED = Result(
+        2005, _FAILED, 503, "A stage ran; a later one could not be run."
+    )
     INTERNAL = Result(2090, _FAILED, 500, "The daemon failed.")
 
     OUTCOME_UNKNOWN = Result(
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""The demo, the load, the measured cases and the slopes."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small servers that take the place of outside systems."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,129 @@
+"""The stand-in of a model engine."""
+
+import asyncio
+import hashlib
+import json
+
+from aiohttp import web
+
+from standins import base
+
+
+def write_token(prompt: str, index: int) -> str:
+    """Write the token that follows from a prompt and a position."""
+    digest = hashlib.blake2s(prompt.encode(), digest_size=3).hexdigest()
+    return f"{digest}.{index} "
+
+
+class Engine(base.Endpoint):
+    """Generates tokens; streams, resumes, cancels and takes orders.
+
+    Parameters
+    ----------
+    checks : bool
+        Whether it refuses orders with an old fencing number.
+    """
+
+    def __init__(self, name, shape, seed=0, checks: bool = False) -> None:
+        super().__init__(name, shape, seed)
+        self._checks = checks
+        self._fence = 0
+        self._state = {"model": "", "version": "", "role": "serve"}
+        self._adapters: list[str] = []
+        self._orders: list[dict] = []
+
+    def add_calls(self, app: web.Application) -> None:
+        """Add the calls; see `Endpoint.add_calls`."""
+        app.router.add_post("/v1/completions", self.take)
+        app.router.add_get("/admin/engine", self._show)
+        app.router.add_post("/admin/engine/orders", self._order)
+        app.router.add_get("/standin/orders", self._show_orders)
+
+    async def work(
+        self, request: web.Request, body: dict
+    ) -> web.StreamResponse:
+        """Generate an answer; see `Endpoint.work`."""
+        prompt = body["prompt"]
+        most = int(body.get("max_tokens", 16))
+        first = int(body.get("resume_from", 0))
+        await self.serve_for(self.shape.service_ms)
+        if not body.get("stream"):
+            await self.serve_for(self.shape.token_ms * (most - first))
+            text = "".join(write_token(prompt, i) for i in range(first, most))
+            self.counts.tokens += most - first
+            return web.json_response(
+                self._chunk(text, most, "stop"),
+                headers=self.headers(request),
+            )
+        return await self._stream(request, prompt, first, most)
+
+    async def _stream(self, request, prompt, first, most):
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                **self.headers(request),
+            }
+        )
+        await response.prepare(request)
+        for index in range(first, most):
+            await self.serve_for(self.shape.token_ms)
+            if 0 <= self.faults.cut_after <= index - first:
+                raise base.Fall
+            text = write_token(prompt, index)
+            await self._write(response, self._chunk(text, index + 1, None))
+            self.counts.tokens += 1
+        await self._write(response, self._chunk("", most, "stop"))
+        await response.write(b"data: [DONE]\n\n")
+        await response.write_eof()
+        return response
+
+    async def _write(self, response, chunk: dict) -> None:
+        await response.write(b"data: " + json.dumps(chunk).encode() + b"\n\n")
+
+    def _chunk(self, text: str, count: int, reason: str | None) -> dict:
+        return {
+            "choices": [{"index": 0, "text": text, "finish_reason": reason}],
+            "usage": {"completion_tokens": count},
+        }
+
+    async def _show(self, request: web.Request) -> web.Response:
+        last = self._orders[-1]["order"] if self._orders else ""
+        return web.json_response(
+            {
+                "instance": self._instance,
+                **self._state,
+                "adapters": self._adapters,
+                "fence": self._fence,
+                "last_order": last,
+            }
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        fence = int(body["fence"])
+        if self._checks and fence < self._fence:
+            return web.json_response(
+                {"error": "old fencing number", "fence": self._fence},
+                status=409,
+            )
+        self._fence = max(self._fence, fence)
+        self._orders.append(body)
+        self._carry_out(body["kind"], body["argument"])
+        if self._random.random() < self.faults.lose:
+            request.transport.abort()
+            raise asyncio.CancelledError
+        return web.json_response({"order": body["order"]})
+
+    def _carry_out(self, kind: str, argument: str) -> None:
+        if kind == "adapter":
+            self._adapters.append(argument)
+        elif kind == "unload":
+            self._state["model"] = ""
+        elif kind == "load":
+            self._state["model"] = argument
+            self.turn_cold()
+        else:
+            self._state[kind] = argument
+
+    async def _show_orders(self, request: web.Request) -> web.Response:
+        return web.json_response(self._orders)
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,87 @@
+"""Run several stand-ins in one process, each on its own port."""
+
+import argparse
+import asyncio
+
+from aiohttp import web
+import msgspec
+
+from standins import base
+from standins import engine
+from standins import platform
+from standins import pool
+
+KINDS = {
+    "engine": engine.Engine,
+    "encoder": pool.Encoder,
+    "retriever": pool.Retriever,
+    "reranker": pool.Reranker,
+    "plain": pool.Plain,
+}
+
+
+class Spec(msgspec.Struct):
+    """One stand-in.
+
+    Parameters
+    ----------
+    kind : str
+        A kind of endpoint, or ``platform``.
+    name : str
+        The endpoint's name.
+    port : int
+        Its port on loopback.
+    shape : Shape
+        How much it bears.
+    checks : bool
+        For an engine, whether it checks fencing numbers.
+    cold : bool
+        Whether it starts cold.
+    """
+
+    kind: str
+    name: str
+    port: int
+    shape: base.Shape = msgspec.field(default_factory=base.Shape)
+    checks: bool = False
+    cold: bool = False
+
+
+def make_app(spec: Spec) -> web.Application:
+    """Make the server of one stand-in."""
+    if spec.kind == "platform":
+        return platform.PlatformServer().make_app()
+    options = {"checks": spec.checks} if spec.kind == "engine" else {}
+    endpoint = KINDS[spec.kind](spec.name, spec.shape, **options)
+    endpoint.turn_cold()
+    if not spec.cold:
+        endpoint.warm()
+    return endpoint.make_app()
+
+
+async def serve(specs: list[Spec]) -> None:
+    """Serve stand-ins until the task is cancelled."""
+    for spec in specs:
+        runner = web.AppRunner(
+            make_app(spec), access_log=None, handler_cancellation=True
+        )
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", spec.port).start()
+    print("serving", flush=True)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the stand-ins that a JSON list describes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("specs", help="a JSON list of stand-ins")
+    arguments = parser.parse_args()
+    specs = msgspec.json.decode(arguments.specs, type=list[Spec])
+    try:
+        asyncio.run(serve(specs))
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/pool.py
@@ -0,0 +1,87 @@
+"""The stand-ins of encoders, retrievers and rerankers."""
+
+import hashlib
+
+from aiohttp import web
+
+from standins import base
+
+DIMENSIONS = 8
+
+
+class Encoder(base.Endpoint):
+    """Turns texts into vectors."""
+
+    def add_calls(self, app: web.Application) -> None:
+        """Add the calls; see `Endpoint.add_calls`."""
+        app.router.add_post("/v1/embeddings", self.take)
+
+    async def work(self, request: web.Request, body: dict) -> web.Response:
+        """Encode texts; see `Endpoint.work`."""
+        await self.serve_for(self.shape.service_ms)
+        data = [{"embedding": self._encode(text)} for text in body["input"]]
+        return web.json_response({"data": data}, headers=self.headers(request))
+
+    def _encode(self, text: str) -> list[float]:
+        digest = hashlib.blake2s(text.encode(), digest_size=DIMENSIONS)
+        return [byte / 255 for byte in digest.digest()]
+
+
+class Retriever(base.Endpoint):
+    """Finds documents near a vector."""
+
+    def add_calls(self, app: web.Application) -> None:
+        """Add the calls; see `Endpoint.add_calls`."""
+        app.router.add_post("/v1/search", self.take)
+
+    async def work(self, request: web.Request, body: dict) -> web.Response:
+        """Find documents; see `Endpoint.work`."""
+        await self.serve_for(self.shape.service_ms)
+        stem = round(sum(body["embedding"]) * 1000)
+        documents = [
+            {"id": f"d{stem}-{index}", "text": f"document {stem}-{index}"}
+            for index in range(int(body.get("top", 4)))
+        ]
+        return web.json_response(
+            {"documents": documents}, headers=self.headers(request)
+        )
+
+
+class Reranker(base.Endpoint):
+    """Orders documents for a query."""
+
+    def add_calls(self, app: web.Application) -> None:
+        """Add the calls; see `Endpoint.add_calls`."""
+        app.router.add_post("/v1/rerank", self.take)
+
+    async def work(self, request: web.Request, body: dict) -> web.Response:
+        """Order documents; see `Endpoint.work`."""
+        await self.serve_for(self.shape.service_ms)
+        count = len(body["documents"])
+        results = [
+            {"index": index, "relevance_score": 1.0 - rank / count}
+            for rank, index in enumerate(reversed(range(count)))
+        ]
+        return web.json_response(
+            {"results": results}, headers=self.headers(request)
+        )
+
+
+class Plain(base.Endpoint):
+    """A plain service; each call is an effect under the caller's key."""
+
+    def add_calls(self, app: web.Application) -> None:
+        """Add the calls; see `Endpoint.add_calls`."""
+        app.router.add_post("/{path:(?!standin/).*}", self.take)
+
+    async def work(self, request: web.Request, body: dict) -> web.Response:
+        """Run a call and count its effect; see `Endpoint.work`."""
+        key = request.headers.get("Idempotency-Key", "")
+        runs = self.counts.runs
+        if key:
+            runs[key] = runs.get(key, 0) + 1
+        await self.serve_for(self.shape.service_ms)
+        return web.json_response(
+            {"path": request.path, "echo": body, "by": self.name},
+            headers=self.headers(request),
+        )
