--- /dev/null
+++ b/chervilshore/decisions/limits.py
@@ -0,0 +1,203 @@
+"""How much each team may send through this host."""
+
+import abc
+import math
+
+from chervilshore.decisions import promises
+from chervilshore import ids
+from chervilshore.rules import model
+
+MILLIS_PER_SECOND = 1000.0
+
+IDLE_MS = 60_000.0
+"""Milliseconds without a request after which a team is forgotten."""
+
+DURATION_WEIGHT = 0.1
+"""The part that one request has in a team's mean duration."""
+
+UNKNOWN_DURATION_MS = 100.0
+"""Milliseconds that a request is thought to take before one has ended."""
+
+
+class TeamLimits(abc.ABC):
+    """Admits the requests of teams."""
+
+    @abc.abstractmethod
+    def admit(self, team: model.Team, now: float) -> float:
+        """Admit a request, or tell when it may come back.
+
+        Parameters
+        ----------
+        team : Team
+            The team's rule.
+        now : float
+            The time in milliseconds.
+
+        Returns
+        -------
+        float
+            0 when it is admitted, and then `release` must follow; else
+            milliseconds after which it may come back.
+        """
+
+    @abc.abstractmethod
+    def release(self, team: ids.TeamId, millis: float, now: float) -> None:
+        """Count the end of an admitted request.
+
+        Parameters
+        ----------
+        team : TeamId
+            The team.
+        millis : float
+            Milliseconds that it took.
+        now : float
+            The time in milliseconds.
+        """
+
+    @abc.abstractmethod
+    def refund(self, team: ids.TeamId) -> None:
+        """Undo the admission of a request that was refused elsewhere."""
+
+
+class Allowance:
+    """What a team may send through this host.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second.
+    burst : float
+        Requests at once.
+    concurrency : int
+        Requests in flight.
+    """
+
+    __slots__ = ("rate", "burst", "concurrency")
+
+    def __init__(self, rate: float, burst: float, concurrency: int) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.concurrency = concurrency
+
+
+class TeamState:
+    """What a host counts of a team.
+
+    Attributes
+    ----------
+    tokens : float
+        Requests that may come at once.
+    filled : float
+        The moment to which the tokens have been counted.
+    in_flight : int
+        Requests that run.
+    latest : float
+        The moment of the latest request.
+    duration_ms : float
+        The mean time of its requests.
+    promised : Promises
+        The moments that refused requests were given.
+    """
+
+    __slots__ = (
+        "tokens",
+        "filled",
+        "in_flight",
+        "latest",
+        "duration_ms",
+        "promised",
+    )
+
+    def __init__(self, tokens: float, now: float) -> None:
+        self.tokens = tokens
+        self.filled = now
+        self.in_flight = 0
+        self.latest = now
+        self.duration_ms = UNKNOWN_DURATION_MS
+        self.promised = promises.Promises()
+
+
+class SplitLimits(TeamLimits):
+    """The baseline: every host enforces an equal part of each limit.
+
+    Parameters
+    ----------
+    hosts : int
+        Entry hosts in the fleet.
+    """
+
+    def __init__(self, hosts: int = 1) -> None:
+        self._hosts = hosts
+        self._teams: dict[ids.TeamId, TeamState] = {}
+
+    def count_hosts(self, hosts: int) -> None:
+        """Learn how many entry hosts share the limits."""
+        self._hosts = max(1, hosts)
+
+    def admit(self, team: model.Team, now: float) -> float:
+        """Admit within the allowance; see `TeamLimits.admit`."""
+        allowance = self.allow(team, now)
+        state = self._teams.get(team.name)
+        if state is None:
+            state = TeamState(allowance.burst, now)
+            self._teams[team.name] = state
+        state.latest = now
+        self._fill(state, allowance, now)
+        if state.in_flight >= allowance.concurrency:
+            gap = state.duration_ms / max(1, state.in_flight)
+            return state.promised.take(gap, gap, now)
+        if state.tokens < 1.0:
+            return self._promise_token(state, allowance.rate, now)
+        state.tokens -= 1.0
+        state.in_flight += 1
+        return 0.0
+
+    def release(self, team: ids.TeamId, millis: float, now: float) -> None:
+        """Count the end of a request; see `TeamLimits.release`."""
+        state = self._teams.get(team)
+        if state is None:
+            return
+        state.in_flight -= 1
+        state.duration_ms += DURATION_WEIGHT * (millis - state.duration_ms)
+
+    def refund(self, team: ids.TeamId) -> None:
+        """Give the place and the token back; see `TeamLimits.refund`."""
+        state = self._teams.get(team)
+        if state is None:
+            return
+        state.in_flight -= 1
+        state.tokens += 1.0
+
+    def allow(self, team: model.Team, now: float) -> Allowance:
+        """Tell what a team may send through this host now."""
+        return Allowance(
+            team.rate / self._hosts,
+            max(1.0, team.burst / self._hosts),
+            max(1, math.floor(team.concurrency / self._hosts)),
+        )
+
+    def forget_idle(self, now: float) -> None:
+        """Drop what is known of teams that have sent nothing for long."""
+        idle = [
+            team
+            for team, state in self._teams.items()
+            if not state.in_flight and now - state.latest > IDLE_MS
+        ]
+        for team in idle:
+            del self._teams[team]
+
+    def _fill(
+        self, state: TeamState, allowance: Allowance, now: float
+    ) -> None:
+        passed = now - state.filled
+        earned = passed / MILLIS_PER_SECOND * allowance.rate
+        state.tokens = min(allowance.burst, state.tokens + earned)
+        state.filled = now
+
+    def _promise_token(
+        self, state: TeamState, rate: float, now: float
+    ) -> float:
+        if rate <= 0.0:
+            return promises.MOST_MS
+        gap = MILLIS_PER_SECOND / rate
+        return state.promised.take((1.0 - state.tokens) * gap, gap, now)
--- /dev/null
+++ b/chervilshore/filters/admission.py
@@ -0,0 +1,75 @@
+"""The filter that admits requests or refuses them at once."""
+
+from chervilshore import clock as clocks
+from chervilshore.decisions import limits as team_limits
+from chervilshore.decisions import shedding as load_shedding
+from chervilshore import exceptions
+from chervilshore.filters import base
+from chervilshore.filters import pools
+from chervilshore import results
+from chervilshore.rules import model
+
+
+class AdmissionFilter(base.Filter):
+    """Holds requests to the limits of their team and of this host.
+
+    A refused request never waits here, and has cost nothing.
+
+    Parameters
+    ----------
+    clock : Clock
+        The time.
+    limits : TeamLimits
+        What each team may send.
+    shedding : Shedding
+        How many requests this host takes on.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        limits: team_limits.TeamLimits,
+        shedding: load_shedding.Shedding,
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._shedding = shedding
+
+    async def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Admit the request and hold its places; see `Filter.handle`."""
+        began = self._clock.now()
+        needed = pools.list_pools(exchange)
+        priority = exchange.rules.class_of(exchange.pipeline).priority
+        self._enter_team(exchange, began)
+        self._enter_host(exchange, needed, priority, began)
+        try:
+            return await proceed(exchange)
+        finally:
+            now = self._clock.now()
+            self._shedding.release(needed, priority, now - began, now)
+            self._limits.release(exchange.team, now - began, now)
+
+    def _enter_team(self, exchange: base.Exchange, now: float) -> None:
+        team = exchange.rules.teams.get(exchange.team)
+        rule = team or model.Team(exchange.team)
+        wait = self._limits.admit(rule, now)
+        if wait:
+            raise exceptions.RefusalError(
+                results.Code.TEAM_LIMIT, f"team {exchange.team}", wait
+            )
+
+    def _enter_host(
+        self,
+        exchange: base.Exchange,
+        needed: load_shedding.Pools,
+        priority: int,
+        now: float,
+    ) -> None:
+        wait = self._shedding.admit(needed, priority, now)
+        if wait:
+            self._limits.refund(exchange.team)
+            raise exceptions.RefusalError(
+                results.Code.OVERLOADED, f"priority {priority}", wait
+            )
