--- a/chervilshore/client.py
+++ b/chervilshore/client.py
@@ -15,6 +15,7 @@
 from chervilshore import results
 
 RESEND_HEADER = "X-Resend"
+"""Tells how many earlier sends under the key may have run."""
 
 LEAST_PAUSE_MS = 5.0
 """Milliseconds between two sends of one request at the least."""
@@ -110,6 +111,10 @@
         self._random = generator or random.Random()
         self._session: aiohttp.ClientSession | None = None
 
+    def use(self, addresses: collections_abc.Sequence[ids.Address]) -> None:
+        """Send to these entry hosts from now on."""
+        self._addresses = list(addresses)
+
     async def close(self) -> None:
         """Close the connections."""
         if self._session is not None:
@@ -123,6 +128,7 @@
         key: ids.IdempotencyKey | None = None,
         repeatable: bool = True,
         text_sink: TextSink | None = None,
+        resend: bool = True,
     ) -> Answer:
         """Send a request, and send it again while that is safe.
 
@@ -144,6 +150,8 @@
             Whether the service may run the request more than once.
         text_sink : callable or None
             Takes streamed text; it makes the answer a stream.
+        resend : bool
+            Whether to send again at all.
 
         Raises
         ------
@@ -164,12 +172,12 @@
             try:
                 last = await self._send(sending, left)
             except AnswerLost:
-                if not sending.may_resend_lost():
+                if not resend or not sending.may_resend_lost():
                     raise
-                sending.unsure = True
+                sending.unsure += 1
                 pause = LEAST_PAUSE_MS
             else:
-                if not sending.may_resend(last):
+                if not resend or not sending.may_resend(last):
                     return last
                 pause = self._choose_pause(last)
             if self._clock.now() + pause >= end:
@@ -226,7 +234,7 @@
         if sending.key:
             headers["Idempotency-Key"] = sending.key
         if sending.unsure:
-            headers[RESEND_HEADER] = "1"
+            headers[RESEND_HEADER] = str(sending.unsure)
         if sending.text_sink is not None:
             headers["Accept"] = "text/event-stream"
         return headers
@@ -274,7 +282,7 @@
         self.repeatable = repeatable
         self.text_sink = text_sink
         self.sends = 0
-        self.unsure = False
+        self.unsure = 0
         self._streamed = False
         if text_sink is not None:
             self.text_sink = self._note_text(text_sink)
@@ -299,7 +307,7 @@
         if answer.is_not_run:
             return answer.code not in _FINAL_NUMBERS
         if answer.family == results.Family.UNKNOWN.value:
-            self.unsure = True
+            self.unsure += 1
             return self.may_resend_lost()
         return False
 
--- a/chervilshore/filters/base.py
+++ b/chervilshore/filters/base.py
@@ -102,6 +102,17 @@
         self.key = ids.IdempotencyKey("")
         self.dispatched = False
         self.abandoned = False
+        self._sends = 0
+
+    def begin_send(self) -> None:
+        """Note that a byte may go to an endpoint from here on."""
+        self._sends += 1
+        self.dispatched = True
+
+    def withdraw_send(self) -> None:
+        """Note that a send certainly ran nothing after all."""
+        self._sends -= 1
+        self.dispatched = self._sends > 0
 
 
 Proceed = collections_abc.Callable[
--- a/chervilshore/filters/stage.py
+++ b/chervilshore/filters/stage.py
@@ -1,66 +1,18 @@
-"""Runs one stage of a request: route, slot, attempt, check, retry."""
+"""Runs one stage of a request, with hedges and retries."""
 
-from collections import abc as collections_abc
-import logging
+import asyncio
 
-from chervilshore.clients import endpoints
 from chervilshore import clock as clocks
-from chervilshore.controllers import slots
-from chervilshore.decisions import routing
-from chervilshore import events
+from chervilshore.decisions import retries
 from chervilshore import exceptions
+from chervilshore.filters import attempt
 from chervilshore.filters import base
-from chervilshore import ids
-from chervilshore import metrics
 from chervilshore import records
 from chervilshore import results
-from chervilshore.rules import model
 
 MOST_ATTEMPTS = 4
 """Attempts at one stage, those that reached no endpoint among them."""
 
-MOST_UNCONFIRMED = 20
-"""Slots in a row that may have lapsed before they were used."""
-
-SETTLE_MS = 10_000.0
-"""Milliseconds past the deadline for which an answer is awaited when the
-call may not be repeated, so that its outcome can be recorded."""
-
-PREFIX_LENGTH = 64
-"""Characters of the input that tell which prompt prefix it shares."""
-
-_LOGGER = logging.getLogger(__name__)
-
-_OUTCOMES = (
-    (exceptions.EndpointUnreached, records.Outcome.UNREACHED),
-    (exceptions.EndpointBusy, records.Outcome.BUSY),
-    (exceptions.EndpointRejected, records.Outcome.REJECTED),
-    (exceptions.EndpointBroken, records.Outcome.BROKEN),
-)
-
-
-class _Progress:
-    """How far a stage has come, over all of its attempts."""
-
-    def __init__(self, exchange: base.Exchange, index: int) -> None:
-        self.stage = exchange.pipeline.stages[index]
-        self.pool = exchange.rules.pools[self.stage.pool]
-        self.domains: tuple[ids.DomainId, ...] = ()
-        self.attempts = 0
-        self.excluded: frozenset[ids.EndpointId] = frozenset()
-        self.pieces: list[str] = []
-        self._use_route(exchange)
-
-    def _use_route(self, exchange: base.Exchange) -> None:
-        route = exchange.rules.route_for(
-            exchange.pipeline, exchange.team, self.stage.name
-        )
-        if route is None:
-            return
-        self.domains = route.domains
-        if route.pool:
-            self.pool = exchange.rules.pools[route.pool]
-
 
 class StageRunner:
     """Runs stages.
@@ -68,28 +20,26 @@
     Parameters
     ----------
     clock : Clock
-        Measures deadlines and attempts.
-    source : Slots
-        Gives out slots at endpoints.
-    clients : mapping of EndpointKind to EndpointClient
-        Make the calls.
-    counters : Metrics
-        Counts attempts and times.
+        Measures deadlines.
+    runner : AttemptRunner
+        Makes the attempts.
+    budget : RetryPolicy
+        Bounds the retries.
+    hedging : Hedging or None
+        Starts second attempts; nothing for none.
     """
 
     def __init__(
         self,
         clock: clocks.Clock,
-        source: slots.Slots,
-        clients: collections_abc.Mapping[
-            records.EndpointKind, endpoints.EndpointClient
-        ],
-        counters: metrics.Metrics,
+        runner: attempt.AttemptRunner,
+        budget: retries.RetryPolicy,
+        hedging: retries.Hedging | None = None,
     ) -> None:
         self._clock = clock
-        self._slots = source
-        self._clients = clients
-        self._metrics = counters
+        self._runner = runner
+        self._budget = budget
+        self._hedging = hedging
 
     async def run(
         self, exchange: base.Exchange, index: int, value: dict
@@ -115,197 +65,94 @@
         exceptions.RefusalError
             The stage could not be run, or no attempt brought its answer.
         """
-        progress = _Progress(exchange, index)
+        work = attempt.Work(exchange, index, value)
+        self._budget.note_first()
         while True:
-            slot = await self._take_slot(exchange, progress, value)
             try:
-                return await self._try(exchange, progress, value, slot)
-            except exceptions.EndpointError as error:
-                self._consider(exchange, progress, slot, error)
-
-    async def _take_slot(
-        self, exchange: base.Exchange, progress: _Progress, value: dict
-    ) -> slots.Slot:
-        need = self._make_need(exchange, progress, value)
-        for _ in range(MOST_UNCONFIRMED):
-            slot = await self._slots.acquire(need)
-            if self._slots.confirm(slot):
-                return slot
-            self._slots.release(slot, slots.Attempt(records.Outcome.CANCELLED))
-        raise exceptions.RefusalError(results.Code.NO_ENDPOINT)
-
-    def _make_need(
-        self, exchange: base.Exchange, progress: _Progress, value: dict
-    ) -> routing.Need:
-        request_class = exchange.rules.class_of(exchange.pipeline)
-        return routing.Need(
-            request=exchange.request,
-            team=exchange.team,
-            priority=request_class.priority,
-            aging_ms=request_class.aging_ms,
-            pool=progress.pool.name,
-            domains=progress.domains,
-            deadline=exchange.deadline,
-            prefix=self._read_prefix(progress.pool, value),
-            excluded=progress.excluded,
-        )
-
-    def _read_prefix(self, pool: model.Pool, value: dict) -> str:
-        if pool.kind is not records.EndpointKind.ENGINE:
-            return ""
-        return str(value.get("input", ""))[:PREFIX_LENGTH]
-
-    async def _try(
-        self,
-        exchange: base.Exchange,
-        progress: _Progress,
-        value: dict,
-        slot: slots.Slot,
-    ) -> dict:
-        if exchange.abandoned:
-            self._slots.release(slot, slots.Attempt(records.Outcome.CANCELLED))
-            raise exceptions.RefusalError(results.Code.DEADLINE_PASSED)
-        progress.attempts += 1
-        call = self._make_call(exchange, progress, value, slot)
-        client = self._clients[progress.pool.kind]
-        begun = self._clock.now()
-        before = exchange.dispatched
-        # From here on a byte may be out, unless the client says otherwise.
-        exchange.dispatched = True
-        outcome = records.Outcome.CANCELLED
-        reply = endpoints.Reply({})
+                return await self._try(work)
+            except attempt.AttemptError as error:
+                self._consider(work, error)
+
+    async def _try(self, work: attempt.Work) -> dict:
+        delay = self._choose_hedge_delay(work)
+        if delay is None:
+            return await self._runner.run(work)
+        return await self._race(work, delay)
+
+    def _choose_hedge_delay(self, work: attempt.Work) -> float | None:
+        if self._hedging is None or work.streams:
+            return None
+        if not work.exchange.pipeline.repeatable:
+            return None
+        self._hedging.note_first()
+        return self._hedging.delay(work.pool.name, self._clock.now())
+
+    async def _race(self, work: attempt.Work, delay: float) -> dict:
+        """Run an attempt, and a second one when it takes too long."""
+        running = {asyncio.ensure_future(self._runner.run(work))}
+        timer = asyncio.ensure_future(self._clock.sleep(delay))
         try:
-            reply = await client.call(slot.record, call)
-            outcome = records.Outcome.OK
-        except exceptions.EndpointError as error:
-            outcome = self._classify(error)
-            if outcome in (records.Outcome.UNREACHED, records.Outcome.BUSY):
-                exchange.dispatched = before
-            raise
+            await asyncio.wait(
+                running | {timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+            may_hedge = not any(task.done() for task in running)
+            if may_hedge and self._hedging.may_hedge(self._clock.now()):
+                hedge = self._runner.run(work, hedge=True)
+                running.add(asyncio.ensure_future(hedge))
+            return await self._take_first(running)
         finally:
-            millis = self._clock.now() - begun
-            self._slots.release(
-                slot,
-                slots.Attempt(outcome, millis, reply.instance, reply.cold),
+            timer.cancel()
+            for task in running:
+                task.cancel()
+
+    async def _take_first(self, running: set[asyncio.Task]) -> dict:
+        """Take the first whole answer, or what the attempts failed with."""
+        failure: BaseException | None = None
+        while running:
+            done, _ = await asyncio.wait(
+                running, return_when=asyncio.FIRST_COMPLETED
             )
-            self._count(progress.pool, outcome, millis)
-        return self._join(progress, reply.value)
-
-    def _make_call(
-        self,
-        exchange: base.Exchange,
-        progress: _Progress,
-        value: dict,
-        slot: slots.Slot,
-    ) -> endpoints.Call:
-        pipeline = exchange.pipeline
-        millis = exchange.deadline - self._clock.now()
-        if not pipeline.repeatable:
-            millis += SETTLE_MS
-        return endpoints.Call(
-            binding=records.Binding(
-                exchange.request,
-                progress.stage.name,
-                progress.attempts,
-                slot.record.endpoint,
-            ),
-            value=value,
-            millis=millis,
-            repeatable=pipeline.repeatable,
-            key=exchange.key,
-            path=pipeline.path,
-            model=progress.pool.model,
-            priority=exchange.rules.class_of(pipeline).priority,
-            skip=len(progress.pieces),
-            text_sink=self._make_sink(exchange, progress),
-        )
-
-    def _make_sink(
-        self, exchange: base.Exchange, progress: _Progress
-    ) -> endpoints.TextSink:
-        async def take(text: str) -> None:
-            progress.pieces.append(text)
-            if exchange.sink is not None:
-                await exchange.sink(text)
-
-        return take
-
-    def _join(self, progress: _Progress, made: dict) -> dict:
-        if "text" in made:
-            made["text"] = "".join(progress.pieces)
-        return made
+            for task in done:
+                running.discard(task)
+                if task.exception() is None:
+                    return task.result()
+                # A failed attempt tells more than a hedge without a slot.
+                if not isinstance(failure, attempt.AttemptError):
+                    failure = task.exception()
+        raise failure
 
     def _consider(
-        self,
-        exchange: base.Exchange,
-        progress: _Progress,
-        slot: slots.Slot,
-        error: exceptions.EndpointError,
+        self, work: attempt.Work, error: attempt.AttemptError
     ) -> None:
         """Decide whether another attempt follows; raise if none does."""
-        self._report(exchange, error)
-        outcome = self._classify(error)
-        if outcome is records.Outcome.REJECTED:
-            raise exceptions.RefusalError(
-                results.Code.STAGE_FAILED, str(error)
-            ) from error
-        ran = outcome is records.Outcome.BROKEN
-        if ran and not exchange.pipeline.repeatable:
-            raise exceptions.RefusalError(
-                results.Code.OUTCOME_UNKNOWN, str(error)
-            ) from error
-        self._consider_stream(exchange, progress, error)
-        if progress.attempts >= MOST_ATTEMPTS:
-            self._end(ran, error)
-        if self._clock.now() >= exchange.deadline:
-            raise exceptions.RefusalError(
-                results.Code.DEADLINE_PASSED, str(error)
-            ) from error
-        progress.excluded |= {slot.record.endpoint}
-
-    def _end(self, ran: bool, error: exceptions.EndpointError) -> None:
-        code = results.Code.NO_ENDPOINT
+        repeatable = work.exchange.pipeline.repeatable
+        ran = error.outcome is records.Outcome.BROKEN
+        if error.outcome is records.Outcome.REJECTED:
+            self._end(results.Code.STAGE_FAILED, error)
+        if ran and not repeatable:
+            self._end(results.Code.OUTCOME_UNKNOWN, error)
         if ran:
-            code = results.Code.STAGE_BROKEN
-        raise exceptions.RefusalError(code, str(error)) from error
-
-    def _consider_stream(
-        self,
-        exchange: base.Exchange,
-        progress: _Progress,
-        error: exceptions.EndpointError,
+            self._keep_text(work, error)
+        now = self._clock.now()
+        if now >= work.exchange.deadline:
+            self._end(results.Code.DEADLINE_PASSED, error)
+        tries_left = work.attempts < MOST_ATTEMPTS
+        if not tries_left or not self._budget.may_retry(now):
+            broken = results.Code.STAGE_BROKEN
+            self._end(broken if ran else results.Code.NO_ENDPOINT, error)
+        work.excluded |= {error.endpoint}
+
+    def _keep_text(
+        self, work: attempt.Work, error: attempt.AttemptError
     ) -> None:
-        if not progress.pieces or progress.pool.resume:
+        """Keep text that the next attempt can go on from."""
+        if work.pool.resume:
+            work.pieces = max(work.pieces, error.pieces, key=len)
             return
-        if exchange.sink is not None:
+        if error.pieces and work.streams:
             # Another run could generate other text, which must not be
             # joined to what the caller has already.
-            raise exceptions.RefusalError(
-                results.Code.STREAM_BROKEN, str(error)
-            ) from error
-        progress.pieces.clear()
-
-    def _report(
-        self, exchange: base.Exchange, error: exceptions.EndpointError
-    ) -> None:
-        if not isinstance(error, exceptions.AnswerMismatch):
-            return
-        self._metrics.count(metrics.Metric.DROPPED, "mismatch")
-        events.log_event(
-            _LOGGER,
-            events.Event.ANSWER_DROPPED,
-            request=exchange.request,
-            detail=error,
-        )
-
-    def _classify(self, error: exceptions.EndpointError) -> records.Outcome:
-        for kind, outcome in _OUTCOMES:
-            if isinstance(error, kind):
-                return outcome
-        return records.Outcome.BROKEN
+            self._end(results.Code.STREAM_BROKEN, error)
 
-    def _count(
-        self, pool: model.Pool, outcome: records.Outcome, millis: float
-    ) -> None:
-        self._metrics.count(metrics.Metric.ATTEMPTS, pool.name, outcome.value)
-        self._metrics.observe(metrics.Metric.STAGE_SECONDS, millis, pool.name)
+    def _end(self, code: results.Code, error: attempt.AttemptError) -> None:
+        raise exceptions.RefusalError(code, str(error)) from error
--- a/measure/plans.py
+++ b/measure/plans.py
@@ -44,7 +44,9 @@
     instruction : str
         The service that may not be repeated, in `instruction_pool`.
     lookup : str
-        A service that may be repeated.
+        A service that may be repeated, in `lookup_pool`.
+    teams : tuple of str
+        Its teams, the largest first.
     """
 
     name: str
@@ -59,7 +61,7 @@
     teams: tuple[str, ...]
 
 
-ENGINE = base.Shape(slots=16, service_ms=20.0, token_ms=2.0, cold=2)
+ENGINE = base.Shape(slots=16, service_ms=20.0, token_ms=2.0, cold=1)
 SMALL = base.Shape(slots=8, service_ms=5.0, cold=2)
 PLAIN = base.Shape(slots=8, service_ms=5.0, cold=2)
 
@@ -89,7 +91,7 @@
     instruction_pool="ledger",
     lookup="visit-status",
     lookup_pool="ledger",
-    teams=(),
+    teams=("glasgow", "edinburgh", "islands", "highlands", "borders"),
 )
 
 TAAWUNIYAT = Plan(
@@ -106,7 +108,7 @@
     instruction_pool="loan-ledger",
     lookup="loan-status",
     lookup_pool="loan-ledger",
-    teams=(),
+    teams=("members", "dealers", "reviewers", "branches", "auditors"),
 )
 
 PLANS = {plan.name: plan for plan in (KELVINSIDE, TAAWUNIYAT)}
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -9,6 +9,21 @@
 DIMENSIONS = 8
 
 
+def encode(text: str) -> list[float]:
+    """Turn a text into a vector."""
+    digest = hashlib.blake2s(text.encode(), digest_size=DIMENSIONS)
+    return [byte / 255 for byte in digest.digest()]
+
+
+def find(vector: list[float], top: int) -> list[dict[str, str]]:
+    """Find the documents for a vector."""
+    stem = round(sum(vector) * 1000)
+    return [
+        {"id": f"d{stem}-{index}", "text": f"document {stem}-{index}"}
+        for index in range(top)
+    ]
+
+
 class Encoder(base.Endpoint):
     """Turns texts into vectors."""
 
@@ -19,13 +34,9 @@
     async def work(self, request: web.Request, body: dict) -> web.Response:
         """Encode texts; see `Endpoint.work`."""
         await self.serve_for(self.shape.service_ms)
-        data = [{"embedding": self._encode(text)} for text in body["input"]]
+        data = [{"embedding": encode(text)} for text in body["input"]]
         return web.json_response({"data": data}, headers=self.headers(request))
 
-    def _encode(self, text: str) -> list[float]:
-        digest = hashlib.blake2s(text.encode(), digest_size=DIMENSIONS)
-        return [byte / 255 for byte in digest.digest()]
-
 
 class Retriever(base.Endpoint):
     """Finds documents near a vector."""
@@ -37,11 +48,7 @@
     async def work(self, request: web.Request, body: dict) -> web.Response:
         """Find documents; see `Endpoint.work`."""
         await self.serve_for(self.shape.service_ms)
-        stem = round(sum(body["embedding"]) * 1000)
-        documents = [
-            {"id": f"d{stem}-{index}", "text": f"document {stem}-{index}"}
-            for index in range(int(body.get("top", 4)))
-        ]
+        documents = find(body["embedding"], int(body.get("top", 4)))
         return web.json_response(
             {"documents": documents}, headers=self.headers(request)
         )
--- /dev/null
+++ b/tests/test_endpoints.py
@@ -0,0 +1,150 @@
+"""Calls to endpoints, against the stand-ins and their faults."""
+
+from aiohttp import test_utils
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore.clients import completions
+from chervilshore.clients import endpoints
+from chervilshore.clients import models
+from chervilshore import exceptions
+from chervilshore import records
+from standins import base
+from standins import engine
+from standins import pool
+from tests import request_helpers as helpers
+
+SHAPE = base.Shape(service_ms=0.0, token_ms=0.0)
+
+
+@pytest.fixture
+async def sessions():
+    opened = endpoints.Sessions()
+    yield opened
+    await opened.close()
+
+
+@pytest.fixture
+async def start():
+    servers = []
+
+    async def start_standin(endpoint):
+        endpoint.turn_cold()
+        endpoint.warm()
+        server = test_utils.TestServer(
+            endpoint.make_app(), handler_cancellation=True
+        )
+        await server.start_server()
+        servers.append(server)
+        return helpers.make_record("e1", address=f"127.0.0.1:{server.port}")
+
+    yield start_standin
+    for server in servers:
+        await server.close()
+
+
+def make_call(value, **options):
+    binding = records.Binding("r1", "do", 1, "e1")
+    return endpoints.Call(binding, value, 5000.0, **options)
+
+
+async def generate(sessions, record, **options):
+    heard = []
+
+    async def sink(text):
+        heard.append(text)
+
+    value = {"input": "hello", "max_tokens": 5}
+    call = make_call(value, text_sink=sink, **options)
+    reply = await completions.CompletionClient(sessions).call(record, call)
+    return reply, heard
+
+
+async def test_a_stream_comes_whole(sessions, start):
+    record = await start(engine.Engine("e1", SHAPE))
+    reply, heard = await generate(sessions, record)
+    whole = [engine.write_token("hello", index) for index in range(5)]
+    assertions.assert_that(heard, matchers.Equals(whole))
+    assertions.assert_that(reply.value["tokens"], matchers.Equals(5))
+    assertions.assert_that(reply.instance, matchers.Equals("e1-1"))
+
+
+async def test_a_stream_is_resumed_after_skipped_tokens(sessions, start):
+    record = await start(engine.Engine("e1", SHAPE))
+    _, heard = await generate(sessions, record, skip=3)
+    rest = [engine.write_token("hello", index) for index in (3, 4)]
+    assertions.assert_that(heard, matchers.Equals(rest))
+
+
+async def test_a_cut_stream_is_broken_not_short(sessions, start):
+    standin = engine.Engine("e1", SHAPE)
+    standin.faults.cut_after = 3
+    record = await start(standin)
+    with pytest.raises(exceptions.EndpointBroken):
+        await generate(sessions, record)
+
+
+async def test_a_crossed_answer_is_not_taken(sessions, start):
+    standin = pool.Plain("e1", SHAPE)
+    record = await start(standin)
+    client = models.PlainClient(sessions)
+    await client.call(record, make_call({"n": 1}, path="/do"))
+    standin.faults.cross = 1.0
+    other = endpoints.Call(
+        records.Binding("r2", "do", 1, "e1"), {"n": 2}, 5000.0, path="/do"
+    )
+    with pytest.raises(exceptions.AnswerMismatch):
+        await client.call(record, other)
+
+
+async def test_a_lost_answer_is_broken_and_has_run(sessions, start):
+    standin = pool.Plain("e1", SHAPE)
+    standin.faults.lose = 1.0
+    record = await start(standin)
+    call = make_call({"n": 1}, path="/do", repeatable=False, key="k")
+    with pytest.raises(exceptions.EndpointBroken):
+        await models.PlainClient(sessions).call(record, call)
+    assertions.assert_that(standin.counts.runs, matchers.Equals({"k": 1}))
+
+
+async def test_nobody_listening_is_unreached(sessions, start):
+    record = helpers.make_record("e1", address="127.0.0.1:1")
+    with pytest.raises(exceptions.EndpointUnreached):
+        await generate(sessions, record)
+
+
+async def test_an_error_status_is_broken(sessions, start):
+    standin = pool.Encoder("e1", SHAPE)
+    standin.faults.fail = 1.0
+    record = await start(standin)
+    with pytest.raises(exceptions.EndpointBroken):
+        await models.EncoderClient(sessions).call(
+            record, make_call({"input": "x"})
+        )
+
+
+async def test_the_stages_of_a_report_fit_together(sessions, start):
+    value = {"input": "x"}
+    for standin, client in (
+        (pool.Encoder("e1", SHAPE), models.EncoderClient(sessions)),
+        (pool.Retriever("e1", SHAPE), models.RetrieverClient(sessions)),
+        (pool.Reranker("e1", SHAPE), models.RerankerClient(sessions)),
+    ):
+        record = await start(standin)
+        reply = await client.call(record, make_call(value))
+        value |= reply.value
+    assertions.assert_that(
+        len(value["documents"]), matchers.Equals(models.DOCUMENTS_KEPT)
+    )
+
+
+async def test_a_cold_endpoint_falls_over_when_overrun(sessions, start):
+    standin = pool.Plain("e1", base.Shape(cold=0, service_ms=0.0))
+    record = await start(standin)
+    standin.turn_cold()
+    with pytest.raises(exceptions.EndpointBroken):
+        await models.PlainClient(sessions).call(
+            record, make_call({"n": 1}, path="/do")
+        )
+    assertions.assert_that(standin.counts.overruns, matchers.Equals(1))
