--- a/chervilshore/decisions/limits.py
+++ b/chervilshore/decisions/limits.py
@@ -3,12 +3,11 @@
 import abc
 import math
 
+from chervilshore import clock as clocks
 from chervilshore.decisions import promises
 from chervilshore import ids
 from chervilshore.rules import model
 
-MILLIS_PER_SECOND = 1000.0
-
 IDLE_MS = 60_000.0
 """Milliseconds without a request after which a team is forgotten."""
 
@@ -190,7 +189,7 @@
         self, state: TeamState, allowance: Allowance, now: float
     ) -> None:
         passed = now - state.filled
-        earned = passed / MILLIS_PER_SECOND * allowance.rate
+        earned = passed / clocks.MILLIS_PER_SECOND * allowance.rate
         state.tokens = min(allowance.burst, state.tokens + earned)
         state.filled = now
 
@@ -199,5 +198,5 @@
     ) -> float:
         if rate <= 0.0:
             return promises.MOST_MS
-        gap = MILLIS_PER_SECOND / rate
+        gap = clocks.MILLIS_PER_SECOND / rate
         return state.promised.take((1.0 - state.tokens) * gap, gap, now)
--- a/chervilshore/decisions/queues.py
+++ b/chervilshore/decisions/queues.py
@@ -57,6 +57,22 @@
     def remove(self, ticket: Ticket) -> None:
         """Drop a ticket; one that is not there is passed over."""
 
+    def expire(self, now: float) -> list[Ticket]:
+        """Drop the tickets that cannot make their deadline any more.
+
+        Parameters
+        ----------
+        now : float
+            The time in milliseconds.
+
+        Returns
+        -------
+        list of Ticket
+            What was dropped since the last call, so that it can be
+            refused at once; the baseline drops nothing.
+        """
+        return []
+
 
 class FifoQueue(WaitQueue):
     """The baseline: first come, first served."""
--- a/chervilshore/decisions/retries.py
+++ b/chervilshore/decisions/retries.py
@@ -2,11 +2,10 @@
 
 import abc
 
+from chervilshore import clock as clocks
 from chervilshore.decisions import deadlines
 from chervilshore import ids
 
-MILLIS_PER_SECOND = 1000.0
-
 RETRY_RATIO = 0.1
 """Retries that each first attempt earns."""
 
@@ -106,7 +105,9 @@
 
     def _fill(self, now: float) -> None:
         if self._filled is not None:
-            earned = (now - self._filled) / MILLIS_PER_SECOND * self._floor
+            earned = (
+                (now - self._filled) / clocks.MILLIS_PER_SECOND * self._floor
+            )
             self._tokens = min(self._most, self._tokens + earned)
         self._filled = now
 
--- a/tests/flow_helpers.py
+++ b/tests/flow_helpers.py
@@ -1,5 +1,7 @@
 """What the tests of routing, queues, deadlines and limits share."""
 
+from chervilshore.decisions import queues
+from chervilshore.decisions import routing
 from chervilshore.filters import base
 from chervilshore import ids
 from chervilshore import records
@@ -25,3 +27,11 @@
 async def answer(exchange):
     """End the chain with a whole answer."""
     return base.Answer(base.results.Code.OK)
+
+
+def make_ticket(number, team="vans", priority=0, **fields):
+    """Make a ticket that waits since the moment ``since``."""
+    since = fields.pop("since", 0.0)
+    fields.setdefault("deadline", since + 10_000.0)
+    need = routing.Need(f"r{number}", team, priority, POOL, **fields)
+    return queues.Ticket(number, need, since)
