--- /dev/null
+++ b/chervilshore/changes.py
@@ -0,0 +1,300 @@
+"""Read and change the accepted configuration in the platform.
+
+A change writes what it will consist of, then its chunks, and then the head
+by one conditional update, which is the only step that puts it in force.
+Whatever answer is lost, its change id tells later whether it was accepted.
+"""
+
+import enum
+
+import msgspec
+
+from chervilshore.clients import platform as platforms
+from chervilshore import clock as clocks
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore.rules import generations
+
+RETRY_MS = 200.0
+"""Milliseconds between two tries of a call whose answer was lost."""
+
+
+class Verdict(enum.Enum):
+    """What became of a change."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    NOT_ACCEPTED = "not accepted"
+    UNKNOWN = "unknown"
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """The accepted configuration at one moment.
+
+    Parameters
+    ----------
+    head : Head or None
+        What is accepted; nothing before the first change.
+    version : int
+        The version of the head object; 0 when there is none.
+    """
+
+    head: generations.Head | None = None
+    version: int = 0
+
+    @property
+    def generation(self) -> ids.Generation:
+        """The accepted generation; 0 before the first change."""
+        return self.head.generation if self.head else ids.Generation(0)
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A change that is to be accepted.
+
+    Parameters
+    ----------
+    change : ChangeId
+        Unique to this attempt.
+    author, reason : str
+        Who makes it, and why.
+    base : Snapshot
+        The configuration that it changes.
+    packed : Packed
+        The new rules.
+    time_ms : float
+        Milliseconds since 1970.
+    """
+
+    change: ids.ChangeId
+    author: str
+    reason: str
+    base: Snapshot
+    packed: generations.Packed
+    time_ms: float
+
+    @property
+    def head(self) -> generations.Head:
+        """The head that it brings."""
+        before = self.base.head
+        return generations.Head(
+            generation=ids.Generation(self.base.generation + 1),
+            change=self.change,
+            previous=before.change if before else ids.ChangeId(""),
+            author=self.author,
+            reason=self.reason,
+            time_ms=self.time_ms,
+            main=self.packed.main,
+            buckets=self.packed.buckets,
+        )
+
+
+class Store:
+    """The configuration's objects in the platform.
+
+    Parameters
+    ----------
+    platform : Platform
+        Where they are.
+    clock : Clock
+        Measures the time that is left.
+    """
+
+    def __init__(
+        self, platform: platforms.Platform, clock: clocks.Clock
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+
+    async def read(self) -> Snapshot:
+        """Read the accepted head."""
+        try:
+            stored = await self._platform.get(generations.HEAD_KEY)
+        except exceptions.ObjectMissing:
+            return Snapshot()
+        return Snapshot(generations.decode_head(stored.value), stored.version)
+
+    async def read_chunks(self, head: generations.Head) -> dict[str, bytes]:
+        """Read and verify the chunks of a generation.
+
+        Raises
+        ------
+        exceptions.RulesError
+            A chunk is lost or changed.
+        """
+        return {
+            digest: await self._read_chunk(digest) for digest in head.digests
+        }
+
+    async def read_text(self, head: generations.Head | None) -> str:
+        """Read the rules file of a generation; empty without one."""
+        if head is None:
+            return ""
+        return generations.unpack(head, await self.read_chunks(head))
+
+    async def read_past(
+        self, snapshot: Snapshot, generation: ids.Generation
+    ) -> tuple[generations.Head, ...]:
+        """Read the heads from a generation up to the accepted one.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+            Where to go back from.
+        generation : Generation
+            The earliest one wanted.
+
+        Returns
+        -------
+        tuple of Head
+            The newest first. Records of changes that were never accepted
+            are left out. It ends early where the history was pruned.
+        """
+        head = snapshot.head
+        if head is None or head.generation < generation:
+            return ()
+        heads = [head]
+        kept = await self._list_history(generation, head.generation)
+        while head is not None and head.generation > generation:
+            before = ids.Generation(head.generation - 1)
+            head = kept.get(generations.name_history(before, head.previous))
+            if head is not None:
+                heads.append(head)
+        return tuple(heads)
+
+    async def publish(self, change: Change, timeout_ms: float) -> Verdict:
+        """Have a change accepted, whole or not at all.
+
+        Parameters
+        ----------
+        change : Change
+            The change; the same one may be published again.
+        timeout_ms : float
+            Milliseconds after which the outcome is given up.
+
+        Raises
+        ------
+        exceptions.PlatformUnavailable
+            The platform is down; the change was not accepted.
+        """
+        end = self._clock.now() + timeout_ms
+        head = change.head
+        key = generations.name_history(head.generation, head.change)
+        await self._write(key, generations.encode_head(head), end)
+        kept = change.base.head.digests if change.base.head else ()
+        for digest, content in change.packed.chunks.items():
+            if digest not in kept:
+                name = generations.name_chunk(digest)
+                await self._write(name, content, end)
+        return await self._commit(change, end)
+
+    async def settle(
+        self, generation: ids.Generation, change: ids.ChangeId
+    ) -> Verdict:
+        """Find out what became of a change whose answer was lost.
+
+        Returns
+        -------
+        Verdict
+            Unknown while the change might still be accepted.
+        """
+        snapshot = await self.read()
+        if snapshot.generation < generation:
+            return Verdict.UNKNOWN
+        for head in await self.read_past(snapshot, generation):
+            if head.generation == generation:
+                won = head.change == change
+                return Verdict.ACCEPTED if won else Verdict.CONFLICT
+        return Verdict.UNKNOWN
+
+    async def _commit(self, change: Change, end: float) -> Verdict:
+        head = change.head
+        value = generations.encode_head(head)
+        asked = False
+        while True:
+            try:
+                await self._put_head(value, change.base.version)
+                return Verdict.ACCEPTED
+            except exceptions.VersionConflict:
+                break
+            except exceptions.PlatformUnknown:
+                # The write may be on its way still, so only the platform's
+                # own verdict on the same version can settle it.
+                asked = True
+            except exceptions.PlatformUnavailable:
+                pass
+            if self._clock.now() >= end:
+                return Verdict.UNKNOWN if asked else Verdict.NOT_ACCEPTED
+            await self._clock.sleep(RETRY_MS)
+        return await self._settle_conflict(head, end)
+
+    async def _settle_conflict(
+        self, head: generations.Head, end: float
+    ) -> Verdict:
+        while True:
+            verdict = Verdict.UNKNOWN
+            try:
+                verdict = await self.settle(head.generation, head.change)
+            except exceptions.PlatformError:
+                pass
+            if verdict is not Verdict.UNKNOWN or self._clock.now() >= end:
+                return verdict
+            await self._clock.sleep(RETRY_MS)
+
+    async def _put_head(self, value: bytes, version: int) -> None:
+        if version:
+            await self._platform.update(generations.HEAD_KEY, value, version)
+        else:
+            await self._platform.create(generations.HEAD_KEY, value)
+
+    async def _write(self, key: str, value: bytes, end: float) -> None:
+        """Make sure that an object is there with this content.
+
+        An object that is there already is written once more: that mends
+        changed content, and takes it from a prune that saw it unused.
+        """
+        while True:
+            try:
+                await self._write_once(key, value)
+                return
+            except (
+                exceptions.PlatformUnknown,
+                exceptions.PlatformUnavailable,
+                exceptions.VersionConflict,
+            ) as error:
+                if self._clock.now() >= end:
+                    raise exceptions.PlatformUnavailable(key) from error
+            await self._clock.sleep(RETRY_MS)
+
+    async def _write_once(self, key: str, value: bytes) -> None:
+        try:
+            await self._platform.create(key, value)
+        except exceptions.VersionConflict:
+            stored = await self._platform.get(key)
+            await self._platform.update(key, value, stored.version)
+
+    async def _read_chunk(self, digest: str) -> bytes:
+        try:
+            stored = await self._platform.get(generations.name_chunk(digest))
+        except exceptions.ObjectMissing as error:
+            raise exceptions.RulesError(f"chunk {digest} is lost") from error
+        if not generations.verify(digest, stored.value):
+            raise exceptions.RulesError(f"chunk {digest} was changed")
+        return stored.value
+
+    async def _list_history(
+        self, first: ids.Generation, last: ids.Generation
+    ) -> dict[str, generations.Head]:
+        after = generations.name_history(first, ids.ChangeId(""))
+        end = generations.name_history(last, ids.ChangeId(""))
+        found = {}
+        while True:
+            page = await self._platform.list(
+                generations.HISTORY_PREFIX, after, most=100
+            )
+            for stored in page:
+                if stored.key >= end:
+                    return found
+                found[stored.key] = generations.decode_head(stored.value)
+            if len(page) < 100:
+                return found
+            after = page[-1].key
--- /dev/null
+++ b/chervilshore/clients/admin.py
@@ -0,0 +1,104 @@
+"""What each entry host tells operators of itself."""
+
+import abc
+import typing
+
+import aiohttp
+import msgspec
+
+from chervilshore import exceptions
+from chervilshore import ids
+
+STATE_PATH = "/admin/state"
+
+
+class HostStatus(msgspec.Struct):
+    """The answer of a host.
+
+    Parameters
+    ----------
+    host : HostId
+        Its name.
+    domain : DomainId
+        Its failure domain.
+    generation : Generation
+        The generation in force there.
+    refused_generation : Generation
+        The generation that could not come into force; 0 for none.
+    refusal : str
+        Why it could not.
+    ready, draining : bool
+        Whether it serves, and whether it is leaving.
+    hosts, endpoints, grants, limits : list or dict
+        What it believes of others.
+    pipelines : dict
+        Requests since it began, by pipeline.
+    refusals : dict
+        Refused requests since it began, by number of the result code.
+    """
+
+    host: ids.HostId
+    domain: ids.DomainId
+    generation: ids.Generation
+    refused_generation: ids.Generation = ids.Generation(0)
+    refusal: str = ""
+    ready: bool = False
+    draining: bool = False
+    hosts: typing.Any = None
+    endpoints: typing.Any = None
+    grants: typing.Any = None
+    limits: typing.Any = None
+    pipelines: dict[str, int] | None = None
+    refusals: dict[str, int] | None = None
+
+
+def decode_status(data: bytes) -> HostStatus:
+    """Decode a host's answer; parts that are not known are passed over.
+
+    Raises
+    ------
+    exceptions.PeerError
+        It is not usable.
+    """
+    try:
+        return msgspec.json.decode(data, type=HostStatus)
+    except msgspec.MsgspecError as error:
+        raise exceptions.PeerError(f"unusable status: {error}") from error
+
+
+class Admin(abc.ABC):
+    """Asks entry hosts for their status."""
+
+    @abc.abstractmethod
+    async def ask(self, address: ids.Address, timeout_ms: float) -> HostStatus:
+        """Ask one host.
+
+        Raises
+        ------
+        exceptions.PeerError
+            It did not answer in time, or not usably.
+        """
+
+
+class RestAdmin(Admin):
+    """Asks over HTTP.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Makes the calls.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def ask(self, address: ids.Address, timeout_ms: float) -> HostStatus:
+        """Ask one host; see `Admin.ask`."""
+        limit = aiohttp.ClientTimeout(total=timeout_ms / 1000.0)
+        url = f"http://{address}{STATE_PATH}"
+        try:
+            async with self._session.get(url, timeout=limit) as response:
+                response.raise_for_status()
+                return decode_status(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise exceptions.PeerError(f"{address}: {error}") from error
--- /dev/null
+++ b/chervilshore/cmdline.py
@@ -0,0 +1,270 @@
+"""The operators' command-line tool."""
+
+import argparse
+import asyncio
+from collections import abc
+import getpass
+import os
+import pathlib
+import sys
+
+import aiohttp
+import orjson
+
+from chervilshore.clients import admin as admin_clients
+from chervilshore.clients import platform as platforms
+from chervilshore import clock as clocks
+from chervilshore import commands
+from chervilshore import exceptions
+from chervilshore import operations
+from chervilshore import reports
+from chervilshore.rules import guards
+
+PLATFORM_VARIABLE = "CHERVILSHORE_PLATFORM"
+PLATFORM_MS = 1000.0
+TIMEOUT_S = 10.0
+
+
+class CommandLine:
+    """Runs one command of the tool.
+
+    Parameters
+    ----------
+    platform : Platform or None
+        Where configurations are accepted; nothing connects to the address
+        that the arguments give.
+    admin : Admin or None
+        How hosts are asked; nothing asks them over HTTP.
+    write : callable
+        Takes each line of output.
+    """
+
+    def __init__(
+        self,
+        platform: platforms.Platform | None = None,
+        admin: admin_clients.Admin | None = None,
+        write: abc.Callable[[str], None] = print,
+    ) -> None:
+        self._platform = platform
+        self._admin = admin
+        self._write = write
+
+    async def run(self, words: abc.Sequence[str]) -> int:
+        """Run the command that the words name.
+
+        Returns
+        -------
+        int
+            How the tool ends; see `reports.ExitCode`.
+        """
+        arguments = make_parser().parse_args(words)
+        try:
+            report = await self._run_command(arguments)
+        except exceptions.ChervilshoreError as error:
+            report = commands.report_failure(error)
+        if arguments.json:
+            data = {"exit": int(report.code)} | report.data
+            text = orjson.dumps(data, option=orjson.OPT_INDENT_2)
+            self._write(text.decode())
+        elif report.text:
+            self._write(report.text)
+        return int(report.code)
+
+    async def _run_command(
+        self, arguments: argparse.Namespace
+    ) -> reports.Report:
+        if arguments.command == "check":
+            return commands.check(*_read_file(arguments.file))
+        if arguments.command == "format":
+            return _format(arguments)
+        clock = clocks.SystemClock()
+        async with aiohttp.ClientSession() as session:
+            platform = self._platform or _connect(arguments, session)
+            admin = self._admin or admin_clients.RestAdmin(session)
+            operator = operations.Operations(platform, admin, clock)
+            run = commands.Commands(operator, self._choose_say(arguments))
+            return await getattr(self, f"_{arguments.command}")(run, arguments)
+
+    def _choose_say(self, arguments: argparse.Namespace) -> commands.Say:
+        if arguments.json:
+            return lambda text: None
+        return self._write
+
+    async def _show(self, run, arguments) -> reports.Report:
+        return await run.show(arguments.generation)
+
+    async def _diff(self, run, arguments) -> reports.Report:
+        document = operations.parse(*_read_file(arguments.file))
+        return await run.diff(document)
+
+    async def _apply(self, run, arguments) -> reports.Report:
+        text, file = _read_file(arguments.file)
+        edit = _make_edit(
+            arguments,
+            document=operations.parse(text, file),
+            base=arguments.generation,
+            merge=arguments.merge,
+        )
+        return await run.apply(
+            edit, arguments.timeout * 1000.0, arguments.dry_run
+        )
+
+    async def _rollback(self, run, arguments) -> reports.Report:
+        return await run.rollback(
+            arguments.generation,
+            _make_edit(arguments),
+            arguments.timeout * 1000.0,
+            arguments.dry_run,
+        )
+
+    async def _domain(self, run, arguments) -> reports.Report:
+        return await run.set_domain(
+            arguments.name,
+            arguments.state,
+            _make_edit(arguments),
+            arguments.timeout * 1000.0,
+            arguments.dry_run,
+        )
+
+    async def _history(self, run, arguments) -> reports.Report:
+        return await run.history(arguments.most)
+
+    async def _settle(self, run, arguments) -> reports.Report:
+        return await run.settle(arguments.generation, arguments.change)
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Make the tool's command line."""
+    common = argparse.ArgumentParser(add_help=False)
+    common.add_argument(
+        "--json", action="store_true", help="print one JSON object"
+    )
+    common.add_argument(
+        "--platform",
+        metavar="ADDRESS",
+        default=os.environ.get(PLATFORM_VARIABLE),
+        help="IP number and port of the platform's object API "
+        f"({PLATFORM_VARIABLE})",
+    )
+    change = _make_change_parser()
+    parser = argparse.ArgumentParser(
+        prog="chervilshore", description="Control the configuration."
+    )
+    add = parser.add_subparsers(
+        dest="command", required=True, metavar="COMMAND"
+    ).add_parser
+    one = add("check", parents=[common], help="check a rules file")
+    one.add_argument("file", help="the file; - reads from standard input")
+    one = add("format", parents=[common], help="write it in the usual form")
+    one.add_argument("file", help="the file; - reads from standard input")
+    one.add_argument(
+        "--write", action="store_true", help="rewrite the file itself"
+    )
+    one = add("diff", parents=[common], help="compare with what is accepted")
+    one.add_argument("file", help="the file; - reads from standard input")
+    one = add("apply", parents=[common, change], help="have a file accepted")
+    one.add_argument("file", help="the file; - reads from standard input")
+    one.add_argument(
+        "--generation",
+        type=int,
+        metavar="N",
+        help="the generation that was edited; the file's first line says it",
+    )
+    one.add_argument(
+        "--merge",
+        action="store_true",
+        help="join it with later edits of other rules",
+    )
+    one = add("show", parents=[common], help="print the accepted rules")
+    one.add_argument("--generation", type=int, metavar="N")
+    one = add("history", parents=[common], help="who changed what and why")
+    one.add_argument("--most", type=int, default=20, metavar="N")
+    one = add(
+        "rollback",
+        parents=[common, change],
+        help="have an earlier generation's rules accepted anew",
+    )
+    one.add_argument("generation", type=int)
+    one = add(
+        "domain",
+        parents=[common, change],
+        help="take a failure domain out or back in",
+    )
+    one.add_argument("state", choices=("out", "in"))
+    one.add_argument("name")
+    one = add("settle", parents=[common], help="ask for a change's outcome")
+    one.add_argument("generation", type=int)
+    one.add_argument("change")
+    return parser
+
+
+def _make_change_parser() -> argparse.ArgumentParser:
+    change = argparse.ArgumentParser(add_help=False)
+    change.add_argument("--reason", required=True, help="why it is changed")
+    change.add_argument(
+        "--author", default=None, help="who changes it; else the user's name"
+    )
+    change.add_argument(
+        "--allow",
+        action="append",
+        default=[],
+        choices=[guard.value for guard in guards.Guard],
+        help="override a guard; may be given again",
+    )
+    change.add_argument(
+        "--timeout",
+        type=float,
+        default=TIMEOUT_S,
+        metavar="S",
+        help="seconds to wait for the platform, and then for the hosts",
+    )
+    change.add_argument(
+        "--dry-run", action="store_true", help="only say what it would do"
+    )
+    return change
+
+
+def _make_edit(arguments: argparse.Namespace, **fields) -> operations.Edit:
+    fields.setdefault("document", None)
+    return operations.Edit(
+        author=arguments.author or getpass.getuser(),
+        reason=" ".join(arguments.reason.split()),
+        allowed=frozenset(map(guards.Guard, arguments.allow)),
+        **fields,
+    )
+
+
+def _read_file(name: str) -> tuple[str, str]:
+    if name == "-":
+        return sys.stdin.read(), "standard input"
+    try:
+        return pathlib.Path(name).read_text(), name
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.RulesError(f"{name}: {error}") from error
+
+
+def _format(arguments: argparse.Namespace) -> reports.Report:
+    report = commands.format_file(*_read_file(arguments.file))
+    if not arguments.write or arguments.file == "-":
+        return report
+    pathlib.Path(arguments.file).write_text(report.data["text"])
+    word = "rewritten" if report.data["changed"] else "unchanged"
+    return reports.Report(f"{arguments.file}: {word}", report.data)
+
+
+def _connect(
+    arguments: argparse.Namespace, session: aiohttp.ClientSession
+) -> platforms.Platform:
+    if not arguments.platform:
+        raise exceptions.SettingsError(
+            f"--platform ({PLATFORM_VARIABLE}) is required"
+        )
+    # The module is loaded here so that checking a file needs no network.
+    from chervilshore.clients import rest
+
+    return rest.RestPlatform(arguments.platform, PLATFORM_MS, session)
+
+
+def main() -> None:
+    """Run the tool."""
+    sys.exit(asyncio.run(CommandLine().run(sys.argv[1:])))
--- /dev/null
+++ b/chervilshore/commands.py
@@ -0,0 +1,169 @@
+"""The commands of the operators' tool."""
+
+from collections import abc
+
+import msgspec
+
+from chervilshore import changes
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import operations
+from chervilshore import reports
+from chervilshore.rules import differences
+from chervilshore.rules import generations
+from chervilshore.rules import lines
+
+Say = abc.Callable[[str], None]
+"""Takes a line for people, while the command still runs."""
+
+
+def check(text: str, file: str) -> reports.Report:
+    """Check a rules file."""
+    document = operations.parse(text, file)
+    counts: dict[str, int] = {}
+    for line in document.lines:
+        counts[line.kind] = counts.get(line.kind, 0) + 1
+    words = ", ".join(f"{count} {kind}" for kind, count in counts.items())
+    total = len(document.lines)
+    return reports.Report(
+        f"{file}: {total} rules, no problems ({words})",
+        {"file": file, "rules": total, "counts": counts, "problems": []},
+    )
+
+
+def format_file(text: str, file: str) -> reports.Report:
+    """Write a rules file in the usual form."""
+    document = operations.parse(text, file)
+    written = generations.format_document(document)
+    if document.generation is not None:
+        header = lines.write_header(document.generation)
+        written = f"{header}\n{written}"
+    changed = written != text
+    return reports.Report(
+        written.rstrip("\n"), {"text": written, "changed": changed}
+    )
+
+
+class Commands:
+    """The commands that need the platform.
+
+    Parameters
+    ----------
+    operator : Operations
+        Does the work.
+    say : callable
+        Takes what people should read before the command ends.
+    """
+
+    def __init__(self, operator: operations.Operations, say: Say) -> None:
+        self._operator = operator
+        self._say = say
+
+    async def show(self, generation: ids.Generation | None) -> reports.Report:
+        """Show the rules file of a generation."""
+        text = await self._operator.show(generation)
+        return reports.Report(text.rstrip("\n"), {"text": text})
+
+    async def diff(self, document: lines.Document) -> reports.Report:
+        """Show in which rules a file differs from what is accepted."""
+        snapshot = await self._operator.store.read()
+        current = await self._operator.read_document(snapshot.head)
+        found = differences.compare(current, document)
+        code = reports.ExitCode.DONE
+        if found:
+            code = reports.ExitCode.DIFFERENT
+        data = {
+            "generation": snapshot.generation,
+            "differences": reports.describe_differences(found),
+        }
+        return reports.Report(reports.format_differences(found), data, code)
+
+    async def apply(
+        self, edit: operations.Edit, timeout_ms: float, dry: bool = False
+    ) -> reports.Report:
+        """Have an edit accepted, and wait until it is in force."""
+        plan = await self._operator.plan(edit)
+        self._say(reports.format_plan(plan))
+        if plan.refused:
+            raise exceptions.GuardRefused(plan.refused)
+        data = {
+            "base": plan.snapshot.generation,
+            "differences": reports.describe_differences(plan.differences),
+            "overridden": reports.describe_dangers(plan.dangers),
+        }
+        if dry:
+            return reports.Report("nothing was changed (--dry-run)", data)
+        head = await self._operator.apply(plan, timeout_ms)
+        found = await self._operator.wait(head.generation, timeout_ms)
+        report = reports.report_progress(head, found)
+        return msgspec.structs.replace(report, data=data | report.data)
+
+    async def rollback(
+        self,
+        generation: ids.Generation,
+        edit: operations.Edit,
+        timeout_ms: float,
+        dry: bool = False,
+    ) -> reports.Report:
+        """Have the rules of an earlier generation accepted as a new one."""
+        edit = await self._operator.edit_back(generation, edit)
+        return await self.apply(edit, timeout_ms, dry)
+
+    async def set_domain(
+        self,
+        domain: ids.DomainId,
+        state: str,
+        edit: operations.Edit,
+        timeout_ms: float,
+        dry: bool = False,
+    ) -> reports.Report:
+        """Take a failure domain out, or let it serve again."""
+        key = ("domain", domain)
+        edit = await self._operator.edit_rule(key, "state", state, edit)
+        return await self.apply(edit, timeout_ms, dry)
+
+    async def history(self, most: int) -> reports.Report:
+        """Show the newest accepted changes."""
+        return reports.report_history(await self._operator.read_history(most))
+
+    async def settle(
+        self, generation: ids.Generation, change: ids.ChangeId
+    ) -> reports.Report:
+        """Tell what became of a change whose answer was lost."""
+        verdict = await self._operator.store.settle(generation, change)
+        code = _SETTLED[verdict]
+        text = f"change {change} for generation {generation}: {verdict.value}"
+        return reports.Report(text, {"verdict": verdict.value}, code)
+
+
+_SETTLED = {
+    changes.Verdict.ACCEPTED: reports.ExitCode.DONE,
+    changes.Verdict.CONFLICT: reports.ExitCode.CONFLICT,
+    changes.Verdict.NOT_ACCEPTED: reports.ExitCode.CONFLICT,
+    changes.Verdict.UNKNOWN: reports.ExitCode.UNKNOWN,
+}
+
+
+_FAILURES = (
+    (exceptions.GuardRefused, reports.ExitCode.GUARDED),
+    (exceptions.ChangeConflict, reports.ExitCode.CONFLICT),
+    (exceptions.ChangeUnknown, reports.ExitCode.UNKNOWN),
+    (exceptions.ObjectMissing, reports.ExitCode.MISSING),
+    (exceptions.PlatformError, reports.ExitCode.UNAVAILABLE),
+    (exceptions.ChervilshoreError, reports.ExitCode.FAILED),
+)
+
+
+def report_failure(error: exceptions.ChervilshoreError) -> reports.Report:
+    """Turn an error into what the tool shows and how it ends."""
+    if isinstance(error, exceptions.RulesInvalid):
+        return reports.report_problems(error.problems)
+    code = next(code for kind, code in _FAILURES if isinstance(error, kind))
+    data = {"error": type(error).__name__, "text": str(error)}
+    if isinstance(error, exceptions.GuardRefused):
+        data["dangers"] = reports.describe_dangers(error.dangers)
+    if isinstance(error, exceptions.ChangeConflict):
+        data["conflicts"] = [str(one) for one in error.conflicts]
+    if isinstance(error, exceptions.ChangeUnknown):
+        data |= {"generation": error.generation, "change": error.change}
+    return reports.Report(f"{code.name.lower()}: {error}", data, code)
--- a/chervilshore/exceptions.py
+++ b/chervilshore/exceptions.py
@@ -13,6 +13,75 @@
     """The operators' rules cannot be used as they are."""
 
 
+class RulesInvalid(RulesError):
+    """A rules file has problems.
+
+    Parameters
+    ----------
+    problems : tuple of lines.Problem
+        All of them.
+    """
+
+    def __init__(self, problems) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class ChangeRefused(ChervilshoreError):
+    """A change to the configuration was not accepted."""
+
+
+class GuardRefused(ChangeRefused):
+    """A change looks like a mistake, and nobody has said that it is not.
+
+    Parameters
+    ----------
+    dangers : tuple of guards.Danger
+        What looks like a mistake.
+    """
+
+    def __init__(self, dangers) -> None:
+        super().__init__("\n".join(str(danger) for danger in dangers))
+        self.dangers = dangers
+
+
+class ChangeConflict(ChangeRefused):
+    """Another change was accepted since the edited generation.
+
+    Parameters
+    ----------
+    text : str
+        What has happened.
+    conflicts : tuple of differences.Conflict
+        The rules that both have changed.
+    """
+
+    def __init__(self, text, conflicts=()) -> None:
+        super().__init__("\n".join([text, *map(str, conflicts)]))
+        self.conflicts = conflicts
+
+
+class ChangeUnknown(ChervilshoreError):
+    """A change may or may not have been accepted.
+
+    Parameters
+    ----------
+    generation : ids.Generation
+        The generation that it would be.
+    change : ids.ChangeId
+        Its id.
+    """
+
+    def __init__(self, generation, change) -> None:
+        super().__init__(
+            f"change {change} may or may not have become generation "
+            f"{generation}; ask again: chervilshore settle {generation} "
+            f"{change}"
+        )
+        self.generation = generation
+        self.change = change
+
+
 class PlatformError(ChervilshoreError):
     """A call to the platform did not succeed."""
 
--- /dev/null
+++ b/chervilshore/reports.py
@@ -0,0 +1,211 @@
+"""How the tool shows what it found, as text and as JSON values."""
+
+from collections import abc
+import datetime
+import enum
+import typing
+
+import msgspec
+
+from chervilshore import operations
+from chervilshore.rules import differences
+from chervilshore.rules import generations
+from chervilshore.rules import guards
+from chervilshore.rules import lines
+
+
+class ExitCode(enum.IntEnum):
+    """How the tool ends; docs/OPERATORS.md explains each."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    GUARDED = 4
+    CONFLICT = 5
+    LAGGING = 6
+    UNAVAILABLE = 7
+    UNKNOWN = 8
+    MISSING = 9
+    DIFFERENT = 10
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What a command found.
+
+    Parameters
+    ----------
+    text : str
+        For people.
+    data : dict
+        The same for programs.
+    code : ExitCode
+        How the tool ends.
+    """
+
+    text: str
+    data: dict[str, typing.Any]
+    code: ExitCode = ExitCode.DONE
+
+
+def format_time(millis: float) -> str:
+    """Write a time of day in UTC."""
+    moment = datetime.datetime.fromtimestamp(millis / 1000.0, datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%S")
+
+
+def format_table(rows: abc.Sequence[abc.Sequence[typing.Any]]) -> str:
+    """Write rows in columns; the first row is the head."""
+    cells = [[str(cell) for cell in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cells)]
+    return "\n".join(
+        "  ".join(map(str.ljust, row, widths)).rstrip() for row in cells
+    )
+
+
+def report_problems(problems: abc.Sequence[lines.Problem]) -> Report:
+    """Show what is wrong with a file."""
+    return Report(
+        "\n".join(map(str, problems)),
+        {"problems": msgspec.to_builtins(problems)},
+        ExitCode.INVALID,
+    )
+
+
+def describe_differences(
+    found: abc.Sequence[differences.Difference],
+) -> list[dict[str, typing.Any]]:
+    """Turn differences into JSON values."""
+    return [
+        {
+            "kind": one.kind.value,
+            "section": one.key[0],
+            "name": one.key[1],
+            "before": one.before.format() if one.before else None,
+            "after": one.after.format() if one.after else None,
+            "line": one.after.number if one.after else None,
+        }
+        for one in found
+    ]
+
+
+def describe_dangers(
+    dangers: abc.Sequence[guards.Danger],
+) -> list[dict[str, str]]:
+    """Turn dangers into JSON values."""
+    return [
+        {"guard": danger.guard.value, "reason": danger.reason}
+        for danger in dangers
+    ]
+
+
+def format_differences(
+    found: abc.Sequence[differences.Difference],
+) -> str:
+    """Write differences by rule, and count them."""
+    rows = [row for one in found for row in one.describe()]
+    counts = [
+        f"{sum(one.kind is kind for one in found)} {kind.value}"
+        for kind in differences.Kind
+    ]
+    return "\n".join([*rows, f"rules: {', '.join(counts)}"])
+
+
+def format_plan(plan: operations.Plan) -> str:
+    """Say what a plan will do."""
+    head = plan.snapshot.head
+    now = plan.snapshot.generation
+    if plan.empty and head is not None:
+        return f"nothing to change: generation {now} says the same"
+    parts = []
+    if plan.differences:
+        parts.append(format_differences(plan.differences))
+    else:
+        parts.append("rules: no difference, only other lines")
+    refused = set(plan.refused)
+    for danger in plan.dangers:
+        word = "refused" if danger in refused else "allowed"
+        parts.append(f"{word}: {danger}")
+    if not refused:
+        parts.append(
+            f"this becomes generation {now + 1}, by {plan.edit.author}: "
+            f"{plan.edit.reason}"
+        )
+    return "\n".join(parts)
+
+
+def describe_head(head: generations.Head) -> dict[str, typing.Any]:
+    """Turn a head into JSON values."""
+    return {
+        "generation": head.generation,
+        "change": head.change,
+        "author": head.author,
+        "reason": head.reason,
+        "time": format_time(head.time_ms),
+    }
+
+
+def describe_progress(
+    found: abc.Iterable[operations.HostProgress],
+) -> list[dict[str, typing.Any]]:
+    """Turn the progress on hosts into JSON values."""
+    return [
+        {
+            "host": one.record.host,
+            "domain": one.record.domain,
+            "progress": one.progress.value,
+            "generation": one.generation,
+            "reason": one.reason,
+        }
+        for one in found
+    ]
+
+
+def report_progress(
+    head: generations.Head, found: abc.Sequence[operations.HostProgress]
+) -> Report:
+    """Show how far an accepted generation has come."""
+    late = [
+        one
+        for one in found
+        if one.progress is not operations.Progress.IN_FORCE
+    ]
+    count = len(found) - len(late)
+    rows = [
+        f"generation {head.generation} is accepted and in force on {count} "
+        f"of {len(found)} hosts"
+    ]
+    if late:
+        table = [("host", "domain", "progress", "generation", "reason")]
+        table += [
+            (
+                one.record.host,
+                one.record.domain,
+                one.progress.value,
+                one.generation,
+                one.reason,
+            )
+            for one in late
+        ]
+        rows.append(format_table(table))
+    data = describe_head(head) | {"hosts": describe_progress(found)}
+    done = found and not late
+    code = ExitCode.DONE if done else ExitCode.LAGGING
+    return Report("\n".join(rows), data, code)
+
+
+def report_history(heads: abc.Sequence[generations.Head]) -> Report:
+    """Show who changed the configuration, when and why."""
+    table = [("generation", "time (UTC)", "author", "change", "reason")]
+    table += [
+        (
+            head.generation,
+            format_time(head.time_ms),
+            head.author,
+            head.change,
+            head.reason,
+        )
+        for head in heads
+    ]
+    data = {"history": [describe_head(head) for head in heads]}
+    return Report(format_table(table), data)
--- /dev/null
+++ b/chervilshore/rules/checks.py
@@ -0,0 +1,202 @@
+"""Whether rules fit together: names that exist, bounds that agree."""
+
+from collections import abc
+
+from chervilshore import ids
+from chervilshore import records
+from chervilshore.rules import lines
+from chervilshore.rules import model
+
+
+def check(
+    document: lines.Document,
+) -> tuple[model.Rules, tuple[lines.Problem, ...]]:
+    """Gather the rules of a file and check that they fit together.
+
+    Parameters
+    ----------
+    document : Document
+        The parsed file.
+
+    Returns
+    -------
+    Rules
+        The rules, with generation 0.
+    tuple of Problem
+        Names that are used and not defined, or defined twice, and bounds
+        that contradict each other.
+    """
+    rules = gather(line.rule for line in document.lines)
+    return rules, check_lines(document, rules)
+
+
+def check_lines(
+    document: lines.Document, rules: model.Rules
+) -> tuple[lines.Problem, ...]:
+    """Check lines against rules of which they may be a part only."""
+    checker = _Checker(document, rules)
+    for line in document.lines:
+        checker.check_line(line)
+    return tuple(checker.problems)
+
+
+def count(rules: model.Rules) -> int:
+    """Count the rules."""
+    named = sum(len(getattr(rules, place)) for place in _PLACES.values())
+    return named + len(rules.routes)
+
+
+def gather(
+    typed: abc.Iterable, generation: ids.Generation = ids.Generation(0)
+) -> model.Rules:
+    """Gather typed rules into one value; routes keep their order."""
+    found = {kind: {} for kind in _PLACES}
+    routes = []
+    for rule in typed:
+        if isinstance(rule, model.Route):
+            routes.append(rule)
+        elif isinstance(rule, model.Assignment):
+            found[model.Assignment][rule.host] = rule
+        else:
+            found[type(rule)][rule.name] = rule
+    places = {_PLACES[kind]: rules for kind, rules in found.items()}
+    return model.Rules(generation=generation, routes=tuple(routes), **places)
+
+
+def list_names(rules: model.Rules) -> set[tuple[str, str]]:
+    """List the section and name of each rule."""
+    names = {
+        (place, name)
+        for place in _PLACES.values()
+        for name in getattr(rules, place)
+    }
+    return names | {("routes", route.name) for route in rules.routes}
+
+
+_PLACES = {
+    model.Domain: "domains",
+    model.Pool: "pools",
+    model.Pipeline: "pipelines",
+    model.RequestClass: "classes",
+    model.Team: "teams",
+    model.Assignment: "assignments",
+}
+
+
+class _Checker:
+    """Checks line after line against all rules of the file."""
+
+    def __init__(self, document: lines.Document, rules: model.Rules) -> None:
+        self.problems: list[lines.Problem] = []
+        self._file = document.file
+        self._broken = document.broken
+        self._rules = rules
+        self._seen: dict[tuple[str, str], int] = {}
+        self._checks = {
+            model.Pool: self._check_pool,
+            model.Pipeline: self._check_pipeline,
+            model.Route: self._check_route,
+            model.Assignment: self._check_assignment,
+        }
+
+    def check_line(self, line: lines.Line) -> None:
+        """Check one line."""
+        key = line.key
+        first = self._seen.setdefault(key, line.number)
+        if first != line.number:
+            expected = f"a new name; line {first} has this {key[0]} already"
+            self._complain(line, "", expected)
+        check_rule = self._checks.get(type(line.rule))
+        if check_rule is not None:
+            check_rule(line, line.rule)
+
+    def _check_pool(self, line: lines.Line, pool: model.Pool) -> None:
+        if pool.cold > pool.most:
+            self._complain(line, "cold", f"at most {pool.most}, as most=")
+        engine = pool.kind is records.EndpointKind.ENGINE
+        if pool.resume and not engine:
+            self._complain(line, "resume", "no; only engines resume")
+
+    def _check_pipeline(
+        self, line: lines.Line, pipeline: model.Pipeline
+    ) -> None:
+        self._check_class(line, pipeline.class_name)
+        names = [stage.name for stage in pipeline.stages]
+        if len(set(names)) < len(names):
+            self._complain(line, "stages", "each stage name only once")
+        field = "pool" if line.kind == "service" else "stages"
+        for stage in pipeline.stages:
+            self._check_name(
+                line, field, "pool", stage.pool, self._rules.pools
+            )
+        pool = self._rules.pools.get(pipeline.stages[0].pool)
+        plain = pool is None or pool.kind is records.EndpointKind.PLAIN
+        if line.kind == "service" and not plain:
+            self._complain(line, "pool", "a pool with kind=plain")
+
+    def _check_class(self, line: lines.Line, name: ids.ClassName) -> None:
+        if name != "default":
+            self._check_name(line, "class", "class", name, self._rules.classes)
+
+    def _check_route(self, line: lines.Line, route: model.Route) -> None:
+        rules = self._rules
+        if not (route.pool or route.domains):
+            self._complain(line, "", "pool= or domains= on a route")
+        wanted = (
+            ("pipeline", route.pipeline, rules.pipelines),
+            ("team", route.team, rules.teams),
+            ("pool", route.pool, rules.pools),
+        )
+        for field, name, known in wanted:
+            if name:
+                self._check_name(line, field, field, name, known)
+        if route.class_name:
+            self._check_class(line, route.class_name)
+        if route.stage:
+            self._check_name(
+                line, "stage", "stage", route.stage, self._stages_of(route)
+            )
+        for domain in route.domains:
+            self._check_name(line, "domains", "domain", domain, rules.domains)
+
+    def _stages_of(self, route: model.Route) -> set[str]:
+        pipeline = self._rules.pipelines.get(route.pipeline)
+        # The stages of a line that cannot be used are not known.
+        if any(section == "pipeline" for section, _ in self._broken):
+            return {route.stage}
+        pipelines = self._rules.pipelines.values()
+        if pipeline is not None:
+            pipelines = (pipeline,)
+        return {
+            stage.name for pipeline in pipelines for stage in pipeline.stages
+        }
+
+    def _check_assignment(
+        self, line: lines.Line, assignment: model.Assignment
+    ) -> None:
+        domain = assignment.domain
+        known = self._rules.domains
+        self._check_name(line, "domain", "domain", domain, known)
+
+    def _check_name(
+        self,
+        line: lines.Line,
+        field: str,
+        kind: str,
+        name: str,
+        known: abc.Collection[str],
+    ) -> None:
+        # A line that cannot be used has its own problem; those who name
+        # its rule have none.
+        if name in known or (kind, name) in self._broken:
+            return
+        nearest = lines.find_nearest(name, known)
+        expected = f"a {kind} that a line defines, not {name!r}"
+        self._complain(line, field, expected, nearest)
+
+    def _complain(
+        self, line: lines.Line, field: str, expected: str, nearest: str = ""
+    ) -> None:
+        self.problems.append(
+            lines.point(self._file, line, field, expected, nearest)
+        )
--- /dev/null
+++ b/chervilshore/rules/differences.py
@@ -0,0 +1,219 @@
+"""What two rules files have apart, by rule, and how to join two edits."""
+
+from collections import abc
+import enum
+
+import msgspec
+
+from chervilshore.rules import lines
+
+
+class Kind(enum.Enum):
+    """How a rule differs."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+    MOVED = "moved"
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """A rule that differs between two files.
+
+    Parameters
+    ----------
+    kind : Kind
+        How it differs.
+    key : tuple of str
+        Section and name of the rule.
+    before, after : Line or None
+        Its lines.
+    """
+
+    kind: Kind
+    key: tuple[str, str]
+    before: lines.Line | None
+    after: lines.Line | None
+
+    def describe(self) -> list[str]:
+        """Write the difference as lines that begin with -, + or ~."""
+        if self.kind is Kind.MOVED:
+            return [f"~ {self.after.format()}  (moved among the routes)"]
+        found = []
+        if self.before is not None:
+            found.append(f"- {self.before.format()}")
+        if self.after is not None:
+            found.append(f"+ {self.after.format()}")
+        return found
+
+    def format_after(self) -> str:
+        """Write what the rule has become."""
+        if self.after is None:
+            return f"removed: {self.before.format()}"
+        return self.after.format()
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """A rule that two operators have changed since the same generation.
+
+    Parameters
+    ----------
+    file : str
+        The file of the edit that was not accepted.
+    mine, theirs : Difference
+        The edit that was not accepted, and the one that was.
+    author, other : str
+        Who made the one and who the other.
+    """
+
+    file: str
+    mine: Difference
+    theirs: Difference
+    author: str = ""
+    other: str = ""
+
+    def __str__(self) -> str:
+        """Write the conflict with both lines and both authors."""
+        line = self.mine.after or self.mine.before
+        return (
+            f"{self.file}:{line.number}: {' '.join(self.mine.key)}\n"
+            f"  {self.author or 'you'}: {self.mine.format_after()}\n"
+            f"  {self.other or 'others'}: {self.theirs.format_after()}"
+        )
+
+
+def compare(
+    before: lines.Document, after: lines.Document
+) -> tuple[Difference, ...]:
+    """Find the rules in which two files differ, in the order of the second.
+
+    The order of routes counts, since the first that matches decides.
+    """
+    old = {line.key: line for line in before.lines}
+    new = {line.key: line for line in after.lines}
+    moved = _find_moved(before, after)
+    found = []
+    for key, line in new.items():
+        earlier = old.get(key)
+        if earlier is None:
+            found.append(Difference(Kind.ADDED, key, None, line))
+        elif _content(earlier) != _content(line):
+            found.append(Difference(Kind.CHANGED, key, earlier, line))
+        elif key in moved:
+            found.append(Difference(Kind.MOVED, key, earlier, line))
+    for key, line in old.items():
+        if key not in new:
+            found.append(Difference(Kind.REMOVED, key, line, None))
+    return tuple(found)
+
+
+def find_conflicts(
+    mine: abc.Iterable[Difference], theirs: abc.Iterable[Difference]
+) -> tuple[tuple[Difference, Difference], ...]:
+    """Pair the differences of two edits that cannot both be applied."""
+    others = {difference.key: difference for difference in theirs}
+    found = []
+    for difference in mine:
+        other = others.get(difference.key)
+        if other is None and _touches_order(difference):
+            other = next(filter(_touches_order, others.values()), None)
+        if other is not None and not _same(difference, other):
+            found.append((difference, other))
+    return tuple(found)
+
+
+def join(
+    mine: lines.Document,
+    theirs: lines.Document,
+    changed: abc.Iterable[Difference],
+) -> str:
+    """Apply the rules that one edit has changed to another file.
+
+    Parameters
+    ----------
+    mine : Document
+        The edited file.
+    theirs : Document
+        The file that the changes are applied to.
+    changed : iterable of Difference
+        What the edit has changed, without conflicts.
+
+    Returns
+    -------
+    str
+        The text of both.
+    """
+    changes = {difference.key: difference for difference in changed}
+    entries = [
+        _replace(entry, changes)
+        for entry in theirs.entries
+        if not _is_removed(entry, changes)
+    ]
+    present = {line.key for line in theirs.lines}
+    previous = None
+    for line in mine.lines:
+        added = line.key in changes and line.key not in present
+        if added:
+            entries.insert(_find_place(entries, previous), line)
+        previous = line.key
+    return write(entries)
+
+
+def write(entries: abc.Iterable[lines.Line | str]) -> str:
+    """Write entries of a document as text."""
+    rows = []
+    for entry in entries:
+        if isinstance(entry, lines.Line):
+            rows.extend((*entry.notes, entry.format()))
+        else:
+            rows.append(entry)
+    return "".join(row + "\n" for row in rows)
+
+
+def _content(line: lines.Line) -> tuple:
+    return line.words, line.comment, line.notes
+
+
+def _find_moved(
+    before: lines.Document, after: lines.Document
+) -> set[tuple[str, str]]:
+    old = [line.key for line in before.lines if line.kind == "route"]
+    new = [line.key for line in after.lines if line.kind == "route"]
+    common = set(old) & set(new)
+    old = [key for key in old if key in common]
+    new = [key for key in new if key in common]
+    return {one for one, other in zip(old, new) if one != other}
+
+
+def _touches_order(difference: Difference) -> bool:
+    ordered = (Kind.ADDED, Kind.MOVED)
+    return difference.key[0] == "route" and difference.kind in ordered
+
+
+def _same(one: Difference, other: Difference) -> bool:
+    if Kind.MOVED in (one.kind, other.kind) or one.key != other.key:
+        return False
+    if one.after is None or other.after is None:
+        return one.after is other.after
+    return _content(one.after) == _content(other.after)
+
+
+def _is_removed(entry: lines.Line | str, changes: dict) -> bool:
+    if isinstance(entry, str) or entry.key not in changes:
+        return False
+    return changes[entry.key].kind is Kind.REMOVED
+
+
+def _replace(entry: lines.Line | str, changes: dict) -> lines.Line | str:
+    if isinstance(entry, str) or entry.key not in changes:
+        return entry
+    return changes[entry.key].after
+
+
+def _find_place(
+    entries: list[lines.Line | str], previous: tuple[str, str] | None
+) -> int:
+    for index, entry in enumerate(entries):
+        if isinstance(entry, lines.Line) and entry.key == previous:
+            return index + 1
+    return len(entries)
--- /dev/null
+++ b/chervilshore/rules/guards.py
@@ -0,0 +1,254 @@
+"""Changes that look like mistakes, each with the name that lets it pass."""
+
+from collections import abc
+import enum
+
+import msgspec
+
+from chervilshore import ids
+from chervilshore import records
+from chervilshore.rules import checks
+from chervilshore.rules import model
+
+MOST_JUMP = 10.0
+"""Times by which a limit may grow or shrink in one change."""
+
+MOST_DROPPED = 0.2
+"""Share of the rules that one change may drop."""
+
+
+class Guard(enum.Enum):
+    """What a change may look like; the value is the override's name."""
+
+    LAST_DOMAIN = "last-domain"
+    IN_USE = "in-use"
+    LIMIT_JUMP = "limit-jump"
+    MANY_DROPPED = "many-dropped"
+    NEVER_MATCHES = "never-matches"
+    CONTRADICTION = "contradiction"
+
+
+class Danger(msgspec.Struct, frozen=True):
+    """Something in a change that looks like a mistake."""
+
+    guard: Guard
+    reason: str
+
+    def __str__(self) -> str:
+        """Write the reason with the override's name."""
+        return f"{self.reason} (if it is meant: --allow {self.guard.value})"
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """What is in use now.
+
+    Parameters
+    ----------
+    endpoints : tuple of EndpointRecord
+        The endpoints of the host list.
+    pipelines : frozenset of PipelineName or None
+        Pipelines that hosts have served; nothing when a host has not told,
+        and any pipeline may be in use.
+    """
+
+    endpoints: tuple[records.EndpointRecord, ...] = ()
+    pipelines: frozenset[ids.PipelineName] | None = None
+
+
+def find_dangers(
+    before: model.Rules, after: model.Rules, usage: Usage
+) -> tuple[Danger, ...]:
+    """Find what looks like a mistake in a change.
+
+    Parameters
+    ----------
+    before, after : Rules
+        The rules in force and the new ones.
+    usage : Usage
+        What is in use.
+    """
+    known = set(_find_odd_rules(before))
+    new = [danger for danger in _find_odd_rules(after) if danger not in known]
+    return (
+        *_find_last_domain(before, after, usage),
+        *_find_in_use(before, after, usage),
+        *_find_jumps(before, after),
+        *_find_dropped(before, after),
+        *new,
+    )
+
+
+def _find_last_domain(
+    before: model.Rules, after: model.Rules, usage: Usage
+) -> abc.Iterator[Danger]:
+    states = [domain.state for domain in after.domains.values()]
+    if states and records.DomainState.IN not in states:
+        yield Danger(
+            Guard.LAST_DOMAIN,
+            f"all failure domains are out: {', '.join(sorted(after.domains))}",
+        )
+        return
+    served = _find_served(after, usage)
+    for pool in sorted(_find_served(before, usage)):
+        if pool in after.pools and pool not in served:
+            yield Danger(
+                Guard.LAST_DOMAIN,
+                f"pool {pool!r} has endpoints only in domains that are out",
+            )
+
+
+def _find_served(rules: model.Rules, usage: Usage) -> set[ids.PoolName]:
+    return {
+        record.pool
+        for record in usage.endpoints
+        if record.state is records.EndpointState.LIVE
+        and not rules.is_out(rules.domain_of(record))
+    }
+
+
+def _find_in_use(
+    before: model.Rules, after: model.Rules, usage: Usage
+) -> abc.Iterator[Danger]:
+    for name in before.pools.keys() - after.pools.keys():
+        count = sum(record.pool == name for record in usage.endpoints)
+        if count:
+            reason = f"pool {name!r} is removed and has {count} endpoints"
+            yield Danger(Guard.IN_USE, reason)
+    for name in before.pipelines.keys() - after.pipelines.keys():
+        if usage.pipelines is None:
+            reason = f"pipeline {name!r} is removed and may be in use"
+            yield Danger(Guard.IN_USE, reason)
+        elif name in usage.pipelines:
+            reason = f"pipeline {name!r} is removed and was asked for"
+            yield Danger(Guard.IN_USE, reason)
+
+
+def _find_jumps(
+    before: model.Rules, after: model.Rules
+) -> abc.Iterator[Danger]:
+    limits = (
+        ("team", before.teams, after.teams, ("rate", "burst", "concurrency")),
+        ("pool", before.pools, after.pools, ("cold", "most")),
+        ("pipeline", before.pipelines, after.pipelines, ("deadline_ms",)),
+    )
+    for kind, olds, news, fields in limits:
+        for name, new in news.items():
+            old = olds.get(name)
+            if old is None or old == new:
+                continue
+            for field in fields:
+                one, other = getattr(old, field), getattr(new, field)
+                if max(one, other) > MOST_JUMP * min(one, other):
+                    yield Danger(
+                        Guard.LIMIT_JUMP,
+                        f"{kind} {name!r}: {field} goes from {one:g} to "
+                        f"{other:g}, over ten times",
+                    )
+
+
+def _find_dropped(
+    before: model.Rules, after: model.Rules
+) -> abc.Iterator[Danger]:
+    total = checks.count(before)
+    dropped = len(checks.list_names(before) - checks.list_names(after))
+    if total and dropped > MOST_DROPPED * total:
+        yield Danger(
+            Guard.MANY_DROPPED,
+            f"{dropped} of {total} rules are dropped, over a fifth",
+        )
+
+
+def _find_odd_rules(rules: model.Rules) -> abc.Iterator[Danger]:
+    yield from _find_hidden_routes(rules)
+    yield from _find_odd_routes(rules)
+    yield from _find_odd_services(rules)
+
+
+def _find_hidden_routes(rules: model.Rules) -> abc.Iterator[Danger]:
+    # Only an earlier route with the same or fewer conditions can hide one,
+    # and its conditions are a part of the later one's.
+    for index, route in enumerate(rules.routes):
+        for earlier in rules.routes[:index]:
+            if not _covers(earlier, route):
+                continue
+            same = _conditions(earlier) == _conditions(route)
+            differ = (earlier.pool, earlier.domains) != (
+                route.pool,
+                route.domains,
+            )
+            guard = Guard.NEVER_MATCHES
+            if same and differ:
+                guard = Guard.CONTRADICTION
+            yield Danger(
+                guard,
+                f"route {route.name!r} never matches: route "
+                f"{earlier.name!r} before it takes all that it would",
+            )
+            break
+
+
+def _find_odd_routes(rules: model.Rules) -> abc.Iterator[Danger]:
+    for route in rules.routes:
+        matched = _list_matched(rules, route)
+        if not matched:
+            reason = f"route {route.name!r} never matches: no pipeline of "
+            reason += f"class {route.class_name!r} fits it"
+            yield Danger(Guard.NEVER_MATCHES, reason)
+        if route.domains and all(map(rules.is_out, route.domains)):
+            reason = f"route {route.name!r} allows only domains that are out"
+            yield Danger(Guard.CONTRADICTION, reason)
+        for pipeline in matched if route.pool else ():
+            yield from _find_odd_pool(rules, route, pipeline)
+
+
+def _find_odd_pool(
+    rules: model.Rules, route: model.Route, pipeline: model.Pipeline
+) -> abc.Iterator[Danger]:
+    new = rules.pools.get(route.pool)
+    for stage in pipeline.stages:
+        old = rules.pools.get(stage.pool)
+        if route.stage not in ("", stage.name) or None in (old, new):
+            continue
+        if old.kind is not new.kind:
+            yield Danger(
+                Guard.CONTRADICTION,
+                f"route {route.name!r} sends stage {stage.name!r} of "
+                f"{pipeline.name!r} to pool {new.name!r}, which is of kind "
+                f"{new.kind.value}, not {old.kind.value}",
+            )
+
+
+def _find_odd_services(rules: model.Rules) -> abc.Iterator[Danger]:
+    seen: dict[tuple[str, str], model.Pipeline] = {}
+    for pipeline in rules.pipelines.values():
+        if not pipeline.path:
+            continue
+        place = (pipeline.stages[0].pool, pipeline.path)
+        first = seen.setdefault(place, pipeline)
+        if first.repeatable is not pipeline.repeatable:
+            yield Danger(
+                Guard.CONTRADICTION,
+                f"services {first.name!r} and {pipeline.name!r} call the "
+                f"same path {pipeline.path!r} of pool {place[0]!r}, and "
+                f"only one of them says that it may be repeated",
+            )
+
+
+def _list_matched(
+    rules: model.Rules, route: model.Route
+) -> list[model.Pipeline]:
+    return [
+        pipeline
+        for pipeline in rules.pipelines.values()
+        if route.pipeline in ("", pipeline.name)
+        and route.class_name in ("", pipeline.class_name)
+    ]
+
+
+def _conditions(route: model.Route) -> tuple[str, ...]:
+    return route.pipeline, route.team, route.class_name, route.stage
+
+
+def _covers(earlier: model.Route, later: model.Route) -> bool:
+    pairs = zip(_conditions(earlier), _conditions(later))
+    return all(one in ("", other) for one, other in pairs)
