Claim idempotency keys in sharded logs

Cause: a request that may not be repeated needs a durable claim before its first byte leaves. Change: logs of batches that are created only if absent decide which claim counts; the owner of a shard batches for all hosts. Conclusion: the same key on nine hosts at once runs once in the test.

--- /dev/null
+++ b/chervilshore/decisions/claims.py
@@ -0,0 +1,406 @@
+"""What a log of claims says about each idempotency key.
+
+A log is a row of batches of entries. Every host that reads the same
+batches in the same order comes to the same records, so the position in
+the log alone decides which of several claims of a key counts.
+"""
+
+from collections import abc
+import enum
+import hashlib
+import typing
+
+import msgspec
+
+from chervilshore import ids
+
+CLAIM_BYTES = 400
+"""Bytes that an entry without an answer takes at most in a batch."""
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """Asks that a key be used for one request.
+
+    Parameters
+    ----------
+    key : KeyDigest
+        The digest of team, pipeline and key.
+    claim : ClaimId
+        This claim; unique over all hosts and lives.
+    body : str
+        The digest of the request's body.
+    resend : int
+        How often the caller had sent the request before.
+    budget_ms : float
+        Milliseconds that the request may take from now on.
+    """
+
+    key: ids.KeyDigest
+    claim: ids.ClaimId
+    body: str
+    resend: int = 0
+    budget_ms: float = 0.0
+
+
+class Recorded(msgspec.Struct, frozen=True, array_like=True):
+    """An answer as it is kept for repeats.
+
+    Parameters
+    ----------
+    number : int
+        The number of the result code.
+    body : bytes
+        The JSON value of the result.
+    detail : str
+        What the caller should know besides.
+    """
+
+    number: int
+    body: bytes = b""
+    detail: str = ""
+
+
+class Outcome(msgspec.Struct, frozen=True, array_like=True, tag="o"):
+    """Says how the request of a claim ended."""
+
+    key: ids.KeyDigest
+    claim: ids.ClaimId
+    recorded: Recorded
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Says that the request of a claim has not run and never will."""
+
+    key: ids.KeyDigest
+    claim: ids.ClaimId
+    resend: int = 0
+
+
+Entry = typing.Union[Claim, Outcome, Release]
+"""One entry of a log."""
+
+
+class ClaimState(enum.Enum):
+    """What has become of the claim that holds a key."""
+
+    OPEN = "open"
+    DONE = "done"
+    RELEASED = "released"
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """What the log says about one key.
+
+    Parameters
+    ----------
+    claim : ClaimId
+        The claim that counts, or the last one that counted.
+    body : str
+        The digest of its request's body.
+    state : ClaimState
+        What has become of it.
+    resend : int
+        The highest resend number that was claimed; a lower one comes too
+        late.
+    budget_ms : float
+        Milliseconds that the request could take when it was claimed.
+    recorded : Recorded or None
+        The answer, when the state is done.
+    """
+
+    claim: ids.ClaimId
+    body: str
+    state: ClaimState
+    resend: int = 0
+    budget_ms: float = 0.0
+    recorded: Recorded | None = None
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True):
+    """One object of a log.
+
+    Parameters
+    ----------
+    host : HostId
+        The host that wrote it.
+    entries : tuple of Entry
+        The entries, in order.
+    """
+
+    host: ids.HostId
+    entries: tuple[Entry, ...]
+
+
+class VerdictState(enum.Enum):
+    """What a host may do with a request that brought a key."""
+
+    GRANTED = "granted"
+    REPLAY = "replay"
+    REUSED = "reused"
+    SUPERSEDED = "superseded"
+    OPEN = "open"
+    PENDING = "pending"
+
+
+class Verdict(msgspec.Struct, frozen=True, array_like=True):
+    """The log's word on a claim.
+
+    Parameters
+    ----------
+    state : VerdictState
+        What may be done; pending means that the log has not been
+        written, or that this is not known.
+    recorded : Recorded or None
+        The first answer, for a replay.
+    resend : int
+        The highest resend number that was claimed.
+    budget_ms : float
+        Milliseconds that an open claim's request could take.
+    """
+
+    state: VerdictState
+    recorded: Recorded | None = None
+    resend: int = 0
+    budget_ms: float = 0.0
+
+
+PENDING = Verdict(VerdictState.PENDING)
+"""The verdict on a claim that the log does not decide yet."""
+
+WAITING = (VerdictState.OPEN, VerdictState.PENDING)
+"""The verdicts that time can change."""
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Batch)
+
+
+def digest_key(
+    team: ids.TeamId, pipeline: ids.PipelineName, key: ids.IdempotencyKey
+) -> ids.KeyDigest:
+    """Make the name under which a key stands in the log."""
+    joined = "\x00".join((team, pipeline, key))
+    return ids.KeyDigest(hashlib.sha256(joined.encode()).hexdigest()[:32])
+
+
+def digest_body(raw: bytes) -> str:
+    """Make the digest by which two bodies are compared."""
+    return hashlib.sha256(raw).hexdigest()[:32]
+
+
+def shard_of(key: ids.KeyDigest, shards: int) -> ids.ShardId:
+    """Tell which log a key belongs to."""
+    return ids.ShardId(int(key[:8], 16) % shards)
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Encode a batch for the platform."""
+    return _ENCODER.encode(batch)
+
+
+def decode_batch(value: bytes) -> Batch:
+    """Decode a batch from the platform.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        The bytes are not a batch.
+    """
+    return _DECODER.decode(value)
+
+
+def measure_entry(entry: Entry) -> int:
+    """Bound the bytes that an entry takes in a batch."""
+    if isinstance(entry, Outcome):
+        recorded = entry.recorded
+        detail = len(recorded.detail.encode())
+        return CLAIM_BYTES + len(recorded.body) + detail
+    return CLAIM_BYTES
+
+
+def take_batch(
+    entries: abc.Iterable[Entry], most_bytes: int
+) -> tuple[Entry, ...]:
+    """Choose how many waiting entries go into one batch.
+
+    Parameters
+    ----------
+    entries : iterable of Entry
+        The waiting entries, the oldest first.
+    most_bytes : int
+        Bytes that the batch may take.
+
+    Returns
+    -------
+    tuple of Entry
+        The first ones that fit; at least one if there is any.
+    """
+    taken: list[Entry] = []
+    size = 0
+    for entry in entries:
+        size += measure_entry(entry)
+        if taken and size > most_bytes:
+            break
+        taken.append(entry)
+    return tuple(taken)
+
+
+def bound_answer(recorded: Recorded, most_bytes: int, code: int) -> Recorded:
+    """Keep an answer only when it is small enough for the log.
+
+    Parameters
+    ----------
+    recorded : Recorded
+        The answer.
+    most_bytes : int
+        The largest body to keep.
+    code : int
+        The number to keep in place of an answer that is too large.
+    """
+    if len(recorded.body) <= most_bytes:
+        return recorded
+    digest = hashlib.sha256(recorded.body).hexdigest()
+    detail = (
+        f"it ran and ended with {recorded.number}; its answer of "
+        f"{len(recorded.body)} bytes was not kept, sha256 {digest}"
+    )
+    return Recorded(code, b"", detail)
+
+
+class Ledger:
+    """The records of one log, up to a position.
+
+    Attributes
+    ----------
+    position : Sequence
+        The last batch that is folded in.
+    records : dict
+        The records by key.
+    touched : set
+        Keys whose record changed since the last snapshot.
+    stamps : dict
+        For the other keys, the shard's time at which their chunk was
+        written, in milliseconds.
+    """
+
+    def __init__(self) -> None:
+        self.position = ids.Sequence(0)
+        self.records: dict[ids.KeyDigest, Record] = {}
+        self.touched: set[ids.KeyDigest] = set()
+        self.stamps: dict[ids.KeyDigest, float] = {}
+
+    def load(
+        self,
+        records: abc.Mapping[ids.KeyDigest, Record],
+        written_ms: float,
+    ) -> None:
+        """Take in a chunk of a snapshot, which goes over earlier ones."""
+        self.records.update(records)
+        self.stamps.update(dict.fromkeys(records, written_ms))
+
+    def keep(self, written_ms: float, oldest_ms: float) -> None:
+        """Mark all as written, and forget what is older than the oldest.
+
+        Parameters
+        ----------
+        written_ms : float
+            The shard's time at which what had changed was written.
+        oldest_ms : float
+            The shard's time of the oldest chunk that is kept.
+        """
+        self.stamps.update(dict.fromkeys(self.touched, written_ms))
+        self.touched.clear()
+        old = [key for key, at in self.stamps.items() if at < oldest_ms]
+        for key in old:
+            del self.stamps[key]
+            del self.records[key]
+
+    def apply(self, batch: Batch) -> None:
+        """Fold in the batch that follows the position."""
+        for entry in batch.entries:
+            record = self._fold(entry)
+            if record is not None:
+                self.records[entry.key] = record
+                self.touched.add(entry.key)
+        self.position = ids.Sequence(self.position + 1)
+
+    def _fold(self, entry: Entry) -> Record | None:
+        record = self.records.get(entry.key)
+        if isinstance(entry, Claim):
+            return self._fold_claim(entry, record)
+        if isinstance(entry, Release):
+            return self._fold_release(entry, record)
+        if record is None or record.claim != entry.claim:
+            return None
+        if record.state is not ClaimState.OPEN:
+            return None
+        return msgspec.structs.replace(
+            record, state=ClaimState.DONE, recorded=entry.recorded
+        )
+
+    def _fold_claim(
+        self, entry: Claim, record: Record | None
+    ) -> Record | None:
+        if record is not None:
+            if record.state is not ClaimState.RELEASED:
+                return None
+            if record.claim == entry.claim or entry.resend < record.resend:
+                return None
+        return Record(
+            entry.claim,
+            entry.body,
+            ClaimState.OPEN,
+            entry.resend,
+            entry.budget_ms,
+        )
+
+    def _fold_release(
+        self, entry: Release, record: Record | None
+    ) -> Record | None:
+        # A release may overtake its claim; it then bars the claim.
+        if record is None:
+            return Record(entry.claim, "", ClaimState.RELEASED, entry.resend)
+        if record.claim == entry.claim:
+            if record.state is not ClaimState.OPEN:
+                return None
+            return msgspec.structs.replace(record, state=ClaimState.RELEASED)
+        if record.state is not ClaimState.RELEASED:
+            return None
+        resend = max(record.resend, entry.resend)
+        return Record(entry.claim, "", ClaimState.RELEASED, resend)
+
+    def judge(self, entry: Claim) -> Verdict:
+        """Tell what the log, as far as it was read, says of a claim."""
+        record = self.records.get(entry.key)
+        if record is None:
+            return PENDING
+        if record.claim == entry.claim:
+            return self._judge_own(record)
+        if record.state is ClaimState.RELEASED:
+            if entry.resend < record.resend:
+                return Verdict(VerdictState.SUPERSEDED, resend=record.resend)
+            return PENDING
+        if record.body != entry.body:
+            return Verdict(VerdictState.REUSED)
+        if record.state is ClaimState.DONE:
+            return Verdict(VerdictState.REPLAY, recorded=record.recorded)
+        return Verdict(VerdictState.OPEN, budget_ms=record.budget_ms)
+
+    def _judge_own(self, record: Record) -> Verdict:
+        if record.state is ClaimState.OPEN:
+            return Verdict(VerdictState.GRANTED)
+        if record.state is ClaimState.DONE:
+            return Verdict(VerdictState.REPLAY, recorded=record.recorded)
+        return Verdict(VerdictState.SUPERSEDED, resend=record.resend + 1)
+
+    def holds(self, entry: Entry) -> bool:
+        """Tell whether the log needs no writing for an entry.
+
+        An outcome or a release that names another claim than the record
+        may be ahead of what was read, so it is written.
+        """
+        if isinstance(entry, Claim):
+            return self.judge(entry).state is not VerdictState.PENDING
+        record = self.records.get(entry.key)
+        if record is None or record.claim != entry.claim:
+            return False
+        return record.state is not ClaimState.OPEN
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -50,6 +50,11 @@
     # Grants, routing and limits: 4000 to 4999.
 
     # Claims: 5000 to 5999.
+    CLAIMS_LOADED = EventSpec(5001, _INFO, "log of claims loaded")
+    CLAIMS_BLOCKED = EventSpec(5002, _WARNING, "log of claims not writable")
+    CLAIMS_COMPACTED = EventSpec(5003, _INFO, "log of claims compacted")
+    CLAIMS_LATE = EventSpec(5004, _WARNING, "answer for log of claims late")
+    CLAIM_SHARDS = EventSpec(5005, _WARNING, "stored number of shards used")
 
     # Leases and orders: 6000 to 6999.
 
--- a/chervilshore/filters/base.py
+++ b/chervilshore/filters/base.py
@@ -74,6 +74,9 @@
     dispatched : bool
         Whether the first byte has gone to an endpoint; from then on
         nothing may say NOT RUN.
+    vouched : bool
+        Whether a refusal that says NOT RUN holds for every earlier send
+        of the same key too.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self.deadline = arrived
         self.key = ids.IdempotencyKey("")
         self.dispatched = False
+        self.vouched = False
 
 
 Proceed = collections_abc.Callable[
--- a/chervilshore/ids.py
+++ b/chervilshore/ids.py
@@ -53,6 +53,12 @@
 GrantId = typing.NewType("GrantId", int)
 """One slot at an endpoint, within its keeper's epoch."""
 
+KeyDigest = typing.NewType("KeyDigest", str)
+"""The digest of team, pipeline and idempotency key."""
+
+ClaimId = typing.NewType("ClaimId", str)
+"""One attempt of a host to claim a key."""
+
 ShardId = typing.NewType("ShardId", int)
 """One log of claims."""
 
--- a/chervilshore/messages.py
+++ b/chervilshore/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from chervilshore.decisions import claims
 from chervilshore import ids
 from chervilshore import records
 
@@ -180,6 +181,44 @@
     lifetime_ms: float
 
 
+# Claims.
+
+
+class ClaimAsk(Message, frozen=True, tag="ka"):
+    """Asks the owner of a shard to claim a key.
+
+    Parameters
+    ----------
+    claim : Claim
+        The claim; the same one may be asked for again.
+    hold_ms : float
+        Milliseconds that the owner may wait for something better than an
+        open or pending verdict.
+    """
+
+    claim: claims.Claim
+    hold_ms: float
+
+
+class ClaimReply(Message, frozen=True, tag="kr"):
+    """Says what the log says of a claim."""
+
+    verdict: claims.Verdict
+
+
+class EntryAsk(Message, frozen=True, tag="ke"):
+    """Asks the owner of a shard to write an outcome or a release."""
+
+    entry: claims.Outcome | claims.Release
+    hold_ms: float
+
+
+class EntryReply(Message, frozen=True, tag="kf"):
+    """Says whether the log holds the entry."""
+
+    stored: bool
+
+
 Body = typing.Union[
     Ping,
     Pong,
@@ -195,6 +234,10 @@
     GrantReturn,
     DemandReport,
     ShareReply,
+    ClaimAsk,
+    ClaimReply,
+    EntryAsk,
+    EntryReply,
 ]
 """Any message."""
 
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -115,6 +115,26 @@
     # Membership and peers.
 
     # Claims.
+    CLAIMS = _counter(
+        "chervilshore_claims_total",
+        ("verdict",),
+        "Requests with a key by what the log of claims said.",
+    )
+    CLAIM_SECONDS = _histogram(
+        "chervilshore_claim_seconds",
+        (),
+        "Time until the log of claims had said something about a request.",
+    )
+    CLAIM_BATCHES = _counter(
+        "chervilshore_claim_batches_total",
+        ("outcome",),
+        "Batches sent to logs of claims.",
+    )
+    CLAIM_ENTRIES = _counter(
+        "chervilshore_claim_entries_total",
+        (),
+        "Entries in batches that were stored.",
+    )
 
     # Leases and orders.
 
--- a/chervilshore/results.py
+++ b/chervilshore/results.py
@@ -63,6 +63,9 @@
     KEY_REUSED = Result(
         1007, _NOT_RUN, 422, "The key was used with another body."
     )
+    KEY_SUPERSEDED = Result(
+        1008, _NOT_RUN, 409, "A later send of this key was refused before."
+    )
     DEADLINE_HOPELESS = Result(
         1010, _NOT_RUN, 503, "The deadline cannot be met."
     )
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -157,6 +157,30 @@
     ),
     # Grants, routing and limits.
     # Claims.
+    Setting(
+        "claim_shards",
+        whole(1, 4096),
+        "logs of claims, when the platform holds none yet",
+        "16",
+    ),
+    Setting(
+        "claim_retention_ms",
+        whole(60_000, 2_000_000_000),
+        "least time for which a used key is known, in milliseconds",
+        "86400000",
+    ),
+    Setting(
+        "claim_answer_bytes",
+        whole(0, 500_000),
+        "largest answer kept for repeats, in bytes",
+        "16384",
+    ),
+    Setting(
+        "claim_batch_ms",
+        whole(0, 1000),
+        "least time between two batches of a log, in milliseconds",
+        "5",
+    ),
     # Leases and orders.
     # The platform.
     Setting(
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,76 @@
+"""Claims of keys over several hosts."""
+
+import asyncio
+
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore.clients import memory
+from chervilshore import results
+from tests import claims_helpers
+from tests import virtual
+
+Code = results.Code
+
+
+def test_nine_hosts_with_one_key_run_it_once():
+    async def run():
+        fleet = claims_helpers.Fleet(hosts=9)
+        answers = await asyncio.gather(
+            *(fleet.send(name, "visit-7") for name in fleet.claims)
+        )
+        assertions.assert_that(fleet.runs["visit-7"], matchers.Equals(1))
+        assertions.assert_that(
+            {(answer.code, answer.body) for answer in answers},
+            matchers.Equals({(Code.OK, b'{"bill":1}')}),
+        )
+        replayed = sum(answer.replayed for answer in answers)
+        assertions.assert_that(replayed, matchers.Equals(8))
+
+    virtual.run(run())
+
+
+def test_another_body_under_one_key_is_refused():
+    async def run():
+        fleet = claims_helpers.Fleet()
+        await fleet.send("host0", "visit-7")
+        answer = await fleet.send("host1", "visit-7", b'{"other":1}')
+        assertions.assert_that(answer.code, matchers.Is(Code.KEY_REUSED))
+        assertions.assert_that(fleet.runs["visit-7"], matchers.Equals(1))
+
+    virtual.run(run())
+
+
+def test_platform_down_is_not_run_unless_it_was_sent_before():
+    async def run():
+        fleet = claims_helpers.Fleet()
+        fleet.memory.faults = lambda call, key: memory.Fault.DOWN
+        first = await fleet.send("host0", "visit-7")
+        again = await fleet.send("host1", "visit-7", resend=1)
+        assertions.assert_that(first.code, matchers.Is(Code.PLATFORM_DOWN))
+        assertions.assert_that(again.code, matchers.Is(Code.CLAIM_UNKNOWN))
+        assertions.assert_that(fleet.clock.now(), matchers.LessThan(4001))
+        fleet.memory.faults = memory.plan_nothing
+        await fleet.clock.sleep(1000)
+        last = await fleet.send("host2", "visit-7", resend=2)
+        assertions.assert_that(last.code, matchers.Is(Code.OK))
+        assertions.assert_that(fleet.runs["visit-7"], matchers.Equals(1))
+
+    virtual.run(run())
+
+
+def test_keys_are_checked():
+    async def run():
+        fleet = claims_helpers.Fleet()
+        codes = [
+            (await fleet.send("host0", key)).code
+            for key in ("", "k" * 201, "a\nb")
+        ]
+        assertions.assert_that(
+            codes,
+            matchers.Equals(
+                [Code.KEY_NEEDED, Code.BAD_HEADER, Code.BAD_HEADER]
+            ),
+        )
+
+    virtual.run(run())
