--- a/chervilshore/controllers/claims.py
+++ b/chervilshore/controllers/claims.py
@@ -11,23 +11,19 @@
 from chervilshore.clients import peers as peers_module
 from chervilshore.clients import platform as platforms
 from chervilshore import clock as clocks
-from chervilshore.controllers import claimlog
+from chervilshore.controllers import claimstore
 from chervilshore.controllers import directory as directories
+from chervilshore.controllers import owners
+from chervilshore.controllers import shards
 from chervilshore.decisions import claims
-from chervilshore.decisions import rendezvous
 from chervilshore import events
-from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import metrics as metrics_module
-from chervilshore import records
 from chervilshore import results
 
 _LOGGER = logging.getLogger(__name__)
 
-LAYOUT_KEY = "claims/layout"
-"""The object that holds the number of shards for the whole fleet."""
-
 ANSWER_MARGIN_MS = 20.0
 """Milliseconds of a deadline that are left for refusing in time."""
 
@@ -39,36 +35,14 @@
 """Outcomes and releases that one host goes on trying to store."""
 
 
-class Terms(msgspec.Struct, frozen=True):
-    """What the claims of a host go by.
-
-    Parameters
-    ----------
-    shards : int
-        Logs to spread the keys over, if the platform does not say yet.
-    retention_ms : float
-        Least milliseconds for which a used key is known.
-    answer_bytes : int
-        Largest answer that is kept for repeats.
-    hold_ms : float
-        Milliseconds for which the owner of a shard holds a question back
-        while it has no better verdict.
-    reply_ms : float
-        Milliseconds after the hold after which the owner is taken to be
-        away.
-    avoid_ms : float
-        Milliseconds for which an owner that was away is not asked.
-    timing : Timing
-        The times that each log goes by.
-    """
-
-    shards: int = 16
-    retention_ms: float = 86_400_000.0
-    answer_bytes: int = 16_384
-    hold_ms: float = 500.0
-    reply_ms: float = 100.0
-    avoid_ms: float = 2000.0
-    timing: claimlog.Timing = claimlog.Timing()
+class _Attempt(msgspec.Struct):
+    claim: claims.Claim
+    verdict: claims.Verdict = claims.PENDING
+    opened: float | None = None
+    forwarded: bool = False
+    asking: bool = False
+    # Whether the claim may come into the log without being granted here.
+    uncertain: bool = False
 
 
 class Claims(mode.Service):
@@ -101,7 +75,7 @@
         platform: platforms.Platform,
         directory: directories.Directory,
         rng: random.Random,
-        terms: Terms = Terms(),
+        terms: claimstore.Terms = claimstore.Terms(),
         peers: peers_module.Peers | None = None,
         metrics: metrics_module.Metrics | None = None,
     ) -> None:
@@ -109,35 +83,48 @@
         self._host = host
         self._clock = clock
         self._platform = platform
-        self._directory = directory
-        self._peers = peers
+        self._owners = owners.Owners(
+            host, clock, directory, peers, terms.avoid_ms
+        )
         self._terms = terms
         self._metrics = metrics
         self._life = f"{rng.getrandbits(64):016x}"
         self._numbers = itertools.count(1)
-        self._shards = 0
-        self._layout: asyncio.Task | None = None
-        self._logs: dict[ids.ShardId, claimlog.ClaimLog] = {}
-        self._avoided: dict[ids.HostId, float] = {}
+        self._layout = shards.Layout(
+            clock, platform, terms.shards, terms.timing.retry_ms
+        )
+        self._store = claimstore.ClaimStore(
+            host, clock, platform, self._owners, rng, terms, metrics
+        )
         self._unstored: dict[ids.ClaimId, asyncio.Task] = {}
+        self._tender: asyncio.Future | None = None
         if peers is not None:
             peers.handle(messages.ClaimAsk, self._answer_claim)
             peers.handle(messages.EntryAsk, self._answer_entry)
 
+    async def on_start(self) -> None:
+        """Begin to look after the logs."""
+        self._tender = self.add_future(self._store.tend())
+
     async def on_stop(self) -> None:
         """Store what is still unstored, then stop."""
-        if self._unstored:
-            await asyncio.wait(set(self._unstored.values()))
+        unstored = asyncio.gather(
+            *self._unstored.values(), return_exceptions=True
+        )
+        try:
+            await clocks.wait_for(self._clock, unstored, self._terms.stop_ms)
+        except TimeoutError:
+            self._report_given_up(len(self._unstored))
         self.close()
 
     def close(self) -> None:
         """Stop at once, as a process that dies does."""
         for task in self._unstored.values():
             task.cancel()
-        for log in self._logs.values():
-            log.stop()
-        if self._layout is not None:
-            self._layout.cancel()
+        self._store.stop()
+        if self._tender is not None:
+            self._tender.cancel()
+        self._layout.stop()
 
     def make_claim(
         self,
@@ -187,14 +174,15 @@
             other verdict this claim will never be granted.
         """
         started = self._clock.now()
-        verdict = claims.PENDING
+        attempt = _Attempt(claim)
         try:
-            verdict = await self._settle(claim, deadline - ANSWER_MARGIN_MS)
+            await self._settle(attempt, deadline - ANSWER_MARGIN_MS)
         finally:
-            if verdict.state is claims.VerdictState.PENDING:
-                self._abandon(claim)
-        self._count(verdict, self._clock.now() - started)
-        return verdict
+            waiting = attempt.verdict.state in claims.WAITING
+            if waiting and (attempt.uncertain or attempt.asking):
+                self._abandon(attempt)
+        self._count(attempt.verdict, self._clock.now() - started)
+        return attempt.verdict
 
     async def record(
         self, claim: claims.Claim, recorded: claims.Recorded
@@ -245,60 +233,58 @@
     def describe(self) -> dict:
         """Summarise the state as JSON values."""
         return {
-            "shards": self._shards,
+            "shards": self._layout.shards,
             "unstored": len(self._unstored),
-            "logs": {
-                str(shard): {
-                    "position": log.ledger.position,
-                    "records": len(log.ledger.records),
-                    "tail": log.tail,
-                    "waiting": log.waiting,
-                }
-                for shard, log in sorted(self._logs.items())
-            },
+            "logs": self._store.describe(),
         }
 
-    async def _settle(self, claim: claims.Claim, end: float) -> claims.Verdict:
-        verdict = claims.PENDING
-        opened = None
+    async def _settle(self, attempt: _Attempt, end: float) -> None:
         while True:
             left = end - self._clock.now()
             if left <= 0:
-                return verdict
-            verdict = await self._ask(claim, left)
+                return
+            attempt.asking = True
+            verdict = await self._ask(attempt, left)
+            attempt.asking = False
             if verdict.state not in claims.WAITING:
-                return verdict
+                attempt.verdict = verdict
+                return
             if verdict.state is claims.VerdictState.PENDING:
-                opened = None
+                attempt.uncertain = True
+                attempt.opened = None
                 continue
-            if opened is None:
-                opened = self._clock.now()
-            ends = opened + verdict.budget_ms + OPEN_SLACK_MS
-            if self._clock.now() >= ends:
-                return verdict
-
-    async def _ask(self, claim: claims.Claim, left: float) -> claims.Verdict:
-        if not await self._know_shards(left):
+            attempt.verdict = verdict
+            now = self._clock.now()
+            if attempt.opened is None:
+                attempt.opened = now
+            if now >= attempt.opened + verdict.budget_ms + OPEN_SLACK_MS:
+                return
+
+    async def _ask(self, attempt: _Attempt, left: float) -> claims.Verdict:
+        if not await self._layout.know(left):
             return claims.PENDING
-        shard = claims.shard_of(claim.key, self._shards)
+        claim = attempt.claim
+        shard = claims.shard_of(claim.key, self._layout.shards)
         hold = min(left, self._terms.hold_ms)
-        owner = self._find_owner(shard)
+        owner = self._owners.find(f"claims/{shard}")
         if owner is None:
-            return await self._log(shard).decide(claim, hold)
+            return await self._store.log(shard).decide(claim, hold)
+        attempt.forwarded = True
         ask = messages.ClaimAsk(claim, hold)
-        reply = await self._ask_owner(owner, ask, hold, left)
+        wait = min(left, hold + self._terms.reply_ms)
+        reply = await self._owners.ask(owner, ask, wait)
         if isinstance(reply, messages.ClaimReply):
             return reply.verdict
         return claims.PENDING
 
-    def _abandon(self, claim: claims.Claim) -> None:
-        shard = claims.shard_of(claim.key, max(1, self._shards))
-        log = self._logs.get(shard)
-        alone = self._peers is None and log is not None
-        if not self._shards or (alone and log.withdraw(claim)):
+    def _abandon(self, attempt: _Attempt) -> None:
+        if not self._layout.shards:
+            return
+        claim = attempt.claim
+        shard = claims.shard_of(claim.key, self._layout.shards)
+        unsent = self._store.log(shard).withdraw(claim)
+        if unsent and not attempt.forwarded:
             return
-        if log is not None:
-            log.withdraw(claim)
         self._keep_storing(
             claims.Release(claim.key, claim.claim, claim.resend)
         )
@@ -307,126 +293,50 @@
         self, entry: claims.Outcome | claims.Release
     ) -> asyncio.Task | None:
         if len(self._unstored) >= MOST_UNSTORED:
+            self._report_given_up(1)
             return None
-        task = asyncio.ensure_future(self._store(entry))
+        task = asyncio.ensure_future(self._bring(entry))
         self._unstored[entry.claim] = task
         task.add_done_callback(
             lambda done: self._unstored.pop(entry.claim, None)
         )
         return task
 
-    async def _store(self, entry: claims.Outcome | claims.Release) -> None:
+    async def _bring(self, entry: claims.Outcome | claims.Release) -> None:
         hold = self._terms.hold_ms
-        shard = claims.shard_of(entry.key, self._shards)
+        shard = claims.shard_of(entry.key, self._layout.shards)
         stored = False
         while not stored:
-            owner = self._find_owner(shard)
+            owner = self._owners.find(f"claims/{shard}")
             if owner is None:
-                stored = await self._log(shard).store(entry, hold)
+                stored = await self._store.log(shard).store(entry, hold)
                 continue
             ask = messages.EntryAsk(entry, hold)
-            reply = await self._ask_owner(owner, ask, hold, hold)
+            wait = hold + self._terms.reply_ms
+            reply = await self._owners.ask(owner, ask, wait)
             stored = isinstance(reply, messages.EntryReply) and reply.stored
 
-    async def _ask_owner(
-        self,
-        owner: records.HostRecord,
-        ask: messages.Message,
-        hold: float,
-        left: float,
-    ) -> messages.Message | None:
-        wait = min(left, hold + self._terms.reply_ms)
-        try:
-            return await self._peers.ask(owner.peer_address, ask, wait)
-        except exceptions.PeerError:
-            until = self._clock.now() + self._terms.avoid_ms
-            self._avoided[owner.host] = until
-            return None
-
-    def _find_owner(self, shard: ids.ShardId) -> records.HostRecord | None:
-        if self._peers is None:
-            return None
-        now = self._clock.now()
-        hosts = {
-            record.host: record
-            for record in self._directory.hosts()
-            if record.state is records.HostState.ALIVE
-        }
-        chosen = rendezvous.choose(hosts, f"claims/{shard}")
-        if chosen is None or chosen == self._host:
-            return None
-        if self._avoided.get(chosen, now) > now:
-            return None
-        return hosts[chosen]
-
-    def _log(self, shard: ids.ShardId) -> claimlog.ClaimLog:
-        log = self._logs.get(shard)
-        if log is None:
-            log = claimlog.ClaimLog(
-                self._host,
-                self._clock,
-                self._platform,
-                shard,
-                self._terms.timing,
-                self._metrics,
-            )
-            self._logs[shard] = log
-        return log
+    def _report_given_up(self, number: int) -> None:
+        events.log_event(_LOGGER, events.Event.CLAIM_UNSTORED, number=number)
 
     async def _answer_claim(
         self, sender: ids.Address, ask: messages.ClaimAsk
     ) -> messages.ClaimReply:
-        if not await self._know_shards(ask.hold_ms):
+        if not await self._layout.know(ask.hold_ms):
             return messages.ClaimReply(claims.PENDING)
-        shard = claims.shard_of(ask.claim.key, self._shards)
-        verdict = await self._log(shard).decide(ask.claim, ask.hold_ms)
+        shard = claims.shard_of(ask.claim.key, self._layout.shards)
+        verdict = await self._store.log(shard).decide(ask.claim, ask.hold_ms)
         return messages.ClaimReply(verdict)
 
     async def _answer_entry(
         self, sender: ids.Address, ask: messages.EntryAsk
     ) -> messages.EntryReply:
-        if not await self._know_shards(ask.hold_ms):
+        if not await self._layout.know(ask.hold_ms):
             return messages.EntryReply(False)
-        shard = claims.shard_of(ask.entry.key, self._shards)
-        stored = await self._log(shard).store(ask.entry, ask.hold_ms)
+        shard = claims.shard_of(ask.entry.key, self._layout.shards)
+        stored = await self._store.log(shard).store(ask.entry, ask.hold_ms)
         return messages.EntryReply(stored)
 
-    async def _know_shards(self, wait_ms: float) -> bool:
-        if self._shards:
-            return True
-        if self._layout is None or self._layout.done():
-            self._layout = asyncio.ensure_future(self._read_layout())
-        shielded = asyncio.shield(self._layout)
-        try:
-            await clocks.wait_for(self._clock, shielded, wait_ms)
-        except TimeoutError:
-            return False
-        return bool(self._shards)
-
-    async def _read_layout(self) -> None:
-        # Two hosts that spread keys differently would look for one key in
-        # two logs, so what the platform holds goes before the setting.
-        wanted = str(self._terms.shards).encode()
-        while not self._shards:
-            try:
-                stored = await self._platform.get(LAYOUT_KEY)
-                self._shards = int(stored.value)
-            except exceptions.ObjectMissing:
-                await self._create_layout(wanted)
-            except exceptions.PlatformError:
-                await self._clock.sleep(self._terms.timing.retry_ms)
-        if self._shards != self._terms.shards:
-            events.log_event(
-                _LOGGER, events.Event.CLAIM_SHARDS, shards=self._shards
-            )
-
-    async def _create_layout(self, wanted: bytes) -> None:
-        try:
-            await self._platform.create(LAYOUT_KEY, wanted)
-        except exceptions.PlatformError:
-            # Whatever has become of it is read next.
-            await self._clock.sleep(self._terms.timing.retry_ms)
-
     def _count(self, verdict: claims.Verdict, millis: float) -> None:
         if self._metrics is None:
             return
--- /dev/null
+++ b/chervilshore/controllers/owners.py
@@ -0,0 +1,95 @@
+"""Which host keeps a shard, and how it is asked."""
+
+from chervilshore.clients import peers as peers_module
+from chervilshore import clock as clocks
+from chervilshore.controllers import directory as directories
+from chervilshore.decisions import rendezvous
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import messages
+from chervilshore import records
+
+
+class Owners:
+    """Finds the owners of shards among the live hosts.
+
+    Ownership only saves work: what two hosts that both take themselves
+    for the owner do must be safe by other means.
+
+    Parameters
+    ----------
+    host : HostId
+        This host.
+    clock : Clock
+        The clock.
+    directory : Directory
+        Tells which hosts share the work.
+    peers : Peers or None
+        Reaches them; without it this host owns everything.
+    avoid_ms : float
+        Milliseconds for which an owner that did not answer is passed
+        over.
+    """
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        clock: clocks.Clock,
+        directory: directories.Directory,
+        peers: peers_module.Peers | None,
+        avoid_ms: float,
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._directory = directory
+        self._peers = peers
+        self._avoid_ms = avoid_ms
+        self._avoided: dict[ids.HostId, float] = {}
+
+    def find(self, name: str) -> records.HostRecord | None:
+        """Find the owner of something.
+
+        Parameters
+        ----------
+        name : str
+            What is owned.
+
+        Returns
+        -------
+        HostRecord or None
+            The owner; nothing when this host should do the work.
+        """
+        if self._peers is None:
+            return None
+        hosts = {
+            record.host: record
+            for record in self._directory.hosts()
+            if record.state is records.HostState.ALIVE
+        }
+        chosen = rendezvous.choose(hosts, name)
+        if chosen is None or chosen == self._host:
+            return None
+        now = self._clock.now()
+        if self._avoided.get(chosen, now) > now:
+            return None
+        return hosts[chosen]
+
+    async def ask(
+        self,
+        owner: records.HostRecord,
+        ask: messages.Message,
+        wait_ms: float,
+    ) -> messages.Message | None:
+        """Ask an owner; one that does not answer is avoided for a while.
+
+        Returns
+        -------
+        Message or None
+            The reply, if there was one.
+        """
+        try:
+            return await self._peers.ask(owner.peer_address, ask, wait_ms)
+        except exceptions.PeerError:
+            until = self._clock.now() + self._avoid_ms
+            self._avoided[owner.host] = until
+            return None
--- a/chervilshore/decisions/snapshots.py
+++ b/chervilshore/decisions/snapshots.py
@@ -16,12 +16,6 @@
 CHUNK_BYTES = 800_000
 """Bytes of a chunk; the platform takes a megabyte in one value."""
 
-TAIL_BATCHES = 256
-"""Batches of a log after which it is compacted."""
-
-TAIL_AGE_MS = 600_000.0
-"""Milliseconds after which also a short log is compacted."""
-
 
 class ChunkRef(msgspec.Struct, frozen=True, array_like=True):
     """A chunk of a snapshot.
@@ -82,63 +76,65 @@
     return _CHUNK_DECODER.decode(value)
 
 
-def is_due(tail: int, age_ms: float) -> bool:
-    """Tell whether a log should be compacted.
+def advance(head: Head, passed_ms: float, dropped: tuple[str, ...]) -> Head:
+    """Make the head that announces new chunks before they are written.
+
+    Until the compaction ends they are listed as dropped, so that no chunk
+    is ever left behind by a host that dies.
 
     Parameters
     ----------
-    tail : int
-        Batches since the snapshot.
-    age_ms : float
-        Milliseconds since the snapshot was first seen.
+    head : Head
+        The head so far.
+    passed_ms : float
+        Milliseconds since this host first saw the head so far.
+    dropped : tuple of str
+        The names of the new chunks.
     """
-    if tail == 0:
-        return False
-    return tail >= TAIL_BATCHES or age_ms >= TAIL_AGE_MS
-
-
-def split(records: Records, most_bytes: int = CHUNK_BYTES) -> list[Records]:
-    """Divide records into chunks that the platform takes."""
-    chunks: list[Records] = []
-    size = most_bytes + 1
-    for key, record in records.items():
-        content = len(_ENCODER.encode(record)) + len(key) + 8
-        if size + content > most_bytes:
-            chunks.append({})
-            size = 0
-        chunks[-1][key] = record
-        size += content
-    return chunks
+    return msgspec.structs.replace(
+        head,
+        elapsed_ms=head.elapsed_ms + max(0.0, passed_ms),
+        dropped=head.dropped + dropped,
+    )
 
 
-def plan(
+def finish(
     head: Head,
     through: ids.Sequence,
-    passed_ms: float,
     names: abc.Sequence[str],
     retention_ms: float,
 ) -> Head:
-    """Make the head that follows a compaction.
+    """Make the head that ends a compaction.
 
     Parameters
     ----------
     head : Head
-        The head so far.
+        The head that announced it; what it dropped is deleted by now.
     through : Sequence
-        The last batch that is folded in now.
-    passed_ms : float
-        Milliseconds since this host first saw the head so far.
+        The last batch that is folded in.
     names : sequence of str
-        The new chunks.
+        The new chunks, which are written by now.
     retention_ms : float
         Milliseconds of the shard's time for which a chunk is kept.
     """
-    elapsed = head.elapsed_ms + max(0.0, passed_ms)
-    kept = tuple(
-        chunk
-        for chunk in head.chunks
-        if elapsed - chunk.written_ms <= retention_ms
+    oldest = head.elapsed_ms - retention_ms
+    kept = tuple(chunk for chunk in head.chunks if chunk.written_ms >= oldest)
+    dropped = tuple(
+        chunk.name for chunk in head.chunks if chunk.written_ms < oldest
     )
-    dropped = tuple(chunk.name for chunk in head.chunks if chunk not in kept)
-    added = tuple(ChunkRef(name, elapsed) for name in names)
-    return Head(through, elapsed, kept + added, dropped)
+    added = tuple(ChunkRef(name, head.elapsed_ms) for name in names)
+    return Head(through, head.elapsed_ms, kept + added, dropped)
+
+
+def split(records: Records, most_bytes: int = CHUNK_BYTES) -> list[Records]:
+    """Divide records into chunks that the platform takes."""
+    chunks: list[Records] = []
+    size = most_bytes + 1
+    for key, record in records.items():
+        content = len(_ENCODER.encode(record)) + len(key) + 8
+        if size + content > most_bytes:
+            chunks.append({})
+            size = 0
+        chunks[-1][key] = record
+        size += content
+    return chunks
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -55,6 +55,10 @@
     CLAIMS_COMPACTED = EventSpec(5003, _INFO, "log of claims compacted")
     CLAIMS_LATE = EventSpec(5004, _WARNING, "answer for log of claims late")
     CLAIM_SHARDS = EventSpec(5005, _WARNING, "stored number of shards used")
+    CLAIMS_NOT_COMPACTED = EventSpec(
+        5006, _WARNING, "log of claims not compacted"
+    )
+    CLAIM_UNSTORED = EventSpec(5007, _ERROR, "outcome of claim given up")
 
     # Leases and orders: 6000 to 6999.
 
--- a/tests/claims_helpers.py
+++ b/tests/claims_helpers.py
@@ -1,10 +1,15 @@
 """A fleet of hosts that claim keys, with what its endpoints saw."""
 
+import asyncio
 import collections
+import itertools
 import random
 
+import msgspec
+
 from chervilshore.clients import memory
 from chervilshore.controllers import claims as claims_module
+from chervilshore.controllers import claimstore
 from chervilshore.controllers import directory as directories
 from chervilshore import exceptions
 from chervilshore.filters import base
@@ -13,6 +18,7 @@
 from chervilshore import records
 from chervilshore import results
 from chervilshore.rules import model
+from tests import faulty
 from tests import virtual
 
 BILLING = model.Pipeline(
@@ -22,74 +28,150 @@
 )
 
 
+class Run(msgspec.Struct, frozen=True):
+    """One execution at an endpoint."""
+
+    key: str
+    request: str
+    resend: int
+
+
+class Sent(msgspec.Struct, frozen=True):
+    """One answer; nothing stands for a connection that broke."""
+
+    key: str
+    request: str
+    resend: int
+    answer: base.Answer | None
+
+
+class Host(msgspec.Struct):
+    """One life of a host."""
+
+    claims: claims_module.Claims
+    platform: faulty.FaultyPlatform
+    chain: base.Proceed
+    address: str
+    dead: bool = False
+
+
 class Fleet:
-    """Hosts over one platform; `runs` counts executions by key."""
+    """Hosts over one platform, with all executions and answers."""
 
-    def __init__(self, hosts=3, seed=0, terms=None, platform=None):
+    def __init__(self, hosts=3, seed=0, terms=None):
         self.clock = virtual.LoopClock()
         self.rng = random.Random(seed)
         self.memory = memory.MemoryPlatform(self.clock)
         self.network = memory.MemoryNetwork(self.clock)
-        self.terms = terms or claims_module.Terms(shards=2)
-        self.make_platform = platform or (lambda fleet, name: fleet.memory)
-        self.runs = collections.Counter()
-        self.claims = {}
-        self.chains = {}
-        names = [f"host{number}" for number in range(hosts)]
-        self.directory = directories.StaticDirectory(
-            records.HostList(
-                tuple(
-                    records.HostRecord(name, "a", f"{name}:1", f"{name}:2")
-                    for name in names
-                )
-            )
-        )
-        for name in names:
-            self.start(name)
+        self.network.loses = self._loses
+        self.cuts = set()
+        self.terms = terms or claimstore.Terms(shards=2)
+        self.runs = []
+        self.sent = []
+        self.hosts = {}
+        self.behave = None
+        self._numbers = itertools.count(1)
+        self.directory = directories.StaticDirectory(records.HostList())
+        for number in range(hosts):
+            self.start(f"host{number}")
+
+    @property
+    def counts(self):
+        """Executions by key."""
+        return collections.Counter(run.key for run in self.runs)
 
     def start(self, name):
         """Start a host, or start it anew after its death."""
-        peers = self.network.join(f"{name}:1")
+        address = f"{name}:{next(self._numbers)}"
+        rng = random.Random(self.rng.random())
+        platform = faulty.FaultyPlatform(self.memory, self.clock, rng)
         claims = claims_module.Claims(
             name,
             self.clock,
-            self.make_platform(self, name),
+            platform,
             self.directory,
-            random.Random(self.rng.random()),
+            rng,
             self.terms,
-            peers,
+            self.network.join(address),
         )
-        self.claims[name] = claims
-        self.chains[name] = base.chain(
+        host = Host(claims, platform, None, address)
+
+        async def execute(exchange):
+            return await self._execute(host, exchange)
+
+        host.chain = base.chain(
             [
                 idempotency.ResendFilter(),
                 idempotency.IdempotencyFilter(claims, self.clock),
             ],
-            self.execute,
+            execute,
         )
+        self.hosts[name] = host
+        self._list_hosts()
+        return host
 
     def kill(self, name):
-        """End a host at once."""
-        self.claims[name].close()
-        self.network.drop(f"{name}:1")
+        """Let a host's process die: nothing of it goes out any more."""
+        host = self.hosts.pop(name)
+        host.dead = True
+        host.platform.dead = True
+        self.cuts.add(host.address)
+        self.network.drop(host.address)
+        self._list_hosts()
 
-    async def execute(self, exchange):
-        """Stand in for the endpoint: count and answer."""
-        exchange.dispatched = True
-        self.runs[exchange.key] += 1
-        await self.clock.sleep(20)
-        return base.Answer(results.Code.OK, b'{"bill":%d}' % self.runs.total())
+    def set_rates(self, **rates):
+        """Set the chances of faults on every host."""
+        for host in self.hosts.values():
+            host.platform.rates = rates
+
+    def set_down(self, down):
+        """Take the platform away, or bring it back."""
+        for host in self.hosts.values():
+            host.platform.down = down
 
     async def send(self, name, key, body=b"{}", resend=0, budget=2000):
         """Send a request through a host and return its answer."""
         now = self.clock.now()
+        request = f"r{next(self._numbers)}"
         headers = {"idempotency-key": key, "x-resend": str(resend)}
-        exchange = base.Exchange("r", BILLING.name, headers, body, now)
+        exchange = base.Exchange(request, BILLING.name, headers, body, now)
         exchange.pipeline = BILLING
         exchange.deadline = now + budget
         exchange.team = ids.TeamId("vans")
-        proceed = self.chains[name]
+        answer = await self._pass(self.hosts[name], exchange, budget)
+        self.sent.append(Sent(key, request, resend, answer))
+        return answer
+
+    async def _pass(self, host, exchange, budget):
+        task = asyncio.ensure_future(host.chain(exchange))
+        done, _ = await asyncio.wait({task}, timeout=budget / 1000 + 1)
+        if not done or host.dead:
+            return None
         try:
-            return await proceed(exchange)
+            return task.result()
         except exceptions.RefusalError as error:
             return base.Answer(error.code, detail=error.detail)
+
+    async def _execute(self, host, exchange):
+        if self.behave is not None:
+            await self.behave(host, exchange)
+        if host.dead:
+            await asyncio.get_running_loop().create_future()
+        exchange.dispatched = True
+        resend = int(exchange.headers["x-resend"])
+        run = Run(exchange.key, exchange.request, resend)
+        self.runs.append(run)
+        await self.clock.sleep(20)
+        body = f'"{exchange.key} by {exchange.request}"'.encode()
+        return base.Answer(results.Code.OK, body)
+
+    def _loses(self, sender, receiver):
+        return sender in self.cuts or receiver in self.cuts
+
+    def _list_hosts(self):
+        self.directory.host_list = records.HostList(
+            tuple(
+                records.HostRecord(name, "a", host.address, "")
+                for name, host in sorted(self.hosts.items())
+            )
+        )
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,7 +5,6 @@
 from testtools import assertions
 from testtools import matchers
 
-from chervilshore.clients import memory
 from chervilshore import results
 from tests import claims_helpers
 from tests import virtual
@@ -17,12 +16,13 @@
     async def run():
         fleet = claims_helpers.Fleet(hosts=9)
         answers = await asyncio.gather(
-            *(fleet.send(name, "visit-7") for name in fleet.claims)
+            *(fleet.send(name, "visit-7") for name in fleet.hosts)
         )
-        assertions.assert_that(fleet.runs["visit-7"], matchers.Equals(1))
+        assertions.assert_that(fleet.runs, matchers.HasLength(1))
+        request = fleet.runs[0].request
         assertions.assert_that(
             {(answer.code, answer.body) for answer in answers},
-            matchers.Equals({(Code.OK, b'{"bill":1}')}),
+            matchers.Equals({(Code.OK, f'"visit-7 by {request}"'.encode())}),
         )
         replayed = sum(answer.replayed for answer in answers)
         assertions.assert_that(replayed, matchers.Equals(8))
@@ -36,7 +36,7 @@
         await fleet.send("host0", "visit-7")
         answer = await fleet.send("host1", "visit-7", b'{"other":1}')
         assertions.assert_that(answer.code, matchers.Is(Code.KEY_REUSED))
-        assertions.assert_that(fleet.runs["visit-7"], matchers.Equals(1))
+        assertions.assert_that(fleet.runs, matchers.HasLength(1))
 
     virtual.run(run())
 
@@ -44,17 +44,17 @@
 def test_platform_down_is_not_run_unless_it_was_sent_before():
     async def run():
         fleet = claims_helpers.Fleet()
-        fleet.memory.faults = lambda call, key: memory.Fault.DOWN
+        fleet.set_down(True)
         first = await fleet.send("host0", "visit-7")
         again = await fleet.send("host1", "visit-7", resend=1)
         assertions.assert_that(first.code, matchers.Is(Code.PLATFORM_DOWN))
         assertions.assert_that(again.code, matchers.Is(Code.CLAIM_UNKNOWN))
         assertions.assert_that(fleet.clock.now(), matchers.LessThan(4001))
-        fleet.memory.faults = memory.plan_nothing
+        fleet.set_down(False)
         await fleet.clock.sleep(1000)
         last = await fleet.send("host2", "visit-7", resend=2)
         assertions.assert_that(last.code, matchers.Is(Code.OK))
-        assertions.assert_that(fleet.runs["visit-7"], matchers.Equals(1))
+        assertions.assert_that(fleet.runs, matchers.HasLength(1))
 
     virtual.run(run())
 
