--- /dev/null
+++ b/chervilshore/controllers/claimlog.py
@@ -0,0 +1,278 @@
+"""One host's writing of one log of claims."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from chervilshore.clients import platform as platforms
+from chervilshore import clock as clocks
+from chervilshore.controllers import claimreader
+from chervilshore.decisions import claims
+from chervilshore import events
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import metrics as metrics_module
+
+_LOGGER = logging.getLogger(__name__)
+
+BATCH_BYTES = 900_000
+"""Bytes of a batch; the platform takes a megabyte in one value."""
+
+MOST_WAITING = 10_000
+"""Entries that wait for one log at most; more claims stay pending."""
+
+
+class ClaimLog:
+    """A log of claims as one host sees it.
+
+    All calls to the platform for this log are made one after another.
+
+    Parameters
+    ----------
+    host : HostId
+        This host.
+    clock : Clock
+        The clock.
+    platform : Platform
+        Where the log is.
+    shard : ShardId
+        Which log.
+    timing : Timing
+        The times that it goes by.
+    metrics : Metrics or None
+        Where batches are counted.
+
+    Attributes
+    ----------
+    reader : ClaimReader
+        What was read of the log.
+    used : float
+        When this log was last asked for anything.
+    """
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        clock: clocks.Clock,
+        platform: platforms.Platform,
+        shard: ids.ShardId,
+        timing: claimreader.Timing,
+        metrics: metrics_module.Metrics | None = None,
+    ) -> None:
+        self.reader = claimreader.ClaimReader(
+            clock, platform, shard, timing, self._note
+        )
+        self.used = clock.now()
+        self._host = host
+        self._clock = clock
+        self._platform = platform
+        self._timing = timing
+        self._metrics = metrics
+        self._written = -float("inf")
+        self._waiting: dict[tuple, claims.Entry] = {}
+        self._maybe_sent: set[tuple] = set()
+        self._changed = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._watchers = 0
+        self._worker: asyncio.Task | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether entries wait to be written or somebody waits."""
+        return bool(self._waiting or self._watchers)
+
+    @property
+    def waiting(self) -> int:
+        """How many entries wait to be written."""
+        return len(self._waiting)
+
+    async def decide(
+        self, claim: claims.Claim, hold_ms: float
+    ) -> claims.Verdict:
+        """Bring a claim into the log and tell what the log says.
+
+        Parameters
+        ----------
+        claim : Claim
+            The claim; the same one may be brought again.
+        hold_ms : float
+            Milliseconds to wait while the verdict is open or pending.
+
+        Returns
+        -------
+        Verdict
+            The last word within that time.
+        """
+        self.used = self._clock.now()
+        end = self.used + hold_ms
+        verdict = self._judge(claim)
+        self._watchers += 1
+        try:
+            while verdict.state in claims.WAITING:
+                left = end - self._clock.now()
+                if left <= 0:
+                    break
+                await self._wait_for_change(left)
+                verdict = self._judge(claim)
+        finally:
+            self._watchers -= 1
+        return verdict
+
+    async def store(self, entry: claims.Entry, hold_ms: float) -> bool:
+        """Bring an outcome or a release into the log.
+
+        Returns
+        -------
+        bool
+            Whether the log holds it within the time; if not, it goes on
+            being tried.
+        """
+        self.used = self._clock.now()
+        end = self.used + hold_ms
+        if self.reader.ledger.holds(entry):
+            return True
+        self._enqueue(entry)
+        while _name(entry) in self._waiting:
+            left = end - self._clock.now()
+            if left <= 0:
+                return False
+            await self._wait_for_change(left)
+        return True
+
+    def withdraw(self, claim: claims.Claim) -> bool:
+        """Take back a claim that waits.
+
+        Returns
+        -------
+        bool
+            Whether it is certain that this host has not sent it.
+        """
+        name = _name(claim)
+        waited = self._waiting.pop(name, None) is not None
+        return waited and name not in self._maybe_sent
+
+    def stop(self) -> None:
+        """Stop writing and reading."""
+        if self._worker is not None:
+            self._worker.cancel()
+
+    def _judge(self, claim: claims.Claim) -> claims.Verdict:
+        verdict = self.reader.ledger.judge(claim)
+        if verdict.state is claims.VerdictState.PENDING:
+            if len(self._waiting) < MOST_WAITING:
+                self._enqueue(claim)
+        self._ensure_worker()
+        return verdict
+
+    def _enqueue(self, entry: claims.Entry) -> None:
+        self._waiting.setdefault(_name(entry), entry)
+        self._wake.set()
+        self._ensure_worker()
+
+    def _ensure_worker(self) -> None:
+        if self._worker is None or self._worker.done():
+            self._worker = asyncio.ensure_future(self._work())
+
+    async def _wait_for_change(self, millis: float) -> None:
+        try:
+            await clocks.wait_for(self._clock, self._changed.wait(), millis)
+        except TimeoutError:
+            return
+
+    def _tell_change(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _work(self) -> None:
+        while self.busy:
+            try:
+                async with self.reader.lock:
+                    await self._step()
+            except (
+                claimreader.LateError,
+                exceptions.PlatformError,
+                msgspec.DecodeError,
+            ) as error:
+                self._report(error)
+                await self._clock.sleep(self._timing.retry_ms)
+                continue
+            if not self._waiting and self._watchers:
+                await self._wait_for_work()
+
+    def _report(self, error: Exception) -> None:
+        event = events.Event.CLAIMS_BLOCKED
+        if isinstance(error, claimreader.LateError):
+            event = events.Event.CLAIMS_LATE
+        events.log_event(
+            _LOGGER, event, shard=self.reader.shard, error=type(error).__name__
+        )
+
+    async def _wait_for_work(self) -> None:
+        self._wake.clear()
+        try:
+            await clocks.wait_for(
+                self._clock, self._wake.wait(), self._timing.poll_ms
+            )
+        except TimeoutError:
+            return
+
+    async def _step(self) -> None:
+        await self.reader.refresh()
+        self._drop_held()
+        if not self._waiting:
+            await self.reader.read_on()
+            return
+        left = self._written + self._timing.batch_ms - self._clock.now()
+        if left > 0:
+            await self._clock.sleep(left)
+        if self._waiting:
+            await self._append()
+
+    async def _append(self) -> None:
+        batch = claims.Batch(
+            self._host,
+            claims.take_batch(self._waiting.values(), BATCH_BYTES),
+        )
+        self._maybe_sent.update(_name(entry) for entry in batch.entries)
+        started = self._clock.now()
+        self._written = started
+        try:
+            await self._platform.create(
+                self.reader.next_key, claims.encode_batch(batch)
+            )
+        except exceptions.VersionConflict:
+            self._count("conflict", 0)
+            await self.reader.read_on()
+            return
+        self.reader.check_fresh()
+        self._count("stored", len(batch.entries))
+        self.reader.apply(batch, started)
+
+    def _count(self, outcome: str, entries: int) -> None:
+        if self._metrics is None:
+            return
+        metric = metrics_module.Metric
+        self._metrics.count(metric.CLAIM_BATCHES, outcome)
+        self._metrics.count(metric.CLAIM_ENTRIES, by=entries)
+
+    def _note(self, batch: claims.Batch) -> None:
+        for entry in batch.entries:
+            self._waiting.pop(_name(entry), None)
+        self._drop_held()
+
+    def _drop_held(self) -> None:
+        held = [
+            name
+            for name, entry in self._waiting.items()
+            if self.reader.ledger.holds(entry)
+        ]
+        for name in held:
+            del self._waiting[name]
+        # What waits no more needs no memory of having been sent.
+        self._maybe_sent.intersection_update(self._waiting)
+        self._tell_change()
+
+
+def _name(entry: claims.Entry) -> tuple:
+    return (type(entry), entry.claim)
--- /dev/null
+++ b/chervilshore/controllers/claims.py
@@ -0,0 +1,345 @@
+"""Claims of idempotency keys, so that a request runs at most once."""
+
+import asyncio
+import itertools
+import logging
+import random
+
+import mode
+import msgspec
+
+from chervilshore.clients import peers as peers_module
+from chervilshore.clients import platform as platforms
+from chervilshore import clock as clocks
+from chervilshore.controllers import claimstore
+from chervilshore.controllers import directory as directories
+from chervilshore.controllers import owners
+from chervilshore.controllers import shards
+from chervilshore.decisions import claims
+from chervilshore import events
+from chervilshore import ids
+from chervilshore import messages
+from chervilshore import metrics as metrics_module
+from chervilshore import results
+
+_LOGGER = logging.getLogger(__name__)
+
+ANSWER_MARGIN_MS = 20.0
+"""Milliseconds of a deadline that are left for refusing in time."""
+
+OPEN_SLACK_MS = 500.0
+"""Milliseconds past its budget after which an open claim's request is
+taken to have ended without an outcome."""
+
+MOST_UNSTORED = 10_000
+"""Outcomes and releases that one host goes on trying to store."""
+
+
+class _Attempt(msgspec.Struct):
+    claim: claims.Claim
+    verdict: claims.Verdict = claims.PENDING
+    opened: float | None = None
+    forwarded: bool = False
+    asking: bool = False
+    # Whether the claim may come into the log without being granted here.
+    uncertain: bool = False
+
+
+class Claims(mode.Service):
+    """Claims keys in logs that stand in the platform.
+
+    Parameters
+    ----------
+    host : HostId
+        This host.
+    clock : Clock
+        The clock.
+    platform : Platform
+        Where the logs are.
+    directory : Directory
+        Tells which hosts share the work.
+    peers : Peers or None
+        Reaches the other hosts; without it this host writes alone.
+    rng : random.Random
+        Makes the names of claims unique over lives of this host.
+    terms : Terms
+        What the claims go by.
+    metrics : Metrics or None
+        Where claims are counted.
+    """
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        clock: clocks.Clock,
+        platform: platforms.Platform,
+        directory: directories.Directory,
+        rng: random.Random,
+        terms: claimstore.Terms = claimstore.Terms(),
+        peers: peers_module.Peers | None = None,
+        metrics: metrics_module.Metrics | None = None,
+    ) -> None:
+        super().__init__()
+        self._host = host
+        self._clock = clock
+        self._platform = platform
+        self._owners = owners.Owners(
+            host, clock, directory, peers, terms.avoid_ms
+        )
+        self._terms = terms
+        self._metrics = metrics
+        self._life = f"{rng.getrandbits(64):016x}"
+        self._numbers = itertools.count(1)
+        self._layout = shards.Layout(
+            clock, platform, terms.shards, terms.timing.retry_ms
+        )
+        self._store = claimstore.ClaimStore(
+            host, clock, platform, self._owners, rng, terms, metrics
+        )
+        self._unstored: dict[ids.ClaimId, asyncio.Task] = {}
+        self._tender: asyncio.Future | None = None
+        if peers is not None:
+            peers.handle(messages.ClaimAsk, self._answer_claim)
+            peers.handle(messages.EntryAsk, self._answer_entry)
+
+    async def on_start(self) -> None:
+        """Begin to look after the logs."""
+        self._tender = self.add_future(self._store.tend())
+
+    async def on_stop(self) -> None:
+        """Store what is still unstored, then stop."""
+        unstored = asyncio.gather(
+            *self._unstored.values(), return_exceptions=True
+        )
+        try:
+            await clocks.wait_for(self._clock, unstored, self._terms.stop_ms)
+        except TimeoutError:
+            self._report_given_up(len(self._unstored))
+        self.close()
+
+    def close(self) -> None:
+        """Stop at once, as a process that dies does."""
+        for task in self._unstored.values():
+            task.cancel()
+        self._store.stop()
+        if self._tender is not None:
+            self._tender.cancel()
+        self._layout.stop()
+
+    def make_claim(
+        self,
+        key: ids.KeyDigest,
+        raw: bytes,
+        resend: int,
+        budget_ms: float,
+    ) -> claims.Claim:
+        """Make a new claim of a key for one request.
+
+        Parameters
+        ----------
+        key : KeyDigest
+            The key, with its scope.
+        raw : bytes
+            The body of the request.
+        resend : int
+            How often the caller had sent it before.
+        budget_ms : float
+            Milliseconds that the request may take.
+        """
+        name = f"{self._host}/{self._life}/{next(self._numbers)}"
+        return claims.Claim(
+            key,
+            ids.ClaimId(name),
+            claims.digest_body(raw),
+            resend,
+            budget_ms,
+        )
+
+    async def claim(
+        self, claim: claims.Claim, deadline: float
+    ) -> claims.Verdict:
+        """Claim a key and wait for an outcome of an earlier claim.
+
+        Parameters
+        ----------
+        claim : Claim
+            The claim, new for each request.
+        deadline : float
+            The moment in milliseconds by which the request must end.
+
+        Returns
+        -------
+        Verdict
+            What may be done. Only a granted claim may be run. After any
+            other verdict this claim will never be granted.
+        """
+        started = self._clock.now()
+        attempt = _Attempt(claim)
+        try:
+            await self._settle(attempt, deadline - ANSWER_MARGIN_MS)
+        finally:
+            waiting = attempt.verdict.state in claims.WAITING
+            if waiting and (attempt.uncertain or attempt.asking):
+                self._abandon(attempt)
+        self._count(attempt.verdict, self._clock.now() - started)
+        return attempt.verdict
+
+    async def record(
+        self, claim: claims.Claim, recorded: claims.Recorded
+    ) -> None:
+        """Keep the outcome of a granted claim, without waiting for it.
+
+        Parameters
+        ----------
+        claim : Claim
+            The claim.
+        recorded : Recorded
+            The answer that repeats are to get.
+        """
+        bounded = claims.bound_answer(
+            recorded,
+            self._terms.answer_bytes,
+            results.Code.OUTCOME_UNKNOWN.value.number,
+        )
+        self._keep_storing(claims.Outcome(claim.key, claim.claim, bounded))
+
+    async def release(self, claim: claims.Claim, wait_ms: float = 0) -> bool:
+        """Say that a granted claim has not run and never will.
+
+        Parameters
+        ----------
+        claim : Claim
+            The claim.
+        wait_ms : float
+            Milliseconds to wait until the log holds this.
+
+        Returns
+        -------
+        bool
+            Whether the log holds it; if not, it goes on being tried.
+        """
+        task = self._keep_storing(
+            claims.Release(claim.key, claim.claim, claim.resend)
+        )
+        if wait_ms <= 0 or task is None:
+            return False
+        shielded = asyncio.shield(task)
+        try:
+            await clocks.wait_for(self._clock, shielded, wait_ms)
+        except TimeoutError:
+            return False
+        return True
+
+    def describe(self) -> dict:
+        """Summarise the state as JSON values."""
+        return {
+            "shards": self._layout.shards,
+            "unstored": len(self._unstored),
+            "logs": self._store.describe(),
+        }
+
+    async def _settle(self, attempt: _Attempt, end: float) -> None:
+        while True:
+            left = end - self._clock.now()
+            if left <= 0:
+                return
+            attempt.asking = True
+            verdict = await self._ask(attempt, left)
+            attempt.asking = False
+            if verdict.state not in claims.WAITING:
+                attempt.verdict = verdict
+                return
+            if verdict.state is claims.VerdictState.PENDING:
+                attempt.uncertain = True
+                attempt.opened = None
+                continue
+            attempt.verdict = verdict
+            now = self._clock.now()
+            if attempt.opened is None:
+                attempt.opened = now
+            if now >= attempt.opened + verdict.budget_ms + OPEN_SLACK_MS:
+                return
+
+    async def _ask(self, attempt: _Attempt, left: float) -> claims.Verdict:
+        if not await self._layout.know(left):
+            return claims.PENDING
+        claim = attempt.claim
+        shard = claims.shard_of(claim.key, self._layout.shards)
+        hold = min(left, self._terms.hold_ms)
+        owner = self._owners.find(f"claims/{shard}")
+        if owner is None:
+            return await self._store.log(shard).decide(claim, hold)
+        attempt.forwarded = True
+        ask = messages.ClaimAsk(claim, hold)
+        wait = min(left, hold + self._terms.reply_ms)
+        reply = await self._owners.ask(owner, ask, wait)
+        if isinstance(reply, messages.ClaimReply):
+            return reply.verdict
+        return claims.PENDING
+
+    def _abandon(self, attempt: _Attempt) -> None:
+        if not self._layout.shards:
+            return
+        claim = attempt.claim
+        shard = claims.shard_of(claim.key, self._layout.shards)
+        unsent = self._store.log(shard).withdraw(claim)
+        if unsent and not attempt.forwarded:
+            return
+        self._keep_storing(
+            claims.Release(claim.key, claim.claim, claim.resend)
+        )
+
+    def _keep_storing(
+        self, entry: claims.Outcome | claims.Release
+    ) -> asyncio.Task | None:
+        if len(self._unstored) >= MOST_UNSTORED:
+            self._report_given_up(1)
+            return None
+        task = asyncio.ensure_future(self._bring(entry))
+        self._unstored[entry.claim] = task
+        task.add_done_callback(
+            lambda done: self._unstored.pop(entry.claim, None)
+        )
+        return task
+
+    async def _bring(self, entry: claims.Outcome | claims.Release) -> None:
+        hold = self._terms.hold_ms
+        shard = claims.shard_of(entry.key, self._layout.shards)
+        stored = False
+        while not stored:
+            owner = self._owners.find(f"claims/{shard}")
+            if owner is None:
+                stored = await self._store.log(shard).store(entry, hold)
+                continue
+            ask = messages.EntryAsk(entry, hold)
+            wait = hold + self._terms.reply_ms
+            reply = await self._owners.ask(owner, ask, wait)
+            stored = isinstance(reply, messages.EntryReply) and reply.stored
+
+    def _report_given_up(self, number: int) -> None:
+        events.log_event(_LOGGER, events.Event.CLAIM_UNSTORED, number=number)
+
+    async def _answer_claim(
+        self, sender: ids.Address, ask: messages.ClaimAsk
+    ) -> messages.ClaimReply:
+        if not await self._layout.know(ask.hold_ms):
+            return messages.ClaimReply(claims.PENDING)
+        shard = claims.shard_of(ask.claim.key, self._layout.shards)
+        verdict = await self._store.log(shard).decide(ask.claim, ask.hold_ms)
+        return messages.ClaimReply(verdict)
+
+    async def _answer_entry(
+        self, sender: ids.Address, ask: messages.EntryAsk
+    ) -> messages.EntryReply:
+        if not await self._layout.know(ask.hold_ms):
+            return messages.EntryReply(False)
+        shard = claims.shard_of(ask.entry.key, self._layout.shards)
+        stored = await self._store.log(shard).store(ask.entry, ask.hold_ms)
+        return messages.EntryReply(stored)
+
+    def _count(self, verdict: claims.Verdict, millis: float) -> None:
+        if self._metrics is None:
+            return
+        metric = metrics_module.Metric
+        self._metrics.count(metric.CLAIMS, verdict.state.value)
+        self._metrics.observe(metric.CLAIM_SECONDS, millis)
--- a/chervilshore/filters/base.py
+++ b/chervilshore/filters/base.py
@@ -77,6 +77,9 @@
     abandoned : bool
         Whether the caller has its final answer already; from then on no
         byte may go to an endpoint.
+    vouched : bool
+        Whether a refusal that says NOT RUN holds for every earlier send
+        of the same key too.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         self.deadline = arrived
         self.key = ids.IdempotencyKey("")
         self.dispatched = False
+        self.vouched = False
         self.abandoned = False
         self._sends = 0
 
--- a/chervilshore/filters/decode.py
+++ b/chervilshore/filters/decode.py
@@ -5,12 +5,10 @@
 from chervilshore.controllers import configuration
 from chervilshore import exceptions
 from chervilshore.filters import base
+from chervilshore.filters import idempotency
 from chervilshore import ids
 from chervilshore import results
 
-MOST_KEY_LENGTH = 200
-"""Characters that an idempotency key may have."""
-
 MOST_TOKENS = 32_768
 """Tokens that a request may ask for."""
 
@@ -58,16 +56,10 @@
         return team
 
     def _read_key(self, exchange: base.Exchange) -> ids.IdempotencyKey:
-        key = exchange.headers.get("idempotency-key", "")
-        if not key and not exchange.pipeline.repeatable:
-            raise exceptions.RefusalError(results.Code.KEY_NEEDED)
-        if len(key) > MOST_KEY_LENGTH or not key.isprintable():
-            raise exceptions.RefusalError(
-                results.Code.BAD_HEADER,
-                f"Idempotency-Key has at most {MOST_KEY_LENGTH} printable "
-                "characters",
-            )
-        return ids.IdempotencyKey(key)
+        given = idempotency.KEY_HEADER in exchange.headers
+        if exchange.pipeline.repeatable and not given:
+            return ids.IdempotencyKey("")
+        return idempotency.read_key(exchange)
 
     def _read_body(self, exchange: base.Exchange) -> dict:
         try:
