--- a/chervilshore/clients/memory.py
+++ b/chervilshore/clients/memory.py
@@ -232,8 +232,7 @@
         self._network = network
         self._address = address
         self._handlers: dict[type, peers.Handler] = {}
-        self._questions: dict[int, asyncio.Future] = {}
-        self._number = 0
+        self._questions = peers.Questions(network.clock)
 
     @property
     def address(self) -> ids.Address:
@@ -252,26 +251,16 @@
         self, to: ids.Address, message: messages.Message, timeout_ms: float
     ) -> messages.Message:
         """Send a message and wait for the reply; see `Peers.ask`."""
-        self._number += 1
-        number = self._number
-        future = asyncio.get_running_loop().create_future()
-        self._questions[number] = future
-        self._carry(to, number, False, message)
-        try:
-            return await clocks.wait_for(
-                self._network.clock, future, timeout_ms
-            )
-        except TimeoutError as error:
-            raise exceptions.PeerError(f"{to}: {error}") from error
-        finally:
-            del self._questions[number]
+        return await self._questions.ask(
+            to,
+            lambda number: self._carry(to, number, False, message),
+            timeout_ms,
+        )
 
     async def receive(self, envelope: messages.Envelope) -> None:
         """Take a message that has arrived."""
         if envelope.reply:
-            future = self._questions.get(envelope.number)
-            if future is not None and not future.done():
-                future.set_result(envelope.body)
+            self._questions.answer(envelope)
             return
         handler = self._handlers.get(type(envelope.body))
         if handler is None:
--- a/chervilshore/clients/peers.py
+++ b/chervilshore/clients/peers.py
@@ -1,9 +1,12 @@
 """Messages between entry hosts."""
 
 import abc
+import asyncio
 from collections import abc as collections_abc
 import typing
 
+from chervilshore import clock as clocks
+from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import messages
 
@@ -46,3 +49,58 @@
         exceptions.PeerError
             No reply came in time.
         """
+
+
+class Questions:
+    """The questions of one host that wait for their replies.
+
+    Parameters
+    ----------
+    clock : Clock
+        Measures timeouts.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._number = 0
+
+    async def ask(
+        self,
+        to: ids.Address,
+        carry: collections_abc.Callable[[int], None],
+        timeout_ms: float,
+    ) -> messages.Message:
+        """Number a question, send it and wait for the reply.
+
+        Parameters
+        ----------
+        to : Address
+            Who is asked.
+        carry : callable
+            Sends the question under the number that it is given.
+        timeout_ms : float
+            Milliseconds to wait at most.
+
+        Raises
+        ------
+        exceptions.PeerError
+            No reply came in time.
+        """
+        self._number += 1
+        number = self._number
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        try:
+            carry(number)
+            return await clocks.wait_for(self._clock, future, timeout_ms)
+        except TimeoutError as error:
+            raise exceptions.PeerError(f"{to}: {error}") from error
+        finally:
+            del self._waiting[number]
+
+    def answer(self, envelope: messages.Envelope) -> None:
+        """Hand a reply to its question, if that still waits."""
+        future = self._waiting.get(envelope.number)
+        if future is not None and not future.done():
+            future.set_result(envelope.body)
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -113,6 +113,11 @@
     )
 
     # Membership and peers.
+    PEER_TRAFFIC = _counter(
+        "chervilshore_peer_traffic_total",
+        ("what",),
+        "Messages and bytes between entry hosts, dropped ones and garbage.",
+    )
 
     # Claims.
 
