Keep the list of hosts by probing, and endpoints by one reader a domain

Cause: the platform's host list lags and may be wrong, a full mesh of heartbeats grows with the square of the fleet, and each reading of the list is a counted call.

One host of each failure domain reads the list and pushes changes of endpoints as differences; the others ask it now and then. Without the platform the freshest peer is believed; an empty list is not.

--- a/chervilshore/clients/peers.py
+++ b/chervilshore/clients/peers.py
@@ -50,6 +50,9 @@
             No reply came in time.
         """
 
+    def forget(self, address: ids.Address) -> None:
+        """Drop the connection to a peer and what waits for it."""
+
 
 class Questions:
     """The questions of one host that wait for their replies.
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -46,6 +46,13 @@
 
     # Membership and peers: 3000 to 3999.
     PEER_GARBAGE = EventSpec(3001, _WARNING, "unusable message from peer")
+    HOST_ALIVE = EventSpec(3002, _INFO, "host is alive")
+    HOST_SUSPECT = EventSpec(3003, _INFO, "host does not answer")
+    HOST_LEAVING = EventSpec(3004, _INFO, "host is leaving")
+    HOST_DOWN = EventSpec(3005, _WARNING, "host is down")
+    LISTING_CHANGED = EventSpec(3006, _INFO, "listing of endpoints changed")
+    HOST_LIST_UNREAD = EventSpec(3007, _WARNING, "host list cannot be read")
+    HOST_LIST_READ = EventSpec(3008, _INFO, "host list can be read again")
 
     # Grants, routing and limits: 4000 to 4999.
 
--- a/chervilshore/messages.py
+++ b/chervilshore/messages.py
@@ -21,22 +21,44 @@
 
 
 class Ping(Message, frozen=True, tag="mp"):
-    """Asks a host whether it is alive."""
+    """Asks a host whether it is alive.
+
+    Parameters
+    ----------
+    updates : tuple of HostRecord
+        News of hosts.
+    generation : Generation
+        What the sender has in force.
+    digest : int
+        A hash of the hosts that the sender knows.
+    """
 
     updates: tuple[records.HostRecord, ...] = ()
     generation: ids.Generation = ids.Generation(0)
+    digest: int = 0
 
 
 class Pong(Message, frozen=True, tag="mq"):
-    """Says that the host is alive."""
+    """Says that the host is alive.
+
+    Parameters
+    ----------
+    host : HostId
+        Who answers; another host may have taken over the address.
+    updates, generation, digest
+        As in `Ping`.
+    """
 
+    host: ids.HostId = ids.HostId("")
     updates: tuple[records.HostRecord, ...] = ()
     generation: ids.Generation = ids.Generation(0)
+    digest: int = 0
 
 
 class PingRequest(Message, frozen=True, tag="mr"):
-    """Asks a host to ping a third one."""
+    """Asks a host to ping a third one and to pass its `Pong` on."""
 
+    host: ids.HostId
     target: ids.Address
     updates: tuple[records.HostRecord, ...] = ()
 
@@ -47,6 +69,67 @@
     record: records.HostRecord
 
 
+class MembersRequest(Message, frozen=True, tag="mm"):
+    """Asks for the hosts in buckets whose hashes differ; none means all."""
+
+    digests: tuple[int, ...] = ()
+
+
+class MembersReply(Message, frozen=True, tag="mn"):
+    """Lists hosts that are not down."""
+
+    members: tuple[records.HostRecord, ...]
+
+
+class ListingRequest(Message, frozen=True, tag="el"):
+    """Asks for the endpoints unless the listing has this digest."""
+
+    digest: str = ""
+
+
+class ListingReply(Message, frozen=True, tag="em"):
+    """Lists the endpoints.
+
+    Parameters
+    ----------
+    digest : str
+        A hash of the listing; empty when the sender has none.
+    age_ms : float
+        Milliseconds since the platform last confirmed it.
+    endpoints : tuple of EndpointRecord or None
+        All endpoints; nothing when the asker has the same listing.
+    """
+
+    digest: str
+    age_ms: float = 0.0
+    endpoints: tuple[records.EndpointRecord, ...] | None = None
+
+
+class ListingNotice(Message, frozen=True, tag="en"):
+    """Tells how the listing of endpoints has changed.
+
+    Parameters
+    ----------
+    previous, digest : str
+        Hashes of the listing before and after.
+    changed : tuple of EndpointRecord
+        New and altered endpoints.
+    removed : tuple of EndpointId
+        Endpoints that are gone.
+    """
+
+    previous: str
+    digest: str
+    changed: tuple[records.EndpointRecord, ...] = ()
+    removed: tuple[ids.EndpointId, ...] = ()
+
+
+class ListingTaken(Message, frozen=True, tag="eo"):
+    """Answers a notice with the digest that the host has now."""
+
+    digest: str
+
+
 # Configuration.
 
 
@@ -185,6 +268,12 @@
     Pong,
     PingRequest,
     Leave,
+    MembersRequest,
+    MembersReply,
+    ListingRequest,
+    ListingReply,
+    ListingNotice,
+    ListingTaken,
     GenerationNotice,
     HeadRequest,
     HeadReply,
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -118,6 +118,16 @@
         ("what",),
         "Messages and bytes between entry hosts, dropped ones and garbage.",
     )
+    MEMBERS = _gauge(
+        "chervilshore_members",
+        ("state",),
+        "Other entry hosts by what is believed of them.",
+    )
+    LISTING_CHANGES = _counter(
+        "chervilshore_listing_changes_total",
+        ("source",),
+        "Changes of the listing of endpoints, by where they came from.",
+    )
 
     # Claims.
 
