Measure the promises under load and faults

Cause: the policies had no figures to be chosen by.

Change: `make measure` runs nine cases with real daemons, stand-ins that bear as much as they say, and a seeded open-loop load; a network stand-in cuts a domain off by the local IP number that its hosts connect from, which is a setting now, as is the place where a host listens for its peers.

--- a/chervilshore/clients/endpoints.py
+++ b/chervilshore/clients/endpoints.py
@@ -91,10 +91,13 @@
     ----------
     connect_ms : float
         Milliseconds to wait for a connection.
+    source : str
+        The local IP number to connect from; empty lets the system choose.
     """
 
-    def __init__(self, connect_ms: float = 500.0) -> None:
+    def __init__(self, connect_ms: float = 500.0, source: str = "") -> None:
         self._connect_ms = connect_ms
+        self._source = (source, 0) if source else None
         self._kept: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
 
@@ -116,7 +119,9 @@
             total=None, sock_connect=self._connect_ms / 1000.0
         )
         connector = aiohttp.TCPConnector(
-            limit=MOST_CONNECTIONS, force_close=force_close
+            limit=MOST_CONNECTIONS,
+            force_close=force_close,
+            local_addr=self._source,
         )
         return aiohttp.ClientSession(
             connector=connector, timeout=timeout, auto_decompress=False
--- a/chervilshore/clients/rest.py
+++ b/chervilshore/clients/rest.py
@@ -28,6 +28,8 @@
         Milliseconds to wait for an answer.
     counters : Metrics or None
         Counts the calls.
+    source : str
+        The local IP number to connect from; empty lets the system choose.
     """
 
     def __init__(
@@ -35,10 +37,12 @@
         address: ids.Address,
         timeout_ms: float = 1000.0,
         counters: metrics.Metrics | None = None,
+        source: str = "",
     ) -> None:
         self._base = f"http://{address}"
         self._timeout_ms = timeout_ms
         self._counters = counters
+        self._source = (source, 0) if source else None
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -148,7 +152,8 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            connector = aiohttp.TCPConnector(local_addr=self._source)
+            self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
     def _count(self, method: str, outcome: str) -> None:
--- a/chervilshore/clients/zeromq.py
+++ b/chervilshore/clients/zeromq.py
@@ -89,6 +89,10 @@
         Where to count.
     idle_ms : float
         Milliseconds without a message after which a connection is closed.
+    listen : Address or str
+        Where to listen when peers reach that place under another address.
+    source : str
+        The local IP number to connect from; empty lets the system choose.
 
     Attributes
     ----------
@@ -102,6 +106,8 @@
         clock: clocks.Clock,
         metrics: metric_types.Metrics | None = None,
         idle_ms: float = IDLE_MS,
+        listen: ids.Address = ids.Address(""),
+        source: str = "",
     ) -> None:
         super().__init__()
         self.counts = PeerCounts()
@@ -110,6 +116,8 @@
         self._clock = clock
         self._metrics = metrics
         self._idle_ms = idle_ms
+        self._listen = listen
+        self._source = source
         self._handlers: dict[type, peers.Handler] = {}
         self._questions = peers.Questions(clock)
         self._links: dict[ids.Address, _Link] = {}
@@ -157,9 +165,10 @@
         self._context.set(zmq.MAX_SOCKETS, MOST_SOCKETS)
         self._router = self._make_socket(zmq.ROUTER)
         self._monitor = self._router.get_monitor_socket(_HANDSHAKE_FAILURES)
-        self._router.bind(f"tcp://{self._address}")
-        bound = self._router.get_string(zmq.LAST_ENDPOINT)
-        self._address = ids.Address(bound.removeprefix("tcp://"))
+        self._router.bind(f"tcp://{self._listen or self._address}")
+        if not self._listen:
+            bound = self._router.get_string(zmq.LAST_ENDPOINT)
+            self._address = ids.Address(bound.removeprefix("tcp://"))
         self._watch(self._monitor, self._drain_monitor)
         self._watch(self._router, self._drain_router)
 
@@ -239,7 +248,8 @@
         link = self._links.get(to)
         if link is None:
             socket = self._make_socket(zmq.DEALER)
-            socket.connect(f"tcp://{to}")
+            source = f"{self._source}:0;" if self._source else ""
+            socket.connect(f"tcp://{source}{to}")
             self._watch(socket, self._drain_dealer)
             link = self._links[to] = _Link(socket, 0.0)
         link.used = self._clock.now()
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -85,11 +85,20 @@
     def _make_clients(self) -> None:
         options = self._options
         self._platform = rest.RestPlatform(
-            options.platform, options.platform_ms, self._metrics
+            options.platform,
+            options.platform_ms,
+            self._metrics,
+            options.source_ip,
+        )
+        self._sessions = endpoints.Sessions(
+            options.connect_ms, options.source_ip
         )
-        self._sessions = endpoints.Sessions(options.connect_ms)
         self._peers = zeromq.ZeroPeers(
-            options.peer_address, self._clock, self._metrics
+            options.peer_address,
+            self._clock,
+            self._metrics,
+            listen=options.peer_listen,
+            source=options.source_ip,
         )
 
     def _make_control(self) -> None:
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -47,16 +47,32 @@
     return tuple(_parse_address(part) for part in parts)
 
 
-def _parse_level(text: str) -> str:
-    if text not in ("debug", "info", "warning", "error"):
-        raise ValueError(text)
-    return text
+def _parse_number(text: str) -> str:
+    return text and str(ipaddress.ip_address(text))
+
+
+def _parse_optional_address(text: str) -> str:
+    return text and _parse_address(text)
 
 
 NAME = Kind(_parse_name, "1 to 63 letters, digits, dots, dashes, underlines")
 ADDRESS = Kind(_parse_address, "an IP number and a port, as 127.0.0.1:7000")
 ADDRESSES = Kind(_parse_addresses, "addresses separated by commas")
-LEVEL = Kind(_parse_level, "debug, info, warning or error")
+OPTIONAL_ADDRESS = Kind(
+    _parse_optional_address, "nothing, or an IP number and a port"
+)
+OPTIONAL_NUMBER = Kind(_parse_number, "nothing, or an IP number")
+
+
+def choice(*words: str) -> Kind:
+    """Make the kind of some words."""
+
+    def parse(text: str) -> str:
+        if text not in words:
+            raise ValueError(text)
+        return text
+
+    return Kind(parse, " or ".join(words))
 
 
 def whole(least: int, most: int) -> Kind:
@@ -121,7 +137,30 @@
     Setting("http_address", ADDRESS, "where callers and operators connect"),
     Setting("peer_address", ADDRESS, "where other entry hosts connect"),
     Setting("platform", ADDRESS, "where the platform's object API is"),
-    Setting("log_level", LEVEL, "least level of what is logged", "info"),
+    Setting(
+        "log_level",
+        choice("debug", "info", "warning", "error"),
+        "least level of what is logged",
+        "info",
+    ),
+    Setting(
+        "source_ip",
+        OPTIONAL_NUMBER,
+        "local IP number from which this host connects",
+        "",
+    ),
+    Setting(
+        "peer_listen",
+        OPTIONAL_ADDRESS,
+        "where to listen when peers reach it under another address",
+        "",
+    ),
+    Setting(
+        "policies",
+        choice("full", "baseline"),
+        "decisions to use; the baselines are there to compare with",
+        "full",
+    ),
     # Requests.
     Setting(
         "body_bytes",
--- a/chervilshore/tables.py
+++ b/chervilshore/tables.py
@@ -13,10 +13,19 @@
 END = "<!-- end of table -->"
 
 
-def _format_table(
+def format_table(
     heads: collections_abc.Sequence[str],
     rows: collections_abc.Iterable[collections_abc.Sequence[str]],
 ) -> str:
+    """Write a table in Markdown.
+
+    Parameters
+    ----------
+    heads : sequence of str
+        The heads of the columns.
+    rows : iterable of sequences of str
+        The cells.
+    """
     lines = ["| " + " | ".join(heads) + " |"]
     lines.append("| " + " | ".join("---" for _ in heads) + " |")
     lines.extend("| " + " | ".join(row) + " |" for row in rows)
@@ -36,7 +45,7 @@
         for code in results.Code
     ]
     heads = ("number", "name", "family", "HTTP status", "meaning")
-    return _format_table(heads, rows)
+    return format_table(heads, rows)
 
 
 def format_events() -> str:
@@ -50,7 +59,7 @@
         )
         for event in events.Event
     ]
-    return _format_table(("number", "name", "level", "text"), rows)
+    return format_table(("number", "name", "level", "text"), rows)
 
 
 def format_metrics() -> str:
@@ -64,7 +73,7 @@
         )
         for metric in metrics.Metric
     ]
-    return _format_table(("name", "kind", "labels", "meaning"), rows)
+    return format_table(("name", "kind", "labels", "meaning"), rows)
 
 
 def format_settings() -> str:
@@ -80,7 +89,7 @@
         for setting in settings.SETTINGS
     ]
     heads = ("flag", "variable", "default", "allowed", "meaning")
-    return _format_table(heads, rows)
+    return format_table(heads, rows)
 
 
 TABLES = {
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -17,6 +17,7 @@
 from chervilshore import reports
 from measure import plans
 from standins import fleet
+from standins import network
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -41,11 +42,16 @@
 class Host:
     """One entry host and its daemon's process."""
 
-    def __init__(self, name: str, domain: str, http: int, peer: int) -> None:
+    def __init__(
+        self, name: str, domain: str, number: str, ports: list[int]
+    ) -> None:
         self.name = name
         self.domain = domain
-        self.http = f"127.0.0.1:{http}"
-        self.peer = f"127.0.0.1:{peer}"
+        self.number = number
+        self.ports = ports
+        self.http = f"127.0.0.1:{ports[0]}"
+        self.peer = f"127.0.0.1:{ports[1]}"
+        self.listen = f"127.0.0.1:{ports[2]}"
         self.process: asyncio.subprocess.Process | None = None
 
     def make_record(self) -> records.HostRecord:
@@ -85,6 +91,13 @@
         self.endpoints: dict[str, records.EndpointRecord] = {}
         self.logs = pathlib.Path(tempfile.mkdtemp(prefix="chervilshore-"))
         self.platform = ""
+        self.network = ""
+        # Each domain's hosts connect from a local IP number of their own,
+        # so that what they reach can be cut off from them.
+        self.numbers = {
+            domain: f"127.0.{turn + 1}.1"
+            for turn, domain in enumerate(plan.domains)
+        }
         self._settings = settings or {}
         self._cold = cold
         self._specs: dict[str, list[fleet.Spec]] = {}
@@ -95,7 +108,7 @@
     def _lay_out(self) -> None:
         plan = self.plan
         workers = sum(pool.workers for pool in plan.pools)
-        ports = find_ports(1 + workers + 2 * plan.hosts)
+        ports = find_ports(2 + workers + 3 * plan.hosts)
         platform = ports.pop()
         self.platform = f"127.0.0.1:{platform}"
         self._specs["platform"] = [
@@ -112,8 +125,20 @@
         for number in range(plan.hosts):
             domain = plan.domains[number % len(plan.domains)]
             name = f"{domain}-{number // len(plan.domains) + 1}"
-            host = Host(name, domain, ports.pop(), ports.pop())
-            self.hosts.append(host)
+            number_there = self.numbers[domain]
+            own = [ports.pop(), ports.pop(), ports.pop()]
+            self.hosts.append(Host(name, domain, number_there, own))
+        self._lay_network(ports.pop())
+
+    def _lay_network(self, port: int) -> None:
+        lines = [
+            network.Line(host.ports[1], host.ports[2], host.number)
+            for host in self.hosts
+        ]
+        self.network = f"127.0.0.1:{port}"
+        self._specs["network"] = [
+            fleet.Spec("network", "network", port, lines=lines)
+        ]
 
     def _add_endpoint(
         self, pool: plans.PoolPlan, name: str, domain: str, port: int
@@ -173,6 +198,8 @@
             "--domain": host.domain,
             "--http-address": host.http,
             "--peer-address": host.peer,
+            "--peer-listen": host.listen,
+            "--source-ip": host.number,
             "--platform": self.platform,
             **self._settings,
         }
@@ -304,6 +331,23 @@
         """Turn fault knobs of the platform's stand-in."""
         await self._post(self.platform, "faults", knobs)
 
+    async def cut(self, domain: str) -> None:
+        """Cut a domain off from all others and from the platform."""
+        number = self.numbers[domain]
+        others = [other for other in self.numbers.values() if other != number]
+        for name, record in self.endpoints.items():
+            inside = record.domain == domain
+            await self.set_faults(name, cut=others if inside else [number])
+        await self.set_platform(cut=[number])
+        await self._post(self.network, "faults", {"cut": [number]})
+
+    async def heal(self) -> None:
+        """End every cut."""
+        for name in self.endpoints:
+            await self.set_faults(name, cut=[])
+        await self.set_platform(cut=[])
+        await self._post(self.network, "faults", {"cut": []})
+
     async def count(self, endpoint: str) -> dict:
         """Read what an endpoint's stand-in has counted."""
         return await self._read_counts(self.endpoints[endpoint].address)
--- a/measure/load.py
+++ b/measure/load.py
@@ -133,6 +133,10 @@
         self._tasks: set[asyncio.Task] = set()
         self._begun = 0.0
 
+    def use(self, addresses: collections_abc.Callable[[], list[str]]) -> None:
+        """Send to other entry hosts from now on."""
+        self._addresses = addresses
+
     def set_rate(self, rate: float) -> None:
         """Change the requests a second."""
         self._rate = rate
--- a/standins/base.py
+++ b/standins/base.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import itertools
+import math
 import random
 
 from aiohttp import web
@@ -13,6 +14,12 @@
 COLD_HEADER = "X-Cold"
 LOAD_HEADER = "X-Load"
 
+CUT_SECONDS = 60.0
+"""Seconds for which a call over a cut network hangs."""
+
+SPREAD_MS = 20.0
+"""Milliseconds that the first sign of cold may take to be known by all."""
+
 
 class Faults(msgspec.Struct):
     """What goes wrong at an endpoint.
@@ -33,6 +40,8 @@
         Share of answers that carry the binding of another call.
     deaf : bool
         Whether calls are taken and never answered.
+    cut : list of str
+        Local IP numbers of callers that a network cut keeps away.
     """
 
     slow: float = 1.0
@@ -42,6 +51,7 @@
     cut_after: int = -1
     cross: float = 0.0
     deaf: bool = False
+    cut: list[str] = []
 
 
 class Shape(msgspec.Struct):
@@ -90,6 +100,9 @@
         Tokens generated.
     overruns : int
         Calls that came while more were in flight than it bears cold.
+    late_overruns : int
+        Those of them that came later than `SPREAD_MS` after the first
+        sign that it is cold went out.
     most_cold : int
         The most calls in flight while it was cold.
     in_flight : int
@@ -105,12 +118,21 @@
     cancelled: int = 0
     tokens: int = 0
     overruns: int = 0
+    late_overruns: int = 0
     most_cold: int = 0
     in_flight: int = 0
     last_call_ms: float = 0.0
     runs: dict[str, int] = {}
 
 
+async def hold_if_cut(request: web.Request, cut: list[str]) -> None:
+    """Keep a call from a cut-off caller waiting until it gives up."""
+    if request.remote in cut:
+        await asyncio.sleep(CUT_SECONDS)
+        request.transport.abort()
+        raise asyncio.CancelledError
+
+
 class Fall(Exception):
     """The connection is to be cut without an answer."""
 
@@ -138,6 +160,7 @@
         self._instance = ""
         self._cold_until = 0.0
         self._fallen_until = 0.0
+        self._signed = math.inf
         self._slots = asyncio.Semaphore(shape.slots)
         self._bindings: list[str] = []
 
@@ -149,6 +172,7 @@
         """Become cold, as a fresh process does."""
         self._instance = f"{self.name}-{next(self._instances)}"
         self._cold_until = self.now() + self.shape.cold_ms
+        self._signed = math.inf
 
     def warm(self) -> None:
         """Become warm at once."""
@@ -178,6 +202,7 @@
 
     async def take(self, request: web.Request) -> web.StreamResponse:
         """Take a call: count it, let it fall over, or work on it."""
+        await hold_if_cut(request, self.faults.cut)
         body = await request.json()
         counts = self.counts
         counts.calls += 1
@@ -201,12 +226,22 @@
             counts.most_cold = max(counts.most_cold, counts.in_flight)
             if counts.in_flight > self.shape.cold:
                 counts.overruns += 1
+                counts.late_overruns += self._is_known_cold()
                 self._fallen_until = self.now() + self.shape.fall_ms
         if self.now() < self._fallen_until:
+            self._sign()
             raise Fall
         if self._random.random() < self.faults.reset:
             raise Fall
 
+    def _is_known_cold(self) -> bool:
+        return self.now() > self._signed + SPREAD_MS
+
+    def _sign(self) -> None:
+        """Note that a sign of being cold goes out."""
+        if self.is_cold:
+            self._signed = min(self._signed, self.now())
+
     async def _work_with_faults(
         self, request: web.Request, body: dict
     ) -> web.StreamResponse:
@@ -237,6 +272,7 @@
         binding = request.headers.get(BINDING_HEADER, "")
         if self._random.random() < self.faults.cross and self._bindings:
             binding = self._random.choice(self._bindings)
+        self._sign()
         self._bindings = [*self._bindings[-15:], binding]
         return {
             BINDING_HEADER: binding,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -8,6 +8,7 @@
 
 from standins import base
 from standins import engine
+from standins import network
 from standins import platform
 from standins import pool
 
@@ -26,7 +27,7 @@
     Parameters
     ----------
     kind : str
-        A kind of endpoint, or ``platform``.
+        A kind of endpoint, ``platform`` or ``network``.
     name : str
         The endpoint's name.
     port : int
@@ -37,6 +38,8 @@
         For an engine, whether it checks fencing numbers.
     cold : bool
         Whether it starts cold.
+    lines : list of Line
+        For a network, the hosts that it joins.
     """
 
     kind: str
@@ -45,12 +48,17 @@
     shape: base.Shape = msgspec.field(default_factory=base.Shape)
     checks: bool = False
     cold: bool = False
+    lines: list[network.Line] = []
 
 
-def make_app(spec: Spec) -> web.Application:
+async def make_app(spec: Spec) -> web.Application:
     """Make the server of one stand-in."""
     if spec.kind == "platform":
         return platform.PlatformServer().make_app()
+    if spec.kind == "network":
+        joined = network.Network(spec.lines)
+        await joined.start()
+        return joined.make_app()
     options = {"checks": spec.checks} if spec.kind == "engine" else {}
     endpoint = KINDS[spec.kind](spec.name, spec.shape, **options)
     endpoint.turn_cold()
@@ -63,7 +71,7 @@
     """Serve stand-ins until the task is cancelled."""
     for spec in specs:
         runner = web.AppRunner(
-            make_app(spec), access_log=None, handler_cancellation=True
+            await make_app(spec), access_log=None, handler_cancellation=True
         )
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", spec.port).start()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,6 +10,7 @@
 from chervilshore import clock as clocks
 from chervilshore import exceptions
 from chervilshore import records
+from standins import base
 
 VERSION_HEADER = "X-Version"
 
@@ -27,12 +28,15 @@
         Writes whose answer is lost after the effect.
     list_lag_ms : float
         Milliseconds by which the host list lags.
+    cut : list of str
+        Local IP numbers of callers that a network cut keeps away.
     """
 
     down: bool = False
     slow_ms: float = 2.0
     lose_after: int = 0
     list_lag_ms: float = 500.0
+    cut: list[str] = []
 
 
 class PlatformServer:
@@ -72,6 +76,7 @@
 
     async def _run(self, request, name, call) -> web.Response:
         self.calls[name] += 1
+        await base.hold_if_cut(request, self.knobs.cut)
         await asyncio.sleep(self.knobs.slow_ms / 1000.0)
         try:
             return await call
