Settle changes truly, guard against mistakes, and show status

Operators race and the platform loses answers, so what the tool says of a change must hold at every step.

--- a/chervilshore/changes.py
+++ b/chervilshore/changes.py
@@ -5,6 +5,7 @@
 Whatever answer is lost, its change id tells later whether it was accepted.
 """
 
+from collections import abc
 import enum
 
 import msgspec
@@ -14,10 +15,14 @@
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore.rules import generations
+from chervilshore.rules import lines
 
 RETRY_MS = 200.0
 """Milliseconds between two tries of a call whose answer was lost."""
 
+READ_TRIES = 3
+"""Times that a read is tried before the platform counts as down."""
+
 
 class Verdict(enum.Enum):
     """What became of a change."""
@@ -108,7 +113,7 @@
     async def read(self) -> Snapshot:
         """Read the accepted head."""
         try:
-            stored = await self._platform.get(generations.HEAD_KEY)
+            stored = await self._get(generations.HEAD_KEY)
         except exceptions.ObjectMissing:
             return Snapshot()
         return Snapshot(generations.decode_head(stored.value), stored.version)
@@ -161,6 +166,35 @@
                 heads.append(head)
         return tuple(heads)
 
+    async def find_head(
+        self, snapshot: Snapshot, generation: ids.Generation
+    ) -> generations.Head:
+        """Find the head of an accepted generation.
+
+        Raises
+        ------
+        exceptions.ObjectMissing
+            The history does not have it.
+        """
+        for head in await self.read_past(snapshot, generation):
+            if head.generation == generation:
+                return head
+        raise exceptions.ObjectMissing(f"generation {generation}")
+
+    async def read_document(
+        self, head: generations.Head | None
+    ) -> lines.Document:
+        """Read the parsed rules of a generation."""
+        text = await self.read_text(head)
+        number = head.generation if head else ids.Generation(0)
+        # With its first line, so that lines have the numbers that are shown.
+        document, problems = lines.parse(
+            f"{lines.write_header(number)}\n{text}", f"generation {number}"
+        )
+        if problems:
+            raise exceptions.RulesInvalid(problems)
+        return document
+
     async def publish(self, change: Change, timeout_ms: float) -> Verdict:
         """Have a change accepted, whole or not at all.
 
@@ -272,9 +306,21 @@
             stored = await self._platform.get(key)
             await self._platform.update(key, value, stored.version)
 
+    async def _get(self, key: str) -> platforms.Stored:
+        return await self._read(self._platform.get, key)
+
+    async def _read(self, call: abc.Callable, *arguments):
+        """Read once more when the platform did not take the call."""
+        for _ in range(READ_TRIES - 1):
+            try:
+                return await call(*arguments)
+            except exceptions.PlatformUnavailable:
+                await self._clock.sleep(RETRY_MS)
+        return await call(*arguments)
+
     async def _read_chunk(self, digest: str) -> bytes:
         try:
-            stored = await self._platform.get(generations.name_chunk(digest))
+            stored = await self._get(generations.name_chunk(digest))
         except exceptions.ObjectMissing as error:
             raise exceptions.RulesError(f"chunk {digest} is lost") from error
         if not generations.verify(digest, stored.value):
@@ -288,8 +334,8 @@
         end = generations.name_history(last, ids.ChangeId(""))
         found = {}
         while True:
-            page = await self._platform.list(
-                generations.HISTORY_PREFIX, after, most=100
+            page = await self._read(
+                self._platform.list, generations.HISTORY_PREFIX, after, 100
             )
             for stored in page:
                 if stored.key >= end:
--- a/chervilshore/clients/admin.py
+++ b/chervilshore/clients/admin.py
@@ -23,6 +23,8 @@
         Its failure domain.
     generation : Generation
         The generation in force there.
+    change : ChangeId
+        The change that brought it.
     refused_generation : Generation
         The generation that could not come into force; 0 for none.
     refusal : str
@@ -40,6 +42,7 @@
     host: ids.HostId
     domain: ids.DomainId
     generation: ids.Generation
+    change: ids.ChangeId = ids.ChangeId("")
     refused_generation: ids.Generation = ids.Generation(0)
     refusal: str = ""
     ready: bool = False
--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -16,6 +16,7 @@
 from chervilshore.clients import platform as platforms
 from chervilshore import clock as clocks
 from chervilshore import commands
+from chervilshore import edits
 from chervilshore import exceptions
 from chervilshore import operations
 from chervilshore import reports
@@ -96,20 +97,25 @@
         return await run.show(arguments.generation)
 
     async def _diff(self, run, arguments) -> reports.Report:
-        document = operations.parse(*_read_file(arguments.file))
+        document = edits.parse(*_read_file(arguments.file))
         return await run.diff(document)
 
     async def _apply(self, run, arguments) -> reports.Report:
         text, file = _read_file(arguments.file)
         edit = _make_edit(
             arguments,
-            document=operations.parse(text, file),
+            document=edits.parse(text, file),
             base=arguments.generation,
             merge=arguments.merge,
         )
-        return await run.apply(
+        report = await run.apply(
             edit, arguments.timeout * 1000.0, arguments.dry_run
         )
+        if edit.document.generation is not None and not arguments.dry_run:
+            # The file can be edited again, with the edits of others in it.
+            shown = await run.show(report.data["generation"])
+            _rewrite(arguments.file, shown.data["text"])
+        return report
 
     async def _rollback(self, run, arguments) -> reports.Report:
         return await run.rollback(
@@ -131,6 +137,18 @@
     async def _history(self, run, arguments) -> reports.Report:
         return await run.history(arguments.most)
 
+    async def _status(self, run, arguments) -> reports.Report:
+        return await run.status()
+
+    async def _refusals(self, run, arguments) -> reports.Report:
+        return await run.refusals()
+
+    async def _explain(self, run, arguments) -> reports.Report:
+        return await run.explain(arguments.field)
+
+    async def _prune(self, run, arguments) -> reports.Report:
+        return await run.prune(arguments.keep)
+
     async def _settle(self, run, arguments) -> reports.Report:
         return await run.settle(arguments.generation, arguments.change)
 
@@ -194,6 +212,20 @@
     )
     one.add_argument("state", choices=("out", "in"))
     one.add_argument("name")
+    add("status", parents=[common], help="hosts, domains, endpoints, limits")
+    add("refusals", parents=[common], help="which requests were refused")
+    one = add("explain", parents=[common], help="which rules would decide")
+    one.add_argument(
+        "field", nargs="+", help="pipeline=NAME and team=NAME of a request"
+    )
+    one = add("prune", parents=[common], help="remove old generations")
+    one.add_argument(
+        "--keep",
+        type=_parse_keep,
+        required=True,
+        metavar="N",
+        help="newest generations that stay",
+    )
     one = add("settle", parents=[common], help="ask for a change's outcome")
     one.add_argument("generation", type=int)
     one.add_argument("change")
@@ -226,9 +258,9 @@
     return change
 
 
-def _make_edit(arguments: argparse.Namespace, **fields) -> operations.Edit:
+def _make_edit(arguments: argparse.Namespace, **fields) -> edits.Edit:
     fields.setdefault("document", None)
-    return operations.Edit(
+    return edits.Edit(
         author=arguments.author or getpass.getuser(),
         reason=" ".join(arguments.reason.split()),
         allowed=frozenset(map(guards.Guard, arguments.allow)),
@@ -245,6 +277,18 @@
         raise exceptions.RulesError(f"{name}: {error}") from error
 
 
+def _parse_keep(text: str) -> int:
+    kept = int(text)
+    if kept < 1:
+        raise ValueError(text)
+    return kept
+
+
+def _rewrite(file: str, text: str) -> None:
+    if file != "-":
+        pathlib.Path(file).write_text(text)
+
+
 def _format(arguments: argparse.Namespace) -> reports.Report:
     report = commands.format_file(*_read_file(arguments.file))
     if not arguments.write or arguments.file == "-":
--- a/chervilshore/commands.py
+++ b/chervilshore/commands.py
@@ -5,11 +5,15 @@
 import msgspec
 
 from chervilshore import changes
+from chervilshore import edits
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import operations
+from chervilshore import overviews
 from chervilshore import reports
+from chervilshore.rules import checks
 from chervilshore.rules import differences
+from chervilshore.rules import explanations
 from chervilshore.rules import generations
 from chervilshore.rules import lines
 
@@ -19,7 +23,7 @@
 
 def check(text: str, file: str) -> reports.Report:
     """Check a rules file."""
-    document = operations.parse(text, file)
+    document = edits.parse(text, file)
     counts: dict[str, int] = {}
     for line in document.lines:
         counts[line.kind] = counts.get(line.kind, 0) + 1
@@ -33,7 +37,7 @@
 
 def format_file(text: str, file: str) -> reports.Report:
     """Write a rules file in the usual form."""
-    document = operations.parse(text, file)
+    document = edits.parse(text, file)
     written = generations.format_document(document)
     if document.generation is not None:
         header = lines.write_header(document.generation)
@@ -67,7 +71,7 @@
     async def diff(self, document: lines.Document) -> reports.Report:
         """Show in which rules a file differs from what is accepted."""
         snapshot = await self._operator.store.read()
-        current = await self._operator.read_document(snapshot.head)
+        current = await self._operator.store.read_document(snapshot.head)
         found = differences.compare(current, document)
         code = reports.ExitCode.DONE
         if found:
@@ -79,7 +83,7 @@
         return reports.Report(reports.format_differences(found), data, code)
 
     async def apply(
-        self, edit: operations.Edit, timeout_ms: float, dry: bool = False
+        self, edit: edits.Edit, timeout_ms: float, dry: bool = False
     ) -> reports.Report:
         """Have an edit accepted, and wait until it is in force."""
         plan = await self._operator.plan(edit)
@@ -94,14 +98,16 @@
         if dry:
             return reports.Report("nothing was changed (--dry-run)", data)
         head = await self._operator.apply(plan, timeout_ms)
-        found = await self._operator.wait(head.generation, timeout_ms)
+        found = await self._operator.hosts.wait(
+            head.generation, head.change, timeout_ms
+        )
         report = reports.report_progress(head, found)
         return msgspec.structs.replace(report, data=data | report.data)
 
     async def rollback(
         self,
         generation: ids.Generation,
-        edit: operations.Edit,
+        edit: edits.Edit,
         timeout_ms: float,
         dry: bool = False,
     ) -> reports.Report:
@@ -113,7 +119,7 @@
         self,
         domain: ids.DomainId,
         state: str,
-        edit: operations.Edit,
+        edit: edits.Edit,
         timeout_ms: float,
         dry: bool = False,
     ) -> reports.Report:
@@ -126,6 +132,37 @@
         """Show the newest accepted changes."""
         return reports.report_history(await self._operator.read_history(most))
 
+    async def status(self) -> reports.Report:
+        """Show hosts, domains, endpoints, grants and limits."""
+        snapshot = await self._operator.store.read()
+        document = await self._operator.store.read_document(snapshot.head)
+        rules = checks.gather(line.rule for line in document.lines)
+        host_list = await self._operator.hosts.read_list()
+        answers = await self._operator.hosts.ask_all(host_list.hosts)
+        return overviews.report_status(
+            snapshot.generation, rules, host_list, answers
+        )
+
+    async def refusals(self) -> reports.Report:
+        """Show which requests were refused, and how many."""
+        host_list = await self._operator.hosts.read_list()
+        answers = await self._operator.hosts.ask_all(host_list.hosts)
+        return overviews.report_refusals(answers)
+
+    async def explain(self, words: abc.Iterable[str]) -> reports.Report:
+        """Show which rules would decide about a request."""
+        fields = explanations.parse_fields(words)
+        snapshot = await self._operator.store.read()
+        document = await self._operator.store.read_document(snapshot.head)
+        found = explanations.explain(document, fields)
+        return reports.report_findings(found)
+
+    async def prune(self, kept: int) -> reports.Report:
+        """Remove what only old generations need."""
+        removed = await self._operator.prune(kept)
+        text = f"{removed} objects removed; the last {kept} generations stay"
+        return reports.Report(text, {"removed": removed, "kept": kept})
+
     async def settle(
         self, generation: ids.Generation, change: ids.ChangeId
     ) -> reports.Report:
--- a/chervilshore/controllers/generations.py
+++ b/chervilshore/controllers/generations.py
@@ -16,6 +16,7 @@
 from chervilshore import clock as clocks
 from chervilshore.controllers import configuration
 from chervilshore.controllers import directory as directories
+from chervilshore.controllers import sources
 from chervilshore.decisions import rollout
 from chervilshore import events
 from chervilshore import exceptions
@@ -28,21 +29,18 @@
 logger = logging.getLogger(__name__)
 
 WATCH_MS = 2000.0
-"""Milliseconds that one watch waits; then the head is read once."""
+"""Milliseconds that one watch waits."""
+
+READ_MS = 10_000.0
+"""Milliseconds after which the watcher reads the head besides."""
 
 IDLE_MS = 250.0
 """Milliseconds between two looks at who should watch."""
 
-PEER_MS = 300.0
-"""Milliseconds that a peer has to answer."""
-
 RETRY_MS = 250.0
 MOST_RETRY_MS = 2000.0
 """Milliseconds before the platform or the peers are asked again."""
 
-MOST_SOURCES = 4
-"""Peers that are asked for a head or a chunk before the platform is."""
-
 PARALLEL = 8
 """Chunks that are fetched at once."""
 
@@ -92,10 +90,11 @@
         self._generator = generator
         self._meters = meters
         self._listeners: list[configuration.Listener] = []
-        self._sources: list[ids.Address] = []
+        self._sources = sources.Sources(platform, peers, directory, generator)
         self._wake = asyncio.Event()
         self._version = 0
         self._watching = False
+        self._read_at = 0.0
         peers.handle(messages.GenerationNotice, self._take_notice)
         peers.handle(messages.HeadRequest, self._give_head)
         peers.handle(messages.ChunkRequest, self._give_chunk)
@@ -114,7 +113,7 @@
     ) -> None:
         """Take note of the generation that a peer says it has in force."""
         if self.rollout.hear(generation):
-            self._add_source(address)
+            self._sources.add(address)
             self._wake.set()
 
     def describe(self) -> dict:
@@ -173,50 +172,61 @@
     async def _watch_forever(self) -> None:
         # A host that starts does not know yet who else is there, and its
         # peers may know more than an old read of the platform.
-        await self._ask_peers_for_head()
-        await self._read_head()
+        await asyncio.gather(self._ask_peers_for_head(), self._read_head())
         while not self.should_stop:
             ranked = rollout.rank_watchers(
                 self._directory.hosts(), self._domain
             )
             first = ranked[0].host if ranked else self._host
-            self._watching = first == self._host
+            self._note_watching(first == self._host)
             if self._watching:
                 await self._watch_once()
             else:
                 await self._clock.sleep(IDLE_MS)
 
+    def _note_watching(self, watching: bool) -> None:
+        if watching and not self._watching:
+            events.log_event(logger, events.Event.WATCHING)
+        self._watching = watching
+
     async def _watch_once(self) -> None:
+        before = self._version
         try:
             found = await self._platform.watch(
-                generations.HEAD_KEY, self._version, WATCH_MS
+                generations.HEAD_KEY, before, WATCH_MS
             )
         except exceptions.PlatformError:
             await self._clock.sleep(self._jitter(RETRY_MS))
-            found = ()
+            await self._read_head()
+            return
         for stored in found:
             self._take_stored(stored)
-        if not found:
+        if found and self._version == before:
+            # A watch that repeats itself must not be asked in a tight loop.
+            await self._clock.sleep(self._jitter(RETRY_MS))
+        if self._clock.now() >= self._read_at:
             # A watch may skip a change, so the head is read besides.
             await self._read_head()
 
     async def _read_head(self) -> None:
-        try:
-            stored = await self._platform.get(generations.HEAD_KEY)
-        except exceptions.PlatformError:
-            return
-        self._take_stored(stored)
+        stored = await self._sources.read_head()
+        if stored is not None:
+            self._read_at = self._clock.now() + READ_MS
+            self._take_stored(stored)
 
     def _take_stored(self, stored: platforms.Stored) -> None:
+        self._version = max(self._version, stored.version)
         if stored.key != generations.HEAD_KEY:
             return
-        self._version = max(self._version, stored.version)
         try:
             head = generations.decode_head(stored.value)
         except exceptions.RulesError as error:
-            self._refuse(self.rollout.heard, str(error))
+            following = ids.Generation(self.rollout.generation + 1)
+            self._refuse(following, str(error))
             return
         if self.rollout.offer(head):
+            # Peers do not have it yet, as far as this host knows.
+            self._sources.clear()
             self._wake.set()
 
     # Fetching.
@@ -231,6 +241,8 @@
             if await self._fetch_once():
                 continue
             await self._clock.sleep(self._jitter(wait))
+            for address in self._sources.choose_peers():
+                self._sources.add(address)
             wait = min(MOST_RETRY_MS, wait * 2)
 
     async def _fetch_once(self) -> bool:
@@ -249,36 +261,22 @@
         return True
 
     async def _ask_sources_for_head(self) -> None:
-        for address in list(self._sources):
+        for address in self._sources.addresses:
             if await self._ask_for_head(address):
                 return
-            self._sources.remove(address)
+            self._sources.drop(address)
 
     async def _ask_peers_for_head(self) -> None:
-        others = [
-            host.peer_address
-            for host in self._directory.hosts()
-            if host.peer_address != self._peers.address
-        ]
-        self._generator.shuffle(others)
-        chosen = others[:MOST_SOURCES]
+        chosen = self._sources.choose_peers()
         await asyncio.gather(*map(self._ask_for_head, chosen))
 
     async def _ask_for_head(self, address: ids.Address) -> bool:
-        try:
-            reply = await self._peers.ask(
-                address, messages.HeadRequest(), PEER_MS
-            )
-            if not reply.head:
-                return False
-            head = generations.decode_head(reply.head)
-        except (exceptions.PeerError, exceptions.RulesError):
+        head = await self._sources.ask_head(address)
+        if head is None or not self.rollout.offer(head):
             return False
-        if self.rollout.offer(head):
-            self._add_source(address)
-            self._wake.set()
-            return True
-        return False
+        self._sources.add(address)
+        self._wake.set()
+        return True
 
     async def _fetch_chunks(self) -> bool:
         missing = self.rollout.list_missing()
@@ -296,45 +294,16 @@
         return not still
 
     async def _fetch_chunk(self, digest: str) -> None:
-        content = await self._ask_for_chunk(digest)
-        if not content:
-            content = await self._read_chunk(digest)
+        content = await self._sources.fetch_chunk(digest)
         if not content:
             return
         self.rollout.add_chunk(digest, content)
         try:
             self.rollout.compile_chunk(digest)
-        except exceptions.RulesError:
+        except Exception:
             # The last step meets the same error and refuses the whole.
             return
 
-    async def _ask_for_chunk(self, digest: str) -> bytes:
-        for address in list(self._sources):
-            try:
-                reply = await self._peers.ask(
-                    address, messages.ChunkRequest(digest), PEER_MS
-                )
-            except exceptions.PeerError:
-                continue
-            if generations.verify(digest, reply.content):
-                return reply.content
-        return b""
-
-    async def _read_chunk(self, digest: str) -> bytes:
-        try:
-            stored = await self._platform.get(generations.name_chunk(digest))
-        except exceptions.PlatformError:
-            return b""
-        if generations.verify(digest, stored.value):
-            return stored.value
-        return b""
-
-    def _add_source(self, address: ids.Address) -> None:
-        if address in self._sources:
-            self._sources.remove(address)
-        self._sources.insert(0, address)
-        del self._sources[MOST_SOURCES:]
-
     # Coming into force.
 
     def _finish(self) -> None:
--- a/chervilshore/decisions/rollout.py
+++ b/chervilshore/decisions/rollout.py
@@ -3,7 +3,6 @@
 from collections import abc
 
 from chervilshore.decisions import rendezvous
-from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import records
 from chervilshore.rules import compiled
@@ -80,7 +79,7 @@
     known = {
         host.host: host
         for host in hosts
-        if host.domain == domain and host.state is not records.HostState.DOWN
+        if host.domain == domain and host.state is records.HostState.ALIVE
     }
     return [known[name] for name in rendezvous.rank(known, key)]
 
@@ -212,8 +211,9 @@
             return False
         try:
             self.rules = self._compiler.compile(head, self._chunks)
-        except exceptions.RulesError as error:
-            self.discard(str(error))
+        except Exception as error:
+            # Whatever is wrong with this one, later ones must still come.
+            self.discard(str(error) or type(error).__name__)
             return False
         self.head = head
         self.wanted = None
--- /dev/null
+++ b/chervilshore/edits.py
@@ -0,0 +1,249 @@
+"""Edits of the rules: what they come to, and whether they fit."""
+
+import msgspec
+
+from chervilshore import changes
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import records
+from chervilshore.rules import checks
+from chervilshore.rules import differences
+from chervilshore.rules import generations
+from chervilshore.rules import guards
+from chervilshore.rules import lines
+from chervilshore.rules import model
+from chervilshore import statuses
+
+
+class Edit(msgspec.Struct, frozen=True):
+    """What an operator wants to have accepted.
+
+    Parameters
+    ----------
+    document : Document
+        The new rules file.
+    author, reason : str
+        Who wants it, and why.
+    base : Generation or None
+        The generation that was edited; nothing takes the file's word.
+    allowed : frozenset of Guard
+        Guards that are overridden.
+    merge : bool
+        Whether it may be joined with edits of other rules.
+    """
+
+    document: lines.Document
+    author: str
+    reason: str
+    base: ids.Generation | None = None
+    allowed: frozenset[guards.Guard] = frozenset()
+    merge: bool = False
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What an edit comes to.
+
+    Parameters
+    ----------
+    edit : Edit
+        The edit.
+    snapshot : Snapshot
+        What is accepted now.
+    document : Document
+        What would be accepted, with the edits of others.
+    packed : Packed
+        The same as chunks.
+    differences : tuple of Difference
+        The rules that would differ.
+    dangers : tuple of Danger
+        What looks like a mistake, overridden or not.
+    """
+
+    edit: Edit
+    snapshot: changes.Snapshot
+    document: lines.Document
+    packed: generations.Packed
+    differences: tuple[differences.Difference, ...]
+    dangers: tuple[guards.Danger, ...]
+
+    @property
+    def refused(self) -> tuple[guards.Danger, ...]:
+        """The dangers that nobody has overridden."""
+        allowed = self.edit.allowed
+        return tuple(
+            danger for danger in self.dangers if danger.guard not in allowed
+        )
+
+    @property
+    def empty(self) -> bool:
+        """Whether there is nothing to change."""
+        head = self.snapshot.head
+        now = (head.main, head.buckets) if head else ("", ())
+        return (self.packed.main, self.packed.buckets) == now
+
+
+def parse(text: str, file: str) -> lines.Document:
+    """Parse and check a rules file.
+
+    Raises
+    ------
+    exceptions.RulesInvalid
+        It has problems; all of them are told.
+    """
+    document, problems = lines.parse(text, file)
+    _, more = checks.check(document)
+    problems = (*problems, *more)
+    if problems:
+        raise exceptions.RulesInvalid(
+            sorted(problems, key=lambda one: (one.line, one.column))
+        )
+    return document
+
+
+class Planner:
+    """Works out what edits come to.
+
+    Parameters
+    ----------
+    store : Store
+        The accepted configuration.
+    hosts : Statuses
+        Tells what is in use.
+    """
+
+    def __init__(
+        self,
+        store: changes.Store,
+        hosts: statuses.Statuses,
+    ) -> None:
+        self._store = store
+        self._hosts = hosts
+
+    async def plan(self, edit: Edit) -> Plan:
+        """Work out what an edit comes to; nothing is changed.
+
+        Raises
+        ------
+        exceptions.ChangeConflict
+            Others have changed the same rules since.
+        exceptions.RulesInvalid
+            The edit does not fit with the edits of others.
+        """
+        snapshot = await self._store.read()
+        current = await self._store.read_document(snapshot.head)
+        document = await self._rebase(edit, snapshot, current)
+        before = checks.gather(line.rule for line in current.lines)
+        after = checks.gather(line.rule for line in document.lines)
+        head = snapshot.head
+        packed = generations.pack(document, len(head.buckets) if head else 0)
+        usage = await self._read_usage(before, after)
+        return Plan(
+            edit=edit,
+            snapshot=snapshot,
+            document=document,
+            packed=packed,
+            differences=differences.compare(current, document),
+            dangers=guards.find_dangers(before, after, usage),
+        )
+
+    async def _rebase(
+        self, edit: Edit, snapshot: changes.Snapshot, current: lines.Document
+    ) -> lines.Document:
+        base = edit.base
+        if base is None:
+            base = edit.document.generation
+        if base is None and snapshot.head is not None:
+            raise exceptions.ChangeConflict(
+                f"{edit.document.file} does not say which generation was "
+                f"edited; generation {snapshot.generation} is accepted now"
+            )
+        if (base or 0) == snapshot.generation:
+            return edit.document
+        if not differences.compare(current, edit.document):
+            return current
+        return await self._merge(edit, ids.Generation(base), snapshot, current)
+
+    async def _merge(
+        self,
+        edit: Edit,
+        base: ids.Generation,
+        snapshot: changes.Snapshot,
+        current: lines.Document,
+    ) -> lines.Document:
+        if base > snapshot.generation:
+            raise exceptions.ChangeConflict(
+                f"generation {base} was never accepted; "
+                f"{snapshot.generation} is the newest"
+            )
+        past = await self._store.read_past(snapshot, max(base, 1))
+        origin = lines.Document("", ())
+        if base:
+            origin = await self._store.read_document(
+                await self._store.find_head(snapshot, base)
+            )
+        mine = differences.compare(origin, edit.document)
+        theirs = differences.compare(origin, current)
+        pairs = differences.find_conflicts(mine, theirs)
+        conflicts = [
+            differences.Conflict(
+                edit.document.file,
+                one,
+                other,
+                edit.author,
+                await self._find_author(past, other),
+            )
+            for one, other in pairs
+        ]
+        text = f"generation {base} was edited, {snapshot.generation} is newer"
+        if conflicts:
+            raise exceptions.ChangeConflict(text, conflicts)
+        if not edit.merge:
+            authors = ", ".join(
+                sorted(
+                    {head.author for head in past if head.generation > base}
+                )
+            )
+            raise exceptions.ChangeConflict(
+                f"{text} (by {authors}); other rules were changed, so "
+                f"--merge would join both"
+            )
+        joined = differences.join(edit.document, current, mine)
+        return parse(joined, edit.document.file)
+
+    async def _find_author(
+        self,
+        past: tuple[generations.Head, ...],
+        difference: differences.Difference,
+    ) -> str:
+        """Find who last made a rule what it is now."""
+        if len(past) < 2:
+            return past[0].author if past else ""
+        after = await self._store.read_document(past[0])
+        for newer, older in zip(past, past[1:]):
+            before = await self._store.read_document(older)
+            changed = differences.compare(before, after)
+            if any(one.key == difference.key for one in changed):
+                return f"{newer.author} in generation {newer.generation}"
+            after = before
+        return past[-1].author
+
+    async def _read_usage(
+        self, before: model.Rules, after: model.Rules
+    ) -> guards.Usage:
+        host_list = await self._hosts.read_list()
+        pipelines: frozenset | None = frozenset()
+        if before.pipelines.keys() - after.pipelines.keys():
+            pipelines = await self._read_pipelines(host_list.hosts)
+        return guards.Usage(host_list.endpoints, pipelines)
+
+    async def _read_pipelines(
+        self, listed: tuple[records.HostRecord, ...]
+    ) -> frozenset[ids.PipelineName] | None:
+        served = set()
+        for _, status in await self._hosts.ask_all(listed):
+            if status is None or status.pipelines is None:
+                return None
+            served.update(
+                name for name, count in status.pipelines.items() if count
+            )
+        return frozenset(served)
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -43,6 +43,7 @@
     # Configuration: 2000 to 2999.
     GENERATION_IN_FORCE = EventSpec(2001, _INFO, "generation in force")
     GENERATION_REFUSED = EventSpec(2002, _ERROR, "generation refused")
+    WATCHING = EventSpec(2003, _INFO, "watching the platform for its domain")
 
     # Membership and peers: 3000 to 3999.
     PEER_GARBAGE = EventSpec(3001, _WARNING, "unusable message from peer")
--- /dev/null
+++ b/chervilshore/overviews.py
@@ -0,0 +1,198 @@
+"""What `status` and `refusals` show of all hosts together."""
+
+from collections import abc
+import typing
+
+import msgspec
+
+from chervilshore.clients import admin as admin_clients
+from chervilshore import ids
+from chervilshore import records
+from chervilshore import reports
+from chervilshore import results
+from chervilshore.rules import model
+
+Answer = tuple[records.HostRecord, admin_clients.HostStatus | None]
+"""A listed host, and its status unless it could not be reached."""
+
+SECTIONS = ("hosts", "endpoints", "grants", "limits")
+"""Parts of a host's status that are shown as they come."""
+
+
+def report_status(
+    generation: ids.Generation,
+    rules: model.Rules,
+    host_list: records.HostList,
+    answers: abc.Sequence[Answer],
+) -> reports.Report:
+    """Show hosts, domains, endpoints, grants and limits.
+
+    Parameters
+    ----------
+    generation : Generation
+        The accepted one.
+    rules : Rules
+        Its rules.
+    host_list : HostList
+        What the platform lists.
+    answers : sequence of Answer
+        What the hosts say.
+    """
+    hosts = [_describe_host(record, status) for record, status in answers]
+    domains = _describe_domains(rules, host_list)
+    endpoints = _describe_endpoints(rules, host_list)
+    parts = [
+        f"generation {generation} is accepted",
+        _format_rows("hosts", hosts),
+        _format_rows("domains", domains),
+        _format_rows("endpoints", endpoints),
+    ]
+    told = {}
+    for section in SECTIONS:
+        rows = _gather_section(section, answers)
+        told[section] = rows
+        parts.append(_format_rows(f"{section}, as hosts tell", rows))
+    data = {
+        "generation": generation,
+        "hosts": hosts,
+        "domains": domains,
+        "endpoints": endpoints,
+        "told": told,
+    }
+    behind = any(
+        status is None or status.generation < generation
+        for _, status in answers
+    )
+    code = reports.ExitCode.LAGGING if behind else reports.ExitCode.DONE
+    return reports.Report("\n\n".join(filter(None, parts)), data, code)
+
+
+def report_refusals(answers: abc.Sequence[Answer]) -> reports.Report:
+    """Show how many requests were refused, by result code.
+
+    Parameters
+    ----------
+    answers : sequence of Answer
+        What the hosts say.
+    """
+    counts: dict[int, int] = {}
+    silent = []
+    for record, status in answers:
+        if status is None or status.refusals is None:
+            silent.append(record.host)
+            continue
+        for number, count in status.refusals.items():
+            counts[int(number)] = counts.get(int(number), 0) + count
+    rows = [
+        _describe_code(number, counts[number]) for number in sorted(counts)
+    ]
+    parts = [_format_rows("refused since the hosts began", rows)]
+    if not rows:
+        parts = ["no request was refused since the hosts began"]
+    if silent:
+        parts.append(f"not told by: {', '.join(silent)}")
+    data = {"refusals": rows, "silent": silent}
+    code = reports.ExitCode.LAGGING if silent else reports.ExitCode.DONE
+    return reports.Report("\n\n".join(parts), data, code)
+
+
+def _describe_code(number: int, count: int) -> dict[str, typing.Any]:
+    code = results.BY_NUMBER.get(number)
+    return {
+        "number": number,
+        "name": code.name if code else "",
+        "family": code.value.family.value if code else "",
+        "count": count,
+        "meaning": code.value.text if code else "of another version",
+    }
+
+
+def _describe_host(
+    record: records.HostRecord, status: admin_clients.HostStatus | None
+) -> dict[str, typing.Any]:
+    row = {
+        "host": record.host,
+        "domain": record.domain,
+        "listed": record.state.value,
+        "answers": "no",
+        "ready": "",
+        "draining": "",
+        "generation": "",
+        "refused": "",
+        "refusal": "",
+    }
+    if status is not None:
+        row |= {
+            "answers": "yes",
+            "ready": _say(status.ready),
+            "draining": _say(status.draining),
+            "generation": status.generation,
+            "refused": status.refused_generation or "",
+            "refusal": status.refusal,
+        }
+    return row
+
+
+def _describe_domains(
+    rules: model.Rules, host_list: records.HostList
+) -> list[dict[str, typing.Any]]:
+    listed = [record.domain for record in host_list.hosts]
+    placed = [rules.domain_of(record) for record in host_list.endpoints]
+    names = dict.fromkeys([*rules.domains, *listed, *placed])
+    return [
+        {
+            "domain": name,
+            "state": "out" if rules.is_out(name) else "in",
+            "rule": _say(name in rules.domains),
+            "hosts": listed.count(name),
+            "endpoints": placed.count(name),
+        }
+        for name in names
+    ]
+
+
+def _describe_endpoints(
+    rules: model.Rules, host_list: records.HostList
+) -> list[dict[str, typing.Any]]:
+    return [
+        {
+            "endpoint": record.endpoint,
+            "pool": record.pool,
+            "domain": rules.domain_of(record),
+            "listed": record.state.value,
+            "rule": _say(record.pool in rules.pools),
+        }
+        for record in host_list.endpoints
+    ]
+
+
+def _gather_section(
+    section: str, answers: abc.Sequence[Answer]
+) -> list[dict[str, typing.Any]]:
+    rows = []
+    for record, status in answers:
+        told = getattr(status, section, None)
+        if isinstance(told, dict):
+            told = [
+                {"name": name} | _to_row(value) for name, value in told.items()
+            ]
+        rows.extend({"by": record.host} | _to_row(one) for one in told or ())
+    return rows
+
+
+def _to_row(value: typing.Any) -> dict[str, typing.Any]:
+    if isinstance(value, dict):
+        return value
+    return {"value": msgspec.to_builtins(value)}
+
+
+def _format_rows(title: str, rows: list[dict[str, typing.Any]]) -> str:
+    if not rows:
+        return ""
+    heads = list(dict.fromkeys(name for row in rows for name in row))
+    table = [heads, *([row.get(name, "") for name in heads] for row in rows)]
+    return f"{title}:\n{reports.format_table(table)}"
+
+
+def _say(value: bool) -> str:
+    return "yes" if value else "no"
--- a/chervilshore/reports.py
+++ b/chervilshore/reports.py
@@ -7,11 +7,13 @@
 
 import msgspec
 
-from chervilshore import operations
+from chervilshore import edits
 from chervilshore.rules import differences
+from chervilshore.rules import explanations
 from chervilshore.rules import generations
 from chervilshore.rules import guards
 from chervilshore.rules import lines
+from chervilshore import statuses
 
 
 class ExitCode(enum.IntEnum):
@@ -111,7 +113,7 @@
     return "\n".join([*rows, f"rules: {', '.join(counts)}"])
 
 
-def format_plan(plan: operations.Plan) -> str:
+def format_plan(plan: edits.Plan) -> str:
     """Say what a plan will do."""
     head = plan.snapshot.head
     now = plan.snapshot.generation
@@ -146,7 +148,7 @@
 
 
 def describe_progress(
-    found: abc.Iterable[operations.HostProgress],
+    found: abc.Iterable[statuses.HostProgress],
 ) -> list[dict[str, typing.Any]]:
     """Turn the progress on hosts into JSON values."""
     return [
@@ -162,13 +164,11 @@
 
 
 def report_progress(
-    head: generations.Head, found: abc.Sequence[operations.HostProgress]
+    head: generations.Head, found: abc.Sequence[statuses.HostProgress]
 ) -> Report:
     """Show how far an accepted generation has come."""
     late = [
-        one
-        for one in found
-        if one.progress is not operations.Progress.IN_FORCE
+        one for one in found if one.progress is not statuses.Progress.IN_FORCE
     ]
     count = len(found) - len(late)
     rows = [
@@ -194,6 +194,21 @@
     return Report("\n".join(rows), data, code)
 
 
+def report_findings(
+    found: abc.Sequence[explanations.Finding],
+) -> Report:
+    """Show which rules decide about a request."""
+    rows = []
+    for one in found:
+        rows.append(f"{one.matter}: {one.outcome}")
+        if one.line:
+            rows.append(f"    {one.line}")
+    refused = any(one.outcome.startswith("refused") for one in found)
+    code = ExitCode.MISSING if refused else ExitCode.DONE
+    data = {"findings": msgspec.to_builtins(found)}
+    return Report("\n".join(rows), data, code)
+
+
 def report_history(heads: abc.Sequence[generations.Head]) -> Report:
     """Show who changed the configuration, when and why."""
     table = [("generation", "time (UTC)", "author", "change", "reason")]
--- a/chervilshore/rules/differences.py
+++ b/chervilshore/rules/differences.py
@@ -75,10 +75,12 @@
     def __str__(self) -> str:
         """Write the conflict with both lines and both authors."""
         line = self.mine.after or self.mine.before
+        other = self.theirs.after or self.theirs.before
         return (
             f"{self.file}:{line.number}: {' '.join(self.mine.key)}\n"
             f"  {self.author or 'you'}: {self.mine.format_after()}\n"
-            f"  {self.other or 'others'}: {self.theirs.format_after()}"
+            f"  {self.other or 'others'}, line {other.number}: "
+            f"{self.theirs.format_after()}"
         )
 
 
--- a/chervilshore/rules/guards.py
+++ b/chervilshore/rules/guards.py
@@ -81,8 +81,9 @@
 def _find_last_domain(
     before: model.Rules, after: model.Rules, usage: Usage
 ) -> abc.Iterator[Danger]:
-    states = [domain.state for domain in after.domains.values()]
-    if states and records.DomainState.IN not in states:
+    if _is_all_out(after):
+        if _is_all_out(before):
+            return
         yield Danger(
             Guard.LAST_DOMAIN,
             f"all failure domains are out: {', '.join(sorted(after.domains))}",
@@ -97,6 +98,10 @@
             )
 
 
+def _is_all_out(rules: model.Rules) -> bool:
+    return bool(rules.domains) and all(map(rules.is_out, rules.domains))
+
+
 def _find_served(rules: model.Rules, usage: Usage) -> set[ids.PoolName]:
     return {
         record.pool
--- a/tests/configuration_helpers.py
+++ b/tests/configuration_helpers.py
@@ -9,6 +9,7 @@
 from chervilshore.clients import memory
 from chervilshore.controllers import directory
 from chervilshore.controllers import generations
+from chervilshore import edits
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import operations
@@ -82,6 +83,7 @@
             host=address.partition(":")[0],
             domain="",
             generation=state["generation"],
+            change=state["change"],
             refused_generation=state["refused_generation"],
             refusal=state["refusal"],
             ready=True,
@@ -90,8 +92,8 @@
 
 
 def make_edit(text=KELVINSIDE, author="Morag", **fields):
-    document = operations.parse(text, "edited.rules")
-    return operations.Edit(document, author, "test", **fields)
+    document = edits.parse(text, "edited.rules")
+    return edits.Edit(document, author, "test", **fields)
 
 
 async def drive(clock, awaitable, step_ms=50.0, most_ms=60_000.0):
@@ -128,6 +130,7 @@
             host=address.partition(":")[0],
             domain="",
             generation=snapshot.generation,
+            change=snapshot.head.change,
             ready=True,
             pipelines=self.pipelines,
         )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,8 +4,8 @@
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore import edits
 from chervilshore import exceptions
-from chervilshore import operations
 from chervilshore.rules import checks
 from chervilshore.rules import generations
 from chervilshore.rules import lines
@@ -27,9 +27,9 @@
 @pytest.mark.parametrize("name", ["kelvinside", "taawuniyat"])
 def test_examples_have_no_problems_and_the_usual_form(name):
     text = (helpers.EXAMPLES / f"{name}.rules").read_text()
-    document = operations.parse(text, name)
+    document = edits.parse(text, name)
     written = generations.format_document(document)
-    again = operations.parse(written, name)
+    again = edits.parse(written, name)
     assertions.assert_that(
         sorted(line.format() for line in again.lines),
         matchers.Equals(sorted(line.format() for line in document.lines)),
@@ -41,7 +41,7 @@
 
 def test_all_problems_come_at_once_with_place_and_nearest_word():
     with pytest.raises(exceptions.RulesInvalid) as caught:
-        operations.parse(BROKEN, "f")
+        edits.parse(BROKEN, "f")
     found = [
         (one.line, one.column, one.word, one.nearest)
         for one in caught.value.problems
