Spread generations in a ring, and report what cannot come into force

A killed watcher left a host of its domain without the news, since the tree that carried it had the dead host at its root. A host that cannot use a generation passes the news on, so that each host tries it and says so itself.

--- a/chervilshore/changes.py
+++ b/chervilshore/changes.py
@@ -66,6 +66,8 @@
         The configuration that it changes.
     packed : Packed
         The new rules.
+    carried : tuple of str
+        Digests of chunks that were read and verified, and are not written.
     time_ms : float
         Milliseconds since 1970.
     """
@@ -75,6 +77,7 @@
     reason: str
     base: Snapshot
     packed: generations.Packed
+    carried: tuple[str, ...]
     time_ms: float
 
     @property
@@ -179,7 +182,9 @@
         for head in await self.read_past(snapshot, generation):
             if head.generation == generation:
                 return head
-        raise exceptions.ObjectMissing(f"generation {generation}")
+        raise exceptions.ObjectMissing(
+            f"generation {generation} is not in the history"
+        )
 
     async def read_document(
         self, head: generations.Head | None
@@ -214,9 +219,8 @@
         head = change.head
         key = generations.name_history(head.generation, head.change)
         await self._write(key, generations.encode_head(head), end)
-        kept = change.base.head.digests if change.base.head else ()
         for digest, content in change.packed.chunks.items():
-            if digest not in kept:
+            if digest not in change.carried:
                 name = generations.name_chunk(digest)
                 await self._write(name, content, end)
         return await self._commit(change, end)
--- a/chervilshore/controllers/generations.py
+++ b/chervilshore/controllers/generations.py
@@ -38,7 +38,7 @@
 """Milliseconds between two looks at who should watch."""
 
 RETRY_MS = 250.0
-MOST_RETRY_MS = 2000.0
+MOST_RETRY_MS = 5000.0
 """Milliseconds before the platform or the peers are asked again."""
 
 PARALLEL = 8
@@ -112,9 +112,11 @@
         self, generation: ids.Generation, address: ids.Address
     ) -> None:
         """Take note of the generation that a peer says it has in force."""
+        newer = generation > self.rollout.heard
         if self.rollout.hear(generation):
             self._sources.add(address)
-            self._wake.set()
+            if newer:
+                self._wake.set()
 
     def describe(self) -> dict:
         """Tell the state for operators."""
@@ -143,7 +145,7 @@
     def _give_head(
         self, sender: ids.Address, request: messages.HeadRequest
     ) -> messages.HeadReply:
-        head = self.rollout.head
+        head = self.rollout.latest
         if head is None:
             return messages.HeadReply()
         return messages.HeadReply(generations.encode_head(head))
@@ -154,15 +156,15 @@
         content = self.rollout.find_chunk(request.digest)
         return messages.ChunkReply(request.digest, content)
 
-    def _notify(self) -> None:
+    def _notify(self, generation: ids.Generation) -> None:
         chosen = rollout.choose_notified(
             self._host,
             self._domain,
             self._directory.hosts(),
-            self.rollout.generation,
+            generation,
             self._watching,
         )
-        notice = messages.GenerationNotice(self.rollout.generation)
+        notice = messages.GenerationNotice(generation)
         for address in chosen:
             if address != self._peers.address:
                 self._peers.send(address, notice)
@@ -234,16 +236,23 @@
     async def _fetch_forever(self) -> None:
         wait = RETRY_MS
         while not self.should_stop:
+            self._wake.clear()
             if not self.rollout.behind:
                 wait = RETRY_MS
-                self._wake.clear()
                 await self._wake.wait()
-            if await self._fetch_once():
-                continue
-            await self._clock.sleep(self._jitter(wait))
+            elif not await self._fetch_once():
+                woken = await self._wait_for_news(self._jitter(wait))
+                wait = RETRY_MS if woken else min(MOST_RETRY_MS, wait * 2)
+
+    async def _wait_for_news(self, millis: float) -> bool:
+        """Wait, but only until there is something newer to fetch."""
+        try:
+            await clocks.wait_for(self._clock, self._wake.wait(), millis)
+        except TimeoutError:
             for address in self._sources.choose_peers():
                 self._sources.add(address)
-            wait = min(MOST_RETRY_MS, wait * 2)
+            return False
+        return True
 
     async def _fetch_once(self) -> bool:
         """Go as far as the sources allow; tell whether it was enough."""
@@ -323,7 +332,7 @@
         if self._meters is not None:
             self._meters.set(metrics.Metric.GENERATION, head.generation)
         self._tell_listeners()
-        self._notify()
+        self._notify(head.generation)
 
     def _tell_listeners(self) -> None:
         for listener in self._listeners:
@@ -347,6 +356,8 @@
             generation=self.rollout.refused_generation,
             reason=self.rollout.refusal,
         )
+        # Others may be able to use it; if not, they say so themselves.
+        self._notify(self.rollout.refused_generation)
 
     def _jitter(self, millis: float) -> float:
         return millis * self._generator.uniform(0.75, 1.25)
--- a/chervilshore/decisions/rollout.py
+++ b/chervilshore/decisions/rollout.py
@@ -9,11 +9,8 @@
 from chervilshore.rules import generations
 from chervilshore.rules import model
 
-FANOUT = 2
-"""Hosts that each host tells in each tree."""
-
-TREES = 2
-"""Trees over a domain's hosts, so that one dead host hides no others."""
+FANOUT = 4
+"""Hosts of its own domain that each host tells."""
 
 DOORS = 2
 """Hosts in each other domain that a watcher tells."""
@@ -43,9 +40,11 @@
 ) -> list[ids.Address]:
     """Choose the hosts that this host tells of a generation.
 
-    Each host passes it on to a few in trees over its domain, which differ
-    from generation to generation; a watcher tells some in each other
-    domain besides. So the cost for a host does not grow with their number.
+    The hosts of a domain stand in a ring whose order differs from one
+    generation to the next. Each passes it on to a few at growing distances,
+    so that it reaches all in a few steps from wherever it comes in, and a
+    dead host hides no others. A watcher tells some hosts in each other
+    domain besides. The cost for a host does not grow with their number.
 
     Parameters
     ----------
@@ -60,11 +59,8 @@
     watching : bool
         Whether this host has it from the platform itself.
     """
-    chosen: dict[ids.Address, None] = {}
-    for tree in range(TREES):
-        order = _rank(hosts, domain, f"notice/{tree}/{generation}")
-        for host in _choose_in_tree(order, me):
-            chosen[host.peer_address] = None
+    ring = _rank(hosts, domain, f"notice/{generation}")
+    chosen = {host.peer_address: None for host in _choose_in_ring(ring, me)}
     if watching:
         others = {host.domain for host in hosts} - {domain}
         for other in sorted(others):
@@ -84,16 +80,16 @@
     return [known[name] for name in rendezvous.rank(known, key)]
 
 
-def _choose_in_tree(
-    order: list[records.HostRecord], me: ids.HostId
+def _choose_in_ring(
+    ring: list[records.HostRecord], me: ids.HostId
 ) -> list[records.HostRecord]:
-    names = [host.host for host in order]
+    names = [host.host for host in ring]
     if me not in names:
-        return order[:1]
+        return ring[:FANOUT]
     place = names.index(me)
-    children = order[place * FANOUT + 1 : place * FANOUT + 1 + FANOUT]
-    root = order[:1] if place else []
-    return [*root, *children]
+    steps = {round(len(ring) ** (k / FANOUT)) for k in range(FANOUT)}
+    places = {(place + step) % len(ring) for step in steps} - {place}
+    return [ring[other] for other in sorted(places)]
 
 
 class Rollout:
@@ -105,6 +101,8 @@
         The head in force.
     wanted : Head or None
         A higher head whose chunks are being gathered.
+    latest : Head or None
+        The head that was taken last, in force or not.
     rules : Rules
         The rules in force.
     heard : Generation
@@ -118,13 +116,14 @@
     def __init__(self) -> None:
         self.head: generations.Head | None = None
         self.wanted: generations.Head | None = None
+        self.latest: generations.Head | None = None
         self.rules = model.Rules()
         self.heard = ids.Generation(0)
         self.refused_generation = ids.Generation(0)
         self.refusal = ""
         self._chunks: dict[str, bytes] = {}
         self._compiler = compiled.Compiler()
-        self._unusable: set[ids.ChangeId] = set()
+        self._unusable: set[generations.Head] = set()
         self._given_up = ids.Generation(0)
 
     @property
@@ -161,8 +160,13 @@
         bool
             Whether its chunks are wanted now.
         """
-        if head.generation <= self.known or head.change in self._unusable:
+        if head in self._unusable or head == self.wanted:
+            return False
+        # Of two heads of one generation, one was spoiled on its way; as
+        # long as neither is in force, either may be the right one.
+        if head.generation < self.known or head.generation <= self.generation:
             return False
+        self.latest = head
         self.heard = max(self.heard, head.generation)
         self.wanted = head
         return True
@@ -228,7 +232,7 @@
         head = self.wanted
         if head is None:
             return
-        self._unusable.add(head.change)
+        self._unusable.add(head)
         self._given_up = max(self._given_up, head.generation)
         self.wanted = None
         self.refuse(head.generation, reason)
--- a/chervilshore/edits.py
+++ b/chervilshore/edits.py
@@ -57,6 +57,8 @@
         The rules that would differ.
     dangers : tuple of Danger
         What looks like a mistake, overridden or not.
+    readable : bool
+        Whether all that is accepted now could be read.
     """
 
     edit: Edit
@@ -65,6 +67,13 @@
     packed: generations.Packed
     differences: tuple[differences.Difference, ...]
     dangers: tuple[guards.Danger, ...]
+    readable: bool = True
+
+    @property
+    def carried(self) -> tuple[str, ...]:
+        """The digests of chunks that need not be written again."""
+        head = self.snapshot.head
+        return head.digests if head and self.readable else ()
 
     @property
     def refused(self) -> tuple[guards.Danger, ...]:
@@ -78,8 +87,10 @@
     def empty(self) -> bool:
         """Whether there is nothing to change."""
         head = self.snapshot.head
-        now = (head.main, head.buckets) if head else ("", ())
-        return (self.packed.main, self.packed.buckets) == now
+        if head is None or not self.readable:
+            return False
+        packed = self.packed
+        return (packed.main, packed.buckets) == (head.main, head.buckets)
 
 
 def parse(text: str, file: str) -> lines.Document:
@@ -130,37 +141,56 @@
             The edit does not fit with the edits of others.
         """
         snapshot = await self._store.read()
-        current = await self._store.read_document(snapshot.head)
+        current, unreadable = await self._read_current(snapshot)
         document = await self._rebase(edit, snapshot, current)
         before = checks.gather(line.rule for line in current.lines)
         after = checks.gather(line.rule for line in document.lines)
         head = snapshot.head
         packed = generations.pack(document, len(head.buckets) if head else 0)
         usage = await self._read_usage(before, after)
+        dangers = guards.find_dangers(before, after, usage)
         return Plan(
             edit=edit,
             snapshot=snapshot,
             document=document,
             packed=packed,
             differences=differences.compare(current, document),
-            dangers=guards.find_dangers(before, after, usage),
+            dangers=(*unreadable, *dangers),
+            readable=not unreadable,
         )
 
+    async def _read_current(
+        self, snapshot: changes.Snapshot
+    ) -> tuple[lines.Document, tuple[guards.Danger, ...]]:
+        """Read the accepted rules, or the newest that can be read."""
+        try:
+            return await self._store.read_document(snapshot.head), ()
+        except exceptions.RulesError as error:
+            reason = f"generation {snapshot.generation} is unreadable: {error}"
+        danger = guards.Danger(guards.Guard.UNREADABLE, reason)
+        for head in await self._store.read_past(snapshot, ids.Generation(1)):
+            try:
+                document = await self._store.read_document(head)
+            except exceptions.RulesError:
+                continue
+            return document, (danger,)
+        return lines.Document("", ()), (danger,)
+
     async def _rebase(
         self, edit: Edit, snapshot: changes.Snapshot, current: lines.Document
     ) -> lines.Document:
         base = edit.base
         if base is None:
             base = edit.document.generation
-        if base is None and snapshot.head is not None:
-            raise exceptions.ChangeConflict(
-                f"{edit.document.file} does not say which generation was "
-                f"edited; generation {snapshot.generation} is accepted now"
-            )
         if (base or 0) == snapshot.generation:
             return edit.document
         if not differences.compare(current, edit.document):
             return current
+        if base is None:
+            raise exceptions.ChangeConflict(
+                f"{edit.document.file} does not say which generation was "
+                f"edited; generation {snapshot.generation} is accepted now"
+            )
         return await self._merge(edit, ids.Generation(base), snapshot, current)
 
     async def _merge(
--- a/chervilshore/messages.py
+++ b/chervilshore/messages.py
@@ -135,7 +135,7 @@
 
 
 class GenerationNotice(Message, frozen=True, tag="cn"):
-    """Says which generation the sender has in force."""
+    """Says which generation the sender has, in force or not."""
 
     generation: ids.Generation
 
--- a/chervilshore/operations.py
+++ b/chervilshore/operations.py
@@ -96,7 +96,7 @@
         for _ in range(MOST_TRIES):
             if plan.refused:
                 raise exceptions.GuardRefused(plan.refused)
-            if plan.empty and plan.snapshot.head is not None:
+            if plan.empty:
                 return plan.snapshot.head
             head = await self._publish(plan, timeout_ms)
             if head is not None:
@@ -116,6 +116,7 @@
             reason=plan.edit.reason,
             base=plan.snapshot,
             packed=plan.packed,
+            carried=plan.carried,
             time_ms=self._clock.wall(),
         )
         verdict = await self.store.publish(change, timeout_ms)
@@ -127,18 +128,7 @@
         return head if verdict is changes.Verdict.ACCEPTED else None
 
     async def prune(self, kept: int) -> int:
-        """Remove what only old generations need.
-
-        Parameters
-        ----------
-        kept : int
-            Newest generations that stay.
-
-        Returns
-        -------
-        int
-            Objects removed.
-        """
+        """Remove what only old generations need; see `pruning.prune`."""
         return await pruning.prune(self._platform, kept)
 
     async def edit_rule(
--- a/chervilshore/rules/guards.py
+++ b/chervilshore/rules/guards.py
@@ -26,6 +26,7 @@
     MANY_DROPPED = "many-dropped"
     NEVER_MATCHES = "never-matches"
     CONTRADICTION = "contradiction"
+    UNREADABLE = "unreadable"
 
 
 class Danger(msgspec.Struct, frozen=True):
--- a/measure/races.py
+++ b/measure/races.py
@@ -63,28 +63,17 @@
         await asyncio.sleep(0)
 
 
-class ShufflingPlatform(platforms.Platform):
-    """Passes calls on after other tasks have had some turns.
+class PassingPlatform(platforms.Platform):
+    """Passes calls on to another one; subclasses spoil some.
 
     Parameters
     ----------
-    inner : MemoryPlatform
+    inner : Platform
         Takes the calls.
-    generator : random.Random
-        Chooses how many turns.
-    crash_at : int
-        The call at which the caller dies; 0 for never.
     """
 
-    def __init__(
-        self,
-        inner: memory.MemoryPlatform,
-        generator: random.Random,
-        crash_at: int = 0,
-    ) -> None:
+    def __init__(self, inner: platforms.Platform) -> None:
         self._inner = inner
-        self._generator = generator
-        self._left = crash_at
 
     async def get(self, key):
         """Read an object; see `Platform.get`."""
@@ -114,12 +103,39 @@
         """Read the host list; see `Platform.hosts`."""
         return await self._pass("hosts")
 
+    async def _pass(self, call, *arguments):
+        return await getattr(self._inner, call)(*arguments)
+
+
+class ShufflingPlatform(PassingPlatform):
+    """Passes calls on after other tasks have had some turns.
+
+    Parameters
+    ----------
+    inner : Platform
+        Takes the calls.
+    generator : random.Random
+        Chooses how many turns.
+    crash_at : int
+        The call at which the caller dies; 0 for never.
+    """
+
+    def __init__(
+        self,
+        inner: platforms.Platform,
+        generator: random.Random,
+        crash_at: int = 0,
+    ) -> None:
+        super().__init__(inner)
+        self._generator = generator
+        self._left = crash_at
+
     async def _pass(self, call, *arguments):
         await self._wait()
         self._left -= 1
         if self._left == 0 and self._generator.random() < 0.5:
             raise Crash(call)
-        found = await getattr(self._inner, call)(*arguments)
+        found = await super()._pass(call, *arguments)
         if self._left == 0:
             raise Crash(call)
         await self._wait()
--- a/tests/configuration_helpers.py
+++ b/tests/configuration_helpers.py
@@ -12,8 +12,10 @@
 from chervilshore import edits
 from chervilshore import exceptions
 from chervilshore import ids
+from chervilshore import messages
 from chervilshore import operations
 from chervilshore import records
+from measure import races
 
 DOWN = memory.Fault.DOWN
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
@@ -26,6 +28,23 @@
     return records.HostRecord(name, domain, address, address)
 
 
+class CutPlatform(races.PassingPlatform):
+    """One host's way to the platform, which may be cut."""
+
+    def __init__(self, inner):
+        super().__init__(inner)
+        self.down = False
+        self.calls = 0
+
+    async def _pass(self, call, *arguments):
+        self.calls += 1
+        if not self.down:
+            found = await super()._pass(call, *arguments)
+        if self.down:
+            raise exceptions.PlatformUnavailable(call)
+        return found
+
+
 class Fleet(admin_clients.Admin):
     """Hosts in some domains, each with its own view of the others."""
 
@@ -39,8 +58,12 @@
             for number in range(per_domain)
         ]
         self.services = {}
+        self.platforms = {}
         self.directories = {}
+        self.ends = {}
+        self.broken = []
         platform.host_list = records.HostList(hosts=tuple(self.hosts))
+        self._random = random.Random(5)
 
     async def start(self, hosts=None):
         for host in hosts or self.hosts:
@@ -48,20 +71,39 @@
 
     async def start_host(self, host, platform=None):
         view = directory.StaticDirectory(self.platform.host_list)
+        own = CutPlatform(platform or self.platform)
+        end = self.network.join(host.peer_address)
         service = generations.GenerationService(
             host.host,
             host.domain,
-            platform or self.platform,
-            self.network.join(host.peer_address),
+            own,
+            end,
             view,
             self.clock,
             random.Random(host.host),
         )
+        service.listen(self._make_listener(host.host))
+        self.ends[host.host] = end
+        self.platforms[host.host] = own
         self.directories[host.host] = view
         self.services[host.host] = service
         await service.start()
         return service
 
+    def _make_listener(self, name):
+        """Check that generations only rise and come whole."""
+        seen = []
+
+        def listen(rules):
+            team = rules.teams["borders"].rate
+            deadline = rules.pipelines["service-report"].deadline_ms
+            whole = team - 20 == deadline - 30_000
+            if not whole or (seen and seen[-1] >= rules.generation):
+                self.broken.append((name, rules.generation, team, deadline))
+            seen.append(rules.generation)
+
+        return listen
+
     async def kill(self, name):
         service = self.services.pop(name)
         self.network.drop(ids.Address(f"{name}:1"))
@@ -71,16 +113,38 @@
         for name in list(self.services):
             await self.kill(name)
 
+    async def run(self, millis):
+        """Pass time; every second each host tells one other of itself."""
+        for _ in range(int(millis // 100)):
+            await self.clock.advance(100)
+            if self.clock.now() % 1000 < 100:
+                self._beat()
+
+    def _beat(self):
+        for name, service in self.services.items():
+            other = self._random.choice(self.hosts).peer_address
+            end = self.ends[name]
+            notice = messages.GenerationNotice(service.rules.generation)
+            end.send(other, notice)
+
     def list_generations(self):
         return [service.rules.generation for service in self.services.values()]
 
+    def list_watchers(self):
+        return [
+            name
+            for name, service in self.services.items()
+            if service.describe()["watching"]
+        ]
+
     async def ask(self, address, timeout_ms):
-        service = self.services.get(address.partition(":")[0])
+        name = address.partition(":")[0]
+        service = self.services.get(name)
         if service is None:
             raise exceptions.PeerError(address)
         state = service.describe()
         return admin_clients.HostStatus(
-            host=address.partition(":")[0],
+            host=name,
             domain="",
             generation=state["generation"],
             change=state["change"],
@@ -91,6 +155,14 @@
         )
 
 
+def write_rules(number):
+    """Write the rules in which a team and a pipeline say a number."""
+    text = KELVINSIDE.replace(
+        "borders rate=20 ", f"borders rate={20 + number} "
+    )
+    return text.replace("deadline=30000", f"deadline={30_000 + number}")
+
+
 def make_edit(text=KELVINSIDE, author="Morag", **fields):
     document = edits.parse(text, "edited.rules")
     return edits.Edit(document, author, "test", **fields)
@@ -105,15 +177,17 @@
     return await task
 
 
-async def accept(fleet, text=KELVINSIDE, author="Morag", **fields):
-    """Have a text accepted, and return its head."""
-    operator = operations.Operations(fleet.platform, fleet, fleet.clock)
+async def accept(fleet, number=0, platform=None, author="Morag"):
+    """Have the rules with a number accepted, and return their head."""
+    platform = platform or fleet.platform
+    operator = operations.Operations(platform, fleet, fleet.clock)
 
     async def run():
-        plan = await operator.plan(make_edit(text, author, **fields))
-        return await operator.apply(plan, 5000.0)
+        snapshot = await operator.store.read()
+        edit = make_edit(write_rules(number), author, base=snapshot.generation)
+        return await operator.apply(await operator.plan(edit), 5000.0)
 
-    return await drive(fleet.clock, run())
+    return await drive(fleet.clock, run(), step_ms=1.0)
 
 
 class FollowingAdmin(admin_clients.Admin):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,9 +1,18 @@
 """Generations come into force on all hosts, whole and never lower."""
 
+import logging
+
 import pytest
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.clients import memory
+from chervilshore import ids
+from chervilshore import operations
+from chervilshore import records
+from chervilshore.rules import generations
+from chervilshore.rules import guards
+from chervilshore import statuses
 from tests import configuration_helpers as helpers
 
 DOMAINS = ("scot-a", "scot-b", "scot-c")
@@ -14,37 +23,232 @@
     fleet = helpers.Fleet(clock, platform, network, DOMAINS)
     yield fleet
     await fleet.stop()
+    assertions.assert_that(fleet.broken, matchers.Equals([]))
 
 
-def change_rate(text, rate, team="borders"):
-    rows = text.splitlines()
-    for index, row in enumerate(rows):
-        if row.startswith(f"team {team} "):
-            rows[index] = f"team {team} rate={rate}  # Morag, test"
-    return "\n".join(rows) + "\n"
+@pytest.fixture
+async def running(fleet):
+    """All hosts, with generation 1 in force."""
+    await fleet.start()
+    await helpers.accept(fleet)
+    await fleet.run(1000)
+    assert_generation(fleet, 1)
+    return fleet
 
 
-async def test_a_change_is_in_force_everywhere_within_a_second(fleet, clock):
-    await fleet.start()
-    head = await helpers.accept(fleet)
-    await clock.advance(1000)
+def assert_generation(fleet, generation):
+    expected = [generation] * len(fleet.services)
+    assertions.assert_that(fleet.list_generations(), matchers.Equals(expected))
+
+
+def take_copy(platform, clock):
+    """Copy the platform as it is now, as a read that lags sees it."""
+    copy = memory.MemoryPlatform(clock)
+    copy._objects = dict(platform._objects)
+    copy.host_list = platform.host_list
+    return copy
+
+
+async def lose_chunk(fleet, content):
+    """Accept generation 2 and spoil a new chunk before anybody reads it."""
+    before = {stored.key for stored in await list_chunks(fleet)}
+    for own in fleet.platforms.values():
+        own.down = True
+    await helpers.accept(fleet, 1)
+    new = [one for one in await list_chunks(fleet) if one.key not in before]
+    if content is None:
+        await fleet.platform.delete(new[0].key, new[0].version)
+    else:
+        await fleet.platform.update(new[0].key, content, new[0].version)
+    for own in fleet.platforms.values():
+        own.down = False
+
+
+async def list_chunks(fleet):
+    return await fleet.platform.list(generations.CHUNK_PREFIX)
+
+
+async def test_a_change_is_in_force_everywhere_within_a_second(running):
+    await helpers.accept(running, 1)
+    await running.run(500)
+    assert_generation(running, 2)
+    assertions.assert_that(running.list_watchers(), matchers.HasLength(3))
+
+
+async def test_a_host_that_starts_in_an_outage_learns_from_peers(
+    running, platform
+):
+    host = running.hosts[4]
+    await running.kill(host.host)
+    platform.faults = lambda call, key: memory.Fault.DOWN
+    service = await running.start_host(host)
+    await running.run(500)
+    assertions.assert_that(service.rules.generation, matchers.Equals(1))
+
+
+async def test_a_host_that_starts_from_an_old_read_takes_the_newer(
+    running, clock, platform
+):
+    old = take_copy(platform, clock)
+    await helpers.accept(running, 1)
+    await running.run(500)
+    host = running.hosts[0]
+    await running.kill(host.host)
+    service = await running.start_host(host, old)
+    await running.run(3000)
+    assertions.assert_that(service.rules.generation, matchers.Equals(2))
+
+
+async def test_a_killed_watcher_does_not_delay_its_domain(running):
+    for name in running.list_watchers()[:1]:
+        await running.kill(name)
+    await helpers.accept(running, 1)
+    await running.run(1000)
+    assert_generation(running, 2)
+
+
+async def test_all_watchers_killed_at_once_are_replaced(running):
+    dead = running.list_watchers()
+    for name in dead:
+        await running.kill(name)
+    await helpers.accept(running, 1)
+    await running.run(2500)
+    alive = tuple(host for host in running.hosts if host.host not in dead)
+    for view in running.directories.values():
+        view.host_list = records.HostList(hosts=alive)
+    await running.run(1000)
+    assert_generation(running, 2)
+
+
+async def test_a_watch_that_skips_or_repeats_does_no_harm(
+    running, clock, platform
+):
+    stored = await platform.get(generations.HEAD_KEY)
+    watchers = running.list_watchers()
+
+    async def skip(prefix, since, timeout_ms):
+        await clock.sleep(timeout_ms)
+        return ()
+
+    async def repeat(prefix, since, timeout_ms):
+        return (stored,)
+
+    for name, watch in zip(watchers, (skip, repeat, skip)):
+        running.platforms[name].watch = watch
+    await running.run(3000)
+    await helpers.accept(running, 1)
+    calls = sum(own.calls for own in running.platforms.values())
+    await running.run(10_000)
+    assert_generation(running, 2)
+    more = sum(own.calls for own in running.platforms.values()) - calls
+    assertions.assert_that(more, matchers.LessThan(60))
+
+
+async def test_a_domain_cut_off_through_three_changes_joins_again(
+    running, network
+):
+    def is_cut(sender, receiver):
+        return ("scot-c" in sender) != ("scot-c" in receiver)
+
+    cut = [name for name in running.services if name.startswith("scot-c")]
+    network.loses = is_cut
+    for name in cut:
+        running.platforms[name].down = True
+    for number in (1, 2, 3):
+        await helpers.accept(running, number)
+        await running.run(2000)
+    expected = [4] * 6 + [1] * 3
+    assertions.assert_that(
+        running.list_generations(), matchers.Equals(expected)
+    )
+    # Peers are back first; the platform is not needed.
+    network.loses = lambda sender, receiver: False
+    await running.run(4000)
+    assert_generation(running, 4)
+
+
+@pytest.mark.parametrize("content", [None, b"team borders rate=9  # A, b\n"])
+async def test_a_lost_or_changed_chunk_keeps_the_old_rules_whole(
+    running, clock, caplog, content
+):
+    caplog.set_level(logging.ERROR)
+    await lose_chunk(running, content)
+    await running.run(5000)
+    assert_generation(running, 1)
+    operator = operations.Operations(running.platform, running, clock)
+    found = await helpers.drive(
+        clock, operator.hosts.wait(ids.Generation(2), "", 500)
+    )
     assertions.assert_that(
-        fleet.list_generations(), matchers.Equals([head.generation] * 9)
+        {one.progress for one in found},
+        matchers.Equals({statuses.Progress.REFUSED}),
     )
-    for service in fleet.services.values():
-        assertions.assert_that(
-            service.rules.pools, matchers.Contains("assistant")
+    refusals = [one for one in caplog.records if one.event == 2002]
+    assertions.assert_that(refusals, matchers.HasLength(9))
+    # The operator has the rules accepted anew, which writes every chunk.
+    edit = helpers.make_edit(
+        helpers.write_rules(1),
+        base=2,
+        allowed=frozenset({guards.Guard.UNREADABLE}),
+    )
+    plan = await operator.plan(edit)
+    await helpers.drive(clock, operator.apply(plan, 1000.0))
+    await running.run(4000)
+    assert_generation(running, 3)
+    state = next(iter(running.services.values())).describe()
+    assertions.assert_that(state["refusal"], matchers.Equals(""))
+
+
+@pytest.mark.parametrize("row", ["teem x rate=1  # A, b", "garbage"])
+async def test_a_generation_that_is_not_understood_is_refused(
+    running, platform, row
+):
+    stored = await platform.get(generations.HEAD_KEY)
+    head = generations.decode_head(stored.value)
+    content = f"{row}\n".encode()
+    name = generations.digest(content)
+    await platform.create(generations.name_chunk(name), content)
+    value = generations.encode_head(
+        generations.Head(
+            ids.Generation(2), "x", head.change, "A", "b", 0.0, name, ()
         )
+    )
+    if row == "garbage":
+        value = content
+    version = await platform.update(
+        generations.HEAD_KEY, value, stored.version
+    )
+    await running.run(4000)
+    assert_generation(running, 1)
+    for service in running.services.values():
+        refused = service.describe()["refused_generation"]
+        watching = service.describe()["watching"]
+        if watching or row != "garbage":
+            assertions.assert_that(refused, matchers.Equals(2))
+    value = generations.encode_head(
+        generations.Head(
+            ids.Generation(3),
+            "y",
+            "x",
+            "A",
+            "b",
+            0.0,
+            head.main,
+            head.buckets,
+        )
+    )
+    await platform.update(generations.HEAD_KEY, value, version)
+    await running.run(2000)
+    assert_generation(running, 3)
 
 
-async def test_a_host_that_starts_in_an_outage_learns_from_peers(
-    fleet, clock, platform
+async def test_a_listener_that_fails_does_not_keep_others_on_old_rules(
+    running, caplog
 ):
-    first, *others = fleet.hosts
-    await fleet.start(others)
-    await helpers.accept(fleet)
-    await clock.advance(1000)
-    platform.faults = lambda call, key: helpers.DOWN
-    service = await fleet.start_host(first)
-    await clock.advance(1000)
-    assertions.assert_that(service.rules.generation, matchers.Equals(1))
+    service = next(iter(running.services.values()))
+    seen = []
+    service.listen(lambda rules: 1 / 0)
+    service.listen(lambda rules: seen.append(rules.generation))
+    await helpers.accept(running, 1)
+    await running.run(500)
+    assertions.assert_that(seen, matchers.Equals([2]))
