--- a/chervilshore/decisions/rendezvous.py
+++ b/chervilshore/decisions/rendezvous.py
@@ -20,7 +20,7 @@
     int
         A number of 64 bits; the highest one wins.
     """
-    return xxhash.xxh3_64_intdigest(f"{node}\x00{key}")
+    return xxhash.xxh3_64_intdigest(f"{node}\x00{key}".encode())
 
 
 def choose(nodes: abc.Iterable[str], key: str) -> str | None:
