--- /dev/null
+++ b/chervilshore/policies.py
@@ -0,0 +1,101 @@
+"""The decisions that an entry host goes by, chosen together."""
+
+from collections import abc as collections_abc
+import enum
+import random
+
+import msgspec
+
+from chervilshore.decisions import completion
+from chervilshore.decisions import deadlines
+from chervilshore.decisions import ejection
+from chervilshore.decisions import fairness
+from chervilshore.decisions import limits
+from chervilshore.decisions import queues
+from chervilshore.decisions import retries
+from chervilshore.decisions import routing
+from chervilshore.decisions import shedding
+from chervilshore import ids
+
+
+class Choice(enum.Enum):
+    """Which set of decisions is used."""
+
+    FULL = "full"
+    BASELINE = "baseline"
+
+
+class Policies(msgspec.Struct):
+    """One set of decisions.
+
+    Parameters
+    ----------
+    times : DeadlinePolicy
+        Judges deadlines.
+    budget : RetryPolicy
+        Bounds retries.
+    hedging : Hedging or None
+        Starts second attempts.
+    shed : Shedding
+        Bounds what a host takes on.
+    team_limits : TeamLimits
+        Bounds what each team sends.
+    make_router, make_queue : callable
+        Make the router and the wait queue of one pool.
+    """
+
+    times: deadlines.DeadlinePolicy
+    budget: retries.RetryPolicy
+    hedging: retries.Hedging | None
+    shed: shedding.Shedding
+    team_limits: limits.TeamLimits
+    make_router: collections_abc.Callable[[], routing.Router]
+    make_queue: collections_abc.Callable[[], queues.WaitQueue]
+
+
+def make_full(
+    domain: ids.DomainId,
+    is_out: collections_abc.Callable[[ids.DomainId], bool],
+    generator: random.Random,
+) -> Policies:
+    """Make the decisions that hold the promises.
+
+    Parameters
+    ----------
+    domain : DomainId
+        The failure domain of this host.
+    is_out : callable
+        Tells whether operators have taken a failure domain out.
+    generator : random.Random
+        Breaks ties and chooses what is probed.
+    """
+    times = deadlines.StageTimes()
+    budget = retries.RetryBudget()
+
+    def make_router() -> routing.Router:
+        return completion.CompletionRouter(
+            domain, generator, ejection.OutlierEjection(), is_out
+        )
+
+    return Policies(
+        times=times,
+        budget=budget,
+        hedging=retries.Hedging(times, budget),
+        shed=shedding.NoShedding(),
+        team_limits=limits.SplitLimits(),
+        make_router=make_router,
+        make_queue=fairness.FairQueue,
+    )
+
+
+def make_baseline(domain: ids.DomainId) -> Policies:
+    """Make the simplest decisions, to compare with."""
+    return Policies(
+        times=deadlines.WholeDeadline(),
+        budget=retries.AlwaysRetry(),
+        hedging=None,
+        shed=shedding.NoShedding(),
+        team_limits=limits.SplitLimits(),
+        make_router=lambda: routing.LeastInFlightRouter(domain),
+        make_queue=queues.FifoQueue,
+    )
