Read the daemon's own view in the tool, and test each command

The daemon shows its state by parts, so status, refusals and the wait after an acceptance read those parts.

--- a/chervilshore/clients/admin.py
+++ b/chervilshore/clients/admin.py
@@ -12,6 +12,27 @@
 STATE_PATH = "/admin/state"
 
 
+class ConfigurationStatus(msgspec.Struct):
+    """What a host says of its rules; see `GenerationService.describe`.
+
+    Parameters
+    ----------
+    change : ChangeId
+        The change that brought the generation in force.
+    refused_generation : Generation
+        The generation that could not come into force; 0 for none.
+    refusal : str
+        Why it could not.
+    watching : bool
+        Whether it watches the platform for its failure domain.
+    """
+
+    change: ids.ChangeId = ids.ChangeId("")
+    refused_generation: ids.Generation = ids.Generation(0)
+    refusal: str = ""
+    watching: bool = False
+
+
 class HostStatus(msgspec.Struct):
     """The answer of a host.
 
@@ -23,32 +44,31 @@
         Its failure domain.
     generation : Generation
         The generation in force there.
-    change : ChangeId
-        The change that brought it.
-    refused_generation : Generation
-        The generation that could not come into force; 0 for none.
-    refusal : str
-        Why it could not.
+    configuration : ConfigurationStatus
+        More about its rules.
     ready, draining : bool
         Whether it serves, and whether it is leaving.
-    hosts, endpoints, grants, limits : list or dict
-        What it believes of others.
-    pipelines : dict
+    in_flight : int
+        Requests in flight there.
+    membership, directory, grants, limits : dict
+        What it believes of hosts and endpoints, and how it limits calls.
+    pipelines : dict or None
         Requests since it began, by pipeline.
-    refusals : dict
+    refusals : dict or None
         Refused requests since it began, by number of the result code.
     """
 
     host: ids.HostId
     domain: ids.DomainId
     generation: ids.Generation
-    change: ids.ChangeId = ids.ChangeId("")
-    refused_generation: ids.Generation = ids.Generation(0)
-    refusal: str = ""
+    configuration: ConfigurationStatus = msgspec.field(
+        default_factory=ConfigurationStatus
+    )
     ready: bool = False
     draining: bool = False
-    hosts: typing.Any = None
-    endpoints: typing.Any = None
+    in_flight: int = 0
+    membership: dict[str, typing.Any] = {}
+    directory: dict[str, typing.Any] = {}
     grants: typing.Any = None
     limits: typing.Any = None
     pipelines: dict[str, int] | None = None
--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -39,6 +39,8 @@
         How hosts are asked; nothing asks them over HTTP.
     write : callable
         Takes each line of output.
+    clock : Clock or None
+        Measures all waits; nothing means the machine's own.
     """
 
     def __init__(
@@ -46,7 +48,9 @@
         platform: platforms.Platform | None = None,
         admin: admin_clients.Admin | None = None,
         write: abc.Callable[[str], None] = print,
+        clock: clocks.Clock | None = None,
     ) -> None:
+        self._clock = clock or clocks.SystemClock()
         self._platform = platform
         self._admin = admin
         self._write = write
@@ -79,12 +83,11 @@
             return commands.check(*_read_file(arguments.file))
         if arguments.command == "format":
             return _format(arguments)
-        clock = clocks.SystemClock()
         async with contextlib.AsyncExitStack() as stack:
             session = await stack.enter_async_context(aiohttp.ClientSession())
             platform = self._platform or _connect(arguments, stack)
             admin = self._admin or admin_clients.RestAdmin(session)
-            operator = operations.Operations(platform, admin, clock)
+            operator = operations.Operations(platform, admin, self._clock)
             run = commands.Commands(operator, self._choose_say(arguments))
             return await getattr(self, f"_{arguments.command}")(run, arguments)
 
@@ -285,15 +288,20 @@
 
 
 def _rewrite(file: str, text: str) -> None:
-    if file != "-":
-        pathlib.Path(file).write_text(text)
+    if file == "-":
+        return
+    # A tool that dies here must leave the old file or the new one.
+    path = pathlib.Path(file)
+    written = path.with_name(path.name + ".new")
+    written.write_text(text)
+    written.replace(path)
 
 
 def _format(arguments: argparse.Namespace) -> reports.Report:
     report = commands.format_file(*_read_file(arguments.file))
     if not arguments.write or arguments.file == "-":
         return report
-    pathlib.Path(arguments.file).write_text(report.data["text"])
+    _rewrite(arguments.file, report.data["text"])
     word = "rewritten" if report.data["changed"] else "unchanged"
     return reports.Report(f"{arguments.file}: {word}", report.data)
 
--- a/chervilshore/overviews.py
+++ b/chervilshore/overviews.py
@@ -3,8 +3,6 @@
 from collections import abc
 import typing
 
-import msgspec
-
 from chervilshore.clients import admin as admin_clients
 from chervilshore import ids
 from chervilshore import records
@@ -15,7 +13,7 @@
 Answer = tuple[records.HostRecord, admin_clients.HostStatus | None]
 """A listed host, and its status unless it could not be reached."""
 
-SECTIONS = ("hosts", "endpoints", "grants", "limits")
+SECTIONS = ("grants", "limits")
 """Parts of a host's status that are shown as they come."""
 
 
@@ -38,9 +36,9 @@
     answers : sequence of Answer
         What the hosts say.
     """
-    hosts = [_describe_host(record, status) for record, status in answers]
+    hosts = [_describe_host(record, answers) for record, _ in answers]
     domains = _describe_domains(rules, host_list)
-    endpoints = _describe_endpoints(rules, host_list)
+    endpoints = _describe_endpoints(rules, host_list, answers)
     parts = [
         f"generation {generation} is accepted",
         _format_rows("hosts", hosts),
@@ -51,7 +49,7 @@
     for section in SECTIONS:
         rows = _gather_section(section, answers)
         told[section] = rows
-        parts.append(_format_rows(f"{section}, as hosts tell", rows))
+        parts.append(_format_rows(section, rows))
     data = {
         "generation": generation,
         "hosts": hosts,
@@ -108,31 +106,42 @@
 
 
 def _describe_host(
-    record: records.HostRecord, status: admin_clients.HostStatus | None
+    record: records.HostRecord, answers: abc.Sequence[Answer]
 ) -> dict[str, typing.Any]:
+    status = dict((one.host, told) for one, told in answers)[record.host]
     row = {
         "host": record.host,
         "domain": record.domain,
         "listed": record.state.value,
-        "answers": "no",
-        "ready": "",
-        "draining": "",
-        "generation": "",
-        "refused": "",
-        "refusal": "",
+        "peers say": _count_beliefs(record.host, answers),
+        "answers": _say(status is not None),
     }
     if status is not None:
         row |= {
-            "answers": "yes",
             "ready": _say(status.ready),
             "draining": _say(status.draining),
+            "in flight": status.in_flight,
             "generation": status.generation,
-            "refused": status.refused_generation or "",
-            "refusal": status.refusal,
+            "watches": _say(status.configuration.watching),
+            "refused": status.configuration.refused_generation or "",
+            "refusal": status.configuration.refusal,
         }
     return row
 
 
+def _count_beliefs(host: ids.HostId, answers: abc.Sequence[Answer]) -> str:
+    """Count what the hosts believe of one of them."""
+    states: dict[str, int] = {}
+    for _, status in answers:
+        if status is None:
+            continue
+        for belief in status.membership.get("hosts", ()):
+            if belief.get("host") == host:
+                state = belief.get("state", "")
+                states[state] = states.get(state, 0) + 1
+    return ", ".join(f"{state} {count}" for state, count in states.items())
+
+
 def _describe_domains(
     rules: model.Rules, host_list: records.HostList
 ) -> list[dict[str, typing.Any]]:
@@ -152,8 +161,15 @@
 
 
 def _describe_endpoints(
-    rules: model.Rules, host_list: records.HostList
+    rules: model.Rules,
+    host_list: records.HostList,
+    answers: abc.Sequence[Answer],
 ) -> list[dict[str, typing.Any]]:
+    known = [
+        {one.get("endpoint") for one in status.directory.get("endpoints", ())}
+        for _, status in answers
+        if status is not None
+    ]
     return [
         {
             "endpoint": record.endpoint,
@@ -161,6 +177,7 @@
             "domain": rules.domain_of(record),
             "listed": record.state.value,
             "rule": _say(record.pool in rules.pools),
+            "known to hosts": sum(record.endpoint in names for names in known),
         }
         for record in host_list.endpoints
     ]
@@ -173,17 +190,14 @@
     for record, status in answers:
         told = getattr(status, section, None)
         if isinstance(told, dict):
-            told = [
-                {"name": name} | _to_row(value) for name, value in told.items()
-            ]
+            told = [_to_row(value, name) for name, value in told.items()]
         rows.extend({"by": record.host} | _to_row(one) for one in told or ())
     return rows
 
 
-def _to_row(value: typing.Any) -> dict[str, typing.Any]:
-    if isinstance(value, dict):
-        return value
-    return {"value": msgspec.to_builtins(value)}
+def _to_row(value: typing.Any, name: str = "") -> dict[str, typing.Any]:
+    row = {"name": name} if name else {}
+    return row | (value if isinstance(value, dict) else {"value": value})
 
 
 def _format_rows(title: str, rows: list[dict[str, typing.Any]]) -> str:
--- a/chervilshore/statuses.py
+++ b/chervilshore/statuses.py
@@ -140,18 +140,19 @@
             return HostProgress(
                 record, Progress.UNREACHED, reason="it does not answer"
             )
-        if status.generation == generation and status.change != change:
+        told = status.configuration
+        if status.generation == generation and told.change != change:
             return HostProgress(
                 record,
                 Progress.REFUSED,
                 status.generation,
-                f"it has this generation from another change {status.change}",
+                f"it has this generation from another change {told.change}",
             )
         if status.generation >= generation:
             return HostProgress(record, Progress.IN_FORCE, status.generation)
-        if status.refused_generation:
+        if told.refused_generation:
             return HostProgress(
-                record, Progress.REFUSED, status.generation, status.refusal
+                record, Progress.REFUSED, status.generation, told.refusal
             )
         return HostProgress(record, Progress.LAGS, status.generation)
 
--- a/tests/configuration_helpers.py
+++ b/tests/configuration_helpers.py
@@ -4,6 +4,8 @@
 import pathlib
 import random
 
+import msgspec
+
 from chervilshore import changes
 from chervilshore.clients import admin as admin_clients
 from chervilshore.clients import memory
@@ -147,9 +149,9 @@
             host=name,
             domain="",
             generation=state["generation"],
-            change=state["change"],
-            refused_generation=state["refused_generation"],
-            refusal=state["refusal"],
+            configuration=msgspec.convert(
+                state, admin_clients.ConfigurationStatus
+            ),
             ready=True,
             pipelines={},
         )
@@ -196,15 +198,22 @@
     def __init__(self, platform):
         self._platform = platform
         self.pipelines = {}
+        self.refusals = {}
+        self.generations = {}
+        self.silent = set()
 
     async def ask(self, address, timeout_ms):
-        store = changes.Store(self._platform, None)
-        snapshot = await store.read()
+        if address in self.silent:
+            raise exceptions.PeerError(address)
+        head = (await changes.Store(self._platform, None).read()).head
         return admin_clients.HostStatus(
             host=address.partition(":")[0],
             domain="",
-            generation=snapshot.generation,
-            change=snapshot.head.change,
+            generation=self.generations.get(address, head.generation),
+            configuration=admin_clients.ConfigurationStatus(
+                change=head.change
+            ),
             ready=True,
             pipelines=self.pipelines,
+            refusals=self.refusals,
         )
