Choose the decisions of a host together, and share team limits

Cause: the node named each decision by itself, and team limits were split evenly between hosts.

Change: one module makes a full or a baseline set of decisions, which the setting `policies` chooses, so that both can be measured by the same cases; the node starts the exchange of shares of team limits.

Conclusion: each further decision is wired in one place.

--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -20,12 +20,10 @@
 from chervilshore.controllers import compaction
 from chervilshore.controllers import generations
 from chervilshore.controllers import hosts
+from chervilshore.controllers import limits
 from chervilshore.controllers import membership
 from chervilshore.controllers import slots
-from chervilshore.decisions import deadlines
-from chervilshore.decisions import limits
-from chervilshore.decisions import retries
-from chervilshore.decisions import shedding
+from chervilshore.decisions import shared_limits
 from chervilshore.filters import admission
 from chervilshore.filters import attempt
 from chervilshore.filters import base
@@ -36,7 +34,9 @@
 from chervilshore.filters import outcome
 from chervilshore.filters import pipeline
 from chervilshore.filters import stage
+from chervilshore import ids
 from chervilshore import metrics
+from chervilshore import policies
 from chervilshore import records
 from chervilshore import server
 from chervilshore import settings
@@ -76,6 +76,7 @@
         self._make_clients()
         self._make_control()
         self._make_policies()
+        self._limits = self._make_limits()
         self.server = server.Server(
             clock, self._make_chain(), self._metrics, options.body_bytes
         )
@@ -160,27 +161,48 @@
         )
 
     def _make_policies(self) -> None:
-        self._times = deadlines.StageTimes()
-        self._budget = retries.RetryBudget()
-        self._hedging = retries.Hedging(self._times, self._budget)
-        self._shedding = shedding.NoShedding()
-        self._limits = limits.SplitLimits()
-        self._membership.listen(lambda *unused: self._count_hosts())
+        options = self._options
+        self._choice = policies.Choice(options.policies)
+        self._policies = policies.make(
+            self._choice, options.domain, self._is_out, self._random
+        )
         self._slots = slots.UnboundedSlots(
             self._directory, self._configuration, self._random
         )
 
+    def _is_out(self, domain: ids.DomainId) -> bool:
+        return self._configuration.rules.is_out(domain)
+
+    def _make_limits(self) -> limits.FleetLimits | None:
+        """Make what shares team limits; the baseline splits them evenly."""
+        team_limits = self._policies.team_limits
+        self._membership.listen(lambda *unused: self._count_hosts())
+        if not isinstance(team_limits, shared_limits.SharedLimits):
+            return None
+        return limits.FleetLimits(
+            self._options.host,
+            self._clock,
+            self._peers,
+            self._directory,
+            self._configuration,
+            team_limits,
+            self._options.limit_report_ms,
+            self._options.limit_share_ms,
+            self._random,
+        )
+
     def _make_chain(self) -> base.Proceed:
+        chosen = self._policies
         attempts = attempt.AttemptRunner(
             self._clock,
             self._slots,
             self._make_endpoint_clients(),
-            self._times,
-            self._shedding,
+            chosen.times,
+            chosen.shed,
             self._metrics,
         )
         runner = stage.StageRunner(
-            self._clock, attempts, self._budget, self._hedging
+            self._clock, attempts, chosen.budget, chosen.hedging
         )
         self._cutoff = cutoff.CutoffFilter(self._clock)
         steps = (
@@ -188,11 +210,11 @@
             idempotency.ResendFilter(),
             decode.DecodeFilter(self._configuration),
             deadline.DeadlineFilter(
-                self._clock, self._times, self._options.deadline_ms
+                self._clock, chosen.times, self._options.deadline_ms
             ),
             self._cutoff,
             admission.AdmissionFilter(
-                self._clock, self._limits, self._shedding
+                self._clock, chosen.team_limits, chosen.shed
             ),
             idempotency.IdempotencyFilter(self._claims, self._clock),
         )
@@ -221,31 +243,42 @@
             "directory": self._directory.describe,
             "grants": self._slots.describe,
             "claims": self._claims.describe,
-            "retries": self._budget.describe,
-            "stage_times": lambda: self._times.describe(now()),
-            "shedding": self._shedding.describe,
+            "shedding": self._policies.shed.describe,
         }
+        if self._choice is policies.Choice.FULL:
+            chosen = self._policies
+            self.server.sections |= {
+                "limits": self._limits.describe,
+                "retries": chosen.budget.describe,
+                "stage_times": lambda: chosen.times.describe(now()),
+            }
 
     def _read_generation(self):
         return self._configuration.rules.generation
 
     def _count_hosts(self) -> None:
-        self._limits.count_hosts(len(self._membership.hosts()))
+        self._policies.team_limits.count_hosts(len(self._membership.hosts()))
 
     def _is_ready(self) -> bool:
         return bool(self._read_generation()) and self._directory.ready
 
     async def on_start(self) -> None:
         """Start every part, and take callers last."""
-        for service in (
+        for service in self._list_services():
+            await self.add_runtime_dependency(service)
+        await self._listen()
+
+    def _list_services(self) -> list[mode.Service]:
+        services = [
             self._peers,
             self._membership,
             self._directory,
             self._configuration,
             self._claims,
-        ):
-            await self.add_runtime_dependency(service)
-        await self._listen()
+        ]
+        if self._limits is not None:
+            services.append(self._limits)
+        return services
 
     async def _listen(self) -> None:
         self._runner = web.AppRunner(
--- a/chervilshore/policies.py
+++ b/chervilshore/policies.py
@@ -14,6 +14,7 @@
 from chervilshore.decisions import queues
 from chervilshore.decisions import retries
 from chervilshore.decisions import routing
+from chervilshore.decisions import shared_limits
 from chervilshore.decisions import shedding
 from chervilshore import ids
 
@@ -53,15 +54,18 @@
     make_queue: collections_abc.Callable[[], queues.WaitQueue]
 
 
-def make_full(
+def make(
+    choice: Choice,
     domain: ids.DomainId,
     is_out: collections_abc.Callable[[ids.DomainId], bool],
     generator: random.Random,
 ) -> Policies:
-    """Make the decisions that hold the promises.
+    """Make a set of decisions.
 
     Parameters
     ----------
+    choice : Choice
+        Which set.
     domain : DomainId
         The failure domain of this host.
     is_out : callable
@@ -69,6 +73,16 @@
     generator : random.Random
         Breaks ties and chooses what is probed.
     """
+    if choice is Choice.BASELINE:
+        return _make_baseline(domain)
+    return _make_full(domain, is_out, generator)
+
+
+def _make_full(
+    domain: ids.DomainId,
+    is_out: collections_abc.Callable[[ids.DomainId], bool],
+    generator: random.Random,
+) -> Policies:
     times = deadlines.StageTimes()
     budget = retries.RetryBudget()
 
@@ -82,14 +96,13 @@
         budget=budget,
         hedging=retries.Hedging(times, budget),
         shed=shedding.NoShedding(),
-        team_limits=limits.SplitLimits(),
+        team_limits=shared_limits.SharedLimits(),
         make_router=make_router,
         make_queue=fairness.FairQueue,
     )
 
 
-def make_baseline(domain: ids.DomainId) -> Policies:
-    """Make the simplest decisions, to compare with."""
+def _make_baseline(domain: ids.DomainId) -> Policies:
     return Policies(
         times=deadlines.WholeDeadline(),
         budget=retries.AlwaysRetry(),
