--- a/chervilshore/filters/decode.py
+++ b/chervilshore/filters/decode.py
@@ -12,6 +12,9 @@
 MOST_TOKENS = 32_768
 """Tokens that a request may ask for."""
 
+MOST_HEADER_LENGTH = 4096
+"""Characters that the value of a header may have."""
+
 _BODY = msgspec.json.Decoder(dict)
 
 
@@ -35,12 +38,21 @@
         if not rules.generation:
             raise exceptions.RefusalError(results.Code.NOT_READY)
         exchange.rules = rules
+        self._check_headers(exchange)
         exchange.pipeline = self._find_pipeline(exchange)
         exchange.team = self._find_team(exchange)
         exchange.key = self._read_key(exchange)
         exchange.body = self._read_body(exchange)
         return await proceed(exchange)
 
+    def _check_headers(self, exchange: base.Exchange) -> None:
+        for name, value in exchange.headers.items():
+            if len(value) > MOST_HEADER_LENGTH:
+                raise exceptions.RefusalError(
+                    results.Code.BAD_HEADER,
+                    f"{name[:80]} is over {MOST_HEADER_LENGTH} characters",
+                )
+
     def _find_pipeline(self, exchange: base.Exchange):
         found = exchange.rules.pipelines.get(exchange.pipeline_name)
         if found is None:
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -45,6 +45,11 @@
 """Seconds that the web server gives to answers that are being written."""
 
 
+MOST_FIELD_BYTES = 65_536
+"""Bytes of a header that are read at all. The chain of filters refuses much
+shorter ones with a number; beyond this the web server refuses without."""
+
+
 class Node(mode.Service):
     """An entry host.
 
@@ -286,6 +291,8 @@
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=SHUTDOWN_SECONDS,
+            max_field_size=MOST_FIELD_BYTES,
+            max_line_size=MOST_FIELD_BYTES,
         )
         await self._runner.setup()
         host, _, port = self._options.http_address.rpartition(":")
