Give out slots under one keeper for each endpoint

Cause: independent senders overrun a cold endpoint however careful each of them is.

Change: a keeper for each endpoint, chosen by rendezvous among the entry hosts of its failure domain; holders tell it all that they have in each message; a new keeper accounts for every host before it grants anything; the limit falls to the cold bound on signs of a cold start. The service gives out slots to waiting stages over the peers.

--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -56,6 +56,11 @@
     HOST_LIST_READ = EventSpec(3008, _INFO, "host list can be read again")
 
     # Grants, routing and limits: 4000 to 4999.
+    TENURE_BEGUN = EventSpec(4001, _INFO, "host became keeper of endpoint")
+    ENDPOINT_COLD = EventSpec(4002, _WARNING, "endpoint has turned cold")
+    KEEPER_UNREACHED = EventSpec(
+        4003, _WARNING, "keeper of endpoint does not answer"
+    )
 
     # Claims: 5000 to 5999.
     CLAIMS_LOADED = EventSpec(5001, _INFO, "log of claims loaded")
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -101,6 +101,26 @@
     )
 
     # Grants, routing and limits.
+    ENDPOINTS_KEPT = _gauge(
+        "chervilshore_endpoints_kept",
+        (),
+        "Endpoints of which this host is the keeper.",
+    )
+    COLD_STARTS = _counter(
+        "chervilshore_cold_starts_total",
+        (),
+        "Times that a kept endpoint has turned cold.",
+    )
+    GRANT_MESSAGES = _counter(
+        "chervilshore_grant_messages_total",
+        ("kind",),
+        "Messages about grants that were sent to other hosts.",
+    )
+    SLOTS_VOID = _counter(
+        "chervilshore_slots_void_total",
+        ("pool",),
+        "Slots that did not hold any more right before the send.",
+    )
     QUEUE_SECONDS = _histogram(
         "chervilshore_queue_seconds",
         ("class",),
--- /dev/null
+++ b/tests/test_grants_controller.py
@@ -0,0 +1,185 @@
+"""Slots under grants, from the controller over the network in memory."""
+
+import asyncio
+import random
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore.controllers import configuration
+from chervilshore.controllers import directory
+from chervilshore.controllers import grants
+from chervilshore.controllers import slots
+from chervilshore.decisions import queues
+from chervilshore.decisions import routing
+from chervilshore import exceptions
+from chervilshore import records
+from chervilshore import results
+from chervilshore.rules import model
+
+POOL = "ledger"
+JOIN_MS = 2100.0
+
+
+class World:
+    """Some hosts with slots over one endpoint of a pool."""
+
+    def __init__(self, clock, network, names, cold=2, endpoints=("e1",)):
+        self.clock = clock
+        self.network = network
+        self.hosts = tuple(
+            records.HostRecord(name, "a", f"10.0.0.{number}:1", "")
+            for number, name in enumerate(names)
+        )
+        self.directory = directory.StaticDirectory(
+            records.HostList(
+                self.hosts,
+                tuple(
+                    records.EndpointRecord(name, POOL, "a", f"{name}:1")
+                    for name in endpoints
+                ),
+            )
+        )
+        pool = model.Pool(POOL, records.EndpointKind.PLAIN, cold, 8)
+        self.rules = model.Rules(generation=1, pools={POOL: pool})
+        self.configuration = configuration.StaticConfiguration(self.rules)
+        self.slots = {}
+
+    async def start(self):
+        for host in self.hosts:
+            self.slots[host.host] = grants.Grants(
+                host.host,
+                self.clock,
+                self.network.join(host.peer_address),
+                self.directory,
+                self.configuration,
+                lambda: routing.LeastInFlightRouter("a"),
+                queues.FifoQueue,
+                random.Random(1),
+                longest_ms=5000.0,
+            )
+            await self.slots[host.host].start()
+        await self.clock.advance(JOIN_MS)
+
+    def acquire(self, host, budget=1000.0, request="r"):
+        deadline = self.clock.now() + budget
+        need = routing.Need(request, "team", 1, POOL, deadline)
+        return asyncio.ensure_future(self.slots[host].acquire(need))
+
+    async def stop(self):
+        for service in self.slots.values():
+            await service.stop()
+
+
+@pytest.fixture
+async def world(clock, network):
+    made = World(clock, network, ("h1", "h2", "h3"))
+    await made.start()
+    yield made
+    await made.stop()
+
+
+def _end(world, host, slot, millis=10.0, cold=False):
+    world.slots[host].confirm(slot)
+    attempt = slots.Attempt(records.Outcome.OK, millis, "one", cold)
+    world.slots[host].release(slot, attempt)
+
+
+async def test_all_hosts_together_stay_under_the_cold_bound(world, clock):
+    tasks = [world.acquire(host) for host in ("h1", "h2", "h3") * 2]
+    await clock.advance(50)
+    held = [task for task in tasks if task.done()]
+    assertions.assert_that(held, matchers.HasLength(2))
+    _end(world, ("h1", "h2", "h3")[tasks.index(held[0]) % 3], held[0].result())
+    await clock.advance(50)
+    held = [task for task in tasks if task.done()]
+    assertions.assert_that(held, matchers.HasLength(3))
+    for task in tasks:
+        task.cancel()
+
+
+async def test_every_waiting_stage_gets_its_turn(world, clock):
+    served = []
+
+    async def run(host, number):
+        slot = await world.acquire(host, 3000.0, f"r{number}")
+        await clock.sleep(20)
+        _end(world, host, slot, 20.0, cold=True)
+        served.append(number)
+
+    tasks = [
+        asyncio.ensure_future(run(host, number))
+        for number, host in enumerate(("h1", "h2", "h3") * 10)
+    ]
+    await clock.advance(1000)
+    await asyncio.gather(*tasks)
+    assertions.assert_that(served, matchers.HasLength(30))
+
+
+async def test_a_refusal_comes_at_its_deadline(world, clock):
+    first = [world.acquire("h1") for _ in range(2)]
+    await clock.advance(20)
+    late = world.acquire("h2", 100.0)
+    await clock.advance(99)
+    assertions.assert_that(late.done(), matchers.Is(False))
+    await clock.advance(2)
+    with pytest.raises(exceptions.RefusalError) as caught:
+        await late
+    assertions.assert_that(
+        caught.value.code, matchers.Is(results.Code.DEADLINE_PASSED)
+    )
+    for task in first:
+        assertions.assert_that(task.done(), matchers.Is(True))
+
+
+async def test_a_cancelled_wait_leaks_no_slot(world, clock):
+    for turn in range(30):
+        tasks = [world.acquire(host) for host in ("h1", "h2", "h3")]
+        await clock.advance(turn % 6)
+        for host, task in zip(("h1", "h2", "h3"), tasks, strict=True):
+            if task.done():
+                _end(world, host, task.result(), cold=True)
+            task.cancel()
+        await asyncio.wait(tasks)
+    await clock.advance(500)
+    tasks = [world.acquire("h1"), world.acquire("h2")]
+    await clock.advance(20)
+    for task in tasks:
+        assertions.assert_that(task.done(), matchers.Is(True))
+
+
+async def test_a_domain_taken_out_is_seen_right_before_the_send(world, clock):
+    task = world.acquire("h1")
+    await clock.advance(20)
+    slot = await task
+    out = model.Domain("a", state=records.DomainState.OUT)
+    world.configuration.put(model.Rules(2, {"a": out}, world.rules.pools))
+    assertions.assert_that(world.slots["h1"].confirm(slot), matchers.Is(False))
+    waiting = world.acquire("h2")
+    await clock.advance(1)
+    with pytest.raises(exceptions.RefusalError):
+        await waiting
+
+
+async def test_slots_of_a_warm_endpoint_cost_few_messages(world, clock):
+    async def run(host):
+        slot = await world.acquire(host)
+        await clock.sleep(5)
+        _end(world, host, slot, 5.0)
+
+    async def load(host, count):
+        for _ in range(count):
+            await asyncio.gather(run(host), run(host))
+            await clock.sleep(5)
+
+    for host in ("h1", "h2", "h3"):
+        task = asyncio.ensure_future(load(host, 400))
+        await clock.advance(9000)
+        await task
+    before = world.network.messages
+    task = asyncio.ensure_future(load("h3", 50))
+    await clock.advance(1000)
+    await task
+    sent = world.network.messages - before
+    assertions.assert_that(sent, matchers.LessThan(20))
