Give out slots under grants, and measure one daemon's overhead

Cause: the node gave out slots without a bound.

Change: the node uses the grants of each endpoint's keeper; team histograms have bounded labels; a case compares one daemon with a direct call. SIGUSR1 makes a daemon write where it is, which showed that two local halves of the grants can answer each other without end once a domain is out.

--- a/chervilshore/daemon.py
+++ b/chervilshore/daemon.py
@@ -1,6 +1,7 @@
 """The daemon's process: settings, logs, signals."""
 
 import asyncio
+import faulthandler
 import logging
 import os
 import signal
@@ -91,6 +92,8 @@
     logging.basicConfig(
         level=options.log_level.upper(), format=LOG_FORMAT, stream=sys.stderr
     )
+    # A host that hangs can still be asked where it is.
+    faulthandler.register(signal.SIGUSR1)
     asyncio.run(Daemon(options).run())
     return 0
 
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -1,10 +1,14 @@
 """The metrics that the daemon exposes."""
 
 import enum
+import heapq
 
 import aioprometheus
 import msgspec
 
+from chervilshore import ids
+from chervilshore.rules import model
+
 SECONDS_BUCKETS = (
     0.001,
     0.003,
@@ -21,6 +25,45 @@
 """Upper bounds in seconds of the histograms of times."""
 
 
+MOST_TEAM_LABELS = 20
+"""Teams that have a label of their own."""
+
+OTHER_TEAMS = "other"
+"""The label of all other teams."""
+
+
+class TeamLabels:
+    """Bounds the labels that stand for teams.
+
+    The teams with the highest limits keep their names; they hardly change,
+    while the busiest ones would change from one scrape to the next.
+    """
+
+    def __init__(self) -> None:
+        self._rules: model.Rules | None = None
+        self._named: frozenset[ids.TeamId] = frozenset()
+
+    def choose(self, team: ids.TeamId, rules: model.Rules) -> str:
+        """Choose the label of a team.
+
+        Parameters
+        ----------
+        team : TeamId
+            The team.
+        rules : Rules
+            The rules in force.
+        """
+        if rules is not self._rules:
+            self._rules = rules
+            largest = heapq.nlargest(
+                MOST_TEAM_LABELS,
+                rules.teams.values(),
+                key=lambda found: (found.rate, found.name),
+            )
+            self._named = frozenset(found.name for found in largest)
+        return team if team in self._named else OTHER_TEAMS
+
+
 class MetricKind(enum.Enum):
     """How a metric is collected."""
 
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -19,6 +19,7 @@
 from chervilshore.controllers import claimstore
 from chervilshore.controllers import compaction
 from chervilshore.controllers import generations
+from chervilshore.controllers import grants
 from chervilshore.controllers import hosts
 from chervilshore.controllers import limits
 from chervilshore.controllers import membership
@@ -171,8 +172,24 @@
         self._policies = policies.make(
             self._choice, options.domain, self._is_out, self._random
         )
-        self._slots = slots.UnboundedSlots(
-            self._directory, self._configuration, self._random
+        self._slots = self._make_slots()
+
+    def _make_slots(self) -> slots.Slots:
+        if self._choice is policies.Choice.BASELINE:
+            return slots.UnboundedSlots(
+                self._directory, self._configuration, self._random
+            )
+        return grants.Grants(
+            self._options.host,
+            self._clock,
+            self._peers,
+            self._directory,
+            self._configuration,
+            self._policies.make_router,
+            self._policies.make_queue,
+            self._random,
+            self._metrics,
+            self._options.deadline_ms + attempt.SETTLE_MS,
         )
 
     def _is_out(self, domain: ids.DomainId) -> bool:
@@ -283,6 +300,8 @@
         ]
         if self._limits is not None:
             services.append(self._limits)
+        if isinstance(self._slots, mode.Service):
+            services.append(self._slots)
         return services
 
     async def _listen(self) -> None:
--- a/chervilshore/server.py
+++ b/chervilshore/server.py
@@ -22,6 +22,9 @@
 MOST_REQUEST_ID = 100
 """Characters that a caller's request id may have."""
 
+UNKNOWN_LABEL = "unknown"
+"""The label of pipelines that no rule names."""
+
 DRAIN_RETRY_MS = 0.0
 """A draining host's callers may go to another host at once."""
 
@@ -122,6 +125,7 @@
         self._handle = handle
         self._metrics = counters
         self._body_bytes = body_bytes
+        self._labels = metrics.TeamLabels()
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -143,44 +147,39 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         writer = _Writer(request, self._read_request_id(request))
         begun = self._clock.now()
+        exchange: base.Exchange | None = None
         self._enter()
         try:
-            exchange = await self._read(request, writer, begun)
-            if isinstance(exchange, base.Answer):
-                answer, name, class_name = exchange, "", ""
-            else:
-                answer = await self._handle(exchange)
-                name = exchange.pipeline.name
-                class_name = exchange.pipeline.class_name
-                if exchange.rules.generation == 0 or not (
-                    exchange.pipeline.stages
-                ):
-                    name = "unknown"
+            refusal = self._refuse_draining() if self.draining else None
+            if refusal is None:
+                exchange, refusal = await self._read(request, writer, begun)
+            answer = refusal or await self._handle(exchange)
             response = await writer.end(answer)
         finally:
             self._leave()
-        self._count(answer, name, class_name, self._clock.now() - begun)
+        self._count(answer, exchange, self._clock.now() - begun)
         return response
 
+    def _refuse_draining(self) -> base.Answer:
+        return base.Answer(
+            results.Code.DRAINING, retry_after_ms=DRAIN_RETRY_MS
+        )
+
     async def _read(
         self, request: web.Request, writer: "_Writer", begun: float
-    ) -> base.Exchange | base.Answer:
-        if self.draining:
-            return base.Answer(
-                results.Code.DRAINING, retry_after_ms=DRAIN_RETRY_MS
-            )
+    ) -> tuple[base.Exchange | None, base.Answer | None]:
         try:
             raw = await request.read()
         except web.HTTPRequestEntityTooLarge:
-            return base.Answer(
-                results.Code.BODY_TOO_LARGE,
-                detail=f"at most {self._body_bytes} bytes",
+            detail = f"at most {self._body_bytes} bytes"
+            return None, base.Answer(
+                results.Code.BODY_TOO_LARGE, detail=detail
             )
         headers = {
             name.lower(): value for name, value in request.headers.items()
         }
         streams = "text/event-stream" in headers.get("accept", "")
-        return base.Exchange(
+        exchange = base.Exchange(
             request=writer.request_id,
             pipeline_name=ids.PipelineName(request.match_info["name"]),
             headers=headers,
@@ -188,6 +187,7 @@
             arrived=begun,
             sink=writer.write_text if streams else None,
         )
+        return exchange, None
 
     def _read_request_id(self, request: web.Request) -> ids.RequestId:
         given = request.headers.get(REQUEST_HEADER, "")
@@ -211,15 +211,23 @@
     def _count(
         self,
         answer: base.Answer,
-        pipeline: str,
-        class_name: str,
+        exchange: base.Exchange | None,
         millis: float,
     ) -> None:
+        # Names that a caller made up must not become labels.
+        known = exchange is not None and exchange.pipeline.stages
+        pipeline = exchange.pipeline.name if known else UNKNOWN_LABEL
         number = str(answer.code.value.number)
         self._metrics.count(metrics.Metric.REQUESTS, pipeline, number)
+        if not known:
+            return
         self._metrics.observe(
-            metrics.Metric.REQUEST_SECONDS, millis, class_name
+            metrics.Metric.REQUEST_SECONDS,
+            millis,
+            exchange.pipeline.class_name,
         )
+        team = self._labels.choose(exchange.team, exchange.rules)
+        self._metrics.observe(metrics.Metric.TEAM_SECONDS, millis, team)
 
     async def _show_live(self, request: web.Request) -> web.Response:
         return web.json_response({"live": True})
--- a/measure/cases.py
+++ b/measure/cases.py
@@ -12,12 +12,14 @@
 from chervilshore import tables
 from measure import bench as benches
 from measure import faults
+from measure import overhead
 from measure import rows
 from measure import steady
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
 
 CASES: dict[str, collections_abc.Callable] = {
+    "overhead": overhead.measure_overhead,
     "steady": steady.measure_steady,
     "overload": steady.measure_overload,
     "team": steady.measure_team,
--- a/standins/base.py
+++ b/standins/base.py
@@ -38,6 +38,8 @@
         Tokens after which a stream is cut; negative for never.
     cross : float
         Share of answers that carry the binding of another call.
+    hold_ms : float
+        Milliseconds that every call takes besides.
     deaf : bool
         Whether calls are taken and never answered.
     cut : list of str
@@ -50,6 +52,7 @@
     reset: float = 0.0
     cut_after: int = -1
     cross: float = 0.0
+    hold_ms: float = 0.0
     deaf: bool = False
     cut: list[str] = []
 
@@ -265,7 +268,7 @@
         factor = self.faults.slow
         if self.is_cold:
             factor *= self.shape.cold_factor
-        await asyncio.sleep(millis * factor / 1000.0)
+        await asyncio.sleep((millis * factor + self.faults.hold_ms) / 1000.0)
 
     def headers(self, request: web.Request) -> dict[str, str]:
         """Make the headers of an answer: binding, instance, state."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -21,12 +21,12 @@
 from standins import pool
 
 RULES = """
-domain a state=in  # test
-pool desk kind=plain cold=4 most=8  # test
-class prompt priority=1  # test
-service look pool=desk path=/look repeatable=yes class=prompt  # test
-service bill pool=desk path=/bill repeatable=no class=prompt  # test
-team one rate=100 burst=100 concurrency=100  # test
+domain a region=r state=in  # Ada, test
+pool desk kind=plain cold=4 most=8  # Ada, test
+class prompt priority=1  # Ada, test
+service look pool=desk path=/look repeatable=yes class=prompt  # Ada, test
+service bill pool=desk path=/bill repeatable=no class=prompt  # Ada, test
+team one rate=100 burst=100 concurrency=100  # Ada, test
 """
 
 
