--- a/chervilshore/rules/checks.py
+++ b/chervilshore/rules/checks.py
@@ -63,6 +63,19 @@
     return model.Rules(generation=generation, routes=tuple(routes), **places)
 
 
+def merge(
+    parts: abc.Iterable[model.Rules], generation: ids.Generation
+) -> model.Rules:
+    """Put rules of several chunks together; routes keep their order."""
+    places: dict[str, dict] = {place: {} for place in _PLACES.values()}
+    routes: list[model.Route] = []
+    for part in parts:
+        routes.extend(part.routes)
+        for place, rules in places.items():
+            rules.update(getattr(part, place))
+    return model.Rules(generation=generation, routes=tuple(routes), **places)
+
+
 def list_names(rules: model.Rules) -> set[tuple[str, str]]:
     """List the section and name of each rule."""
     names = {
--- a/chervilshore/rules/compiled.py
+++ b/chervilshore/rules/compiled.py
@@ -1,7 +1,6 @@
 """From verified chunks to the rules in force, one chunk at a time."""
 
 from collections import abc
-import typing
 
 from chervilshore import exceptions
 from chervilshore.rules import checks
@@ -14,7 +13,7 @@
     """Compiles generations and remembers the chunks that they share."""
 
     def __init__(self) -> None:
-        self._compiled: dict[str, tuple[typing.Any, ...]] = {}
+        self._compiled: dict[str, model.Rules] = {}
 
     def compile_chunk(self, digest: str, content: bytes) -> None:
         """Compile a verified chunk ahead of its generation.
@@ -26,9 +25,10 @@
         """
         if digest not in self._compiled:
             document = _parse(content)
-            self._compiled[digest] = tuple(
-                line.rule for line in document.lines
-            )
+            rules = checks.gather(line.rule for line in document.lines)
+            if len(document.lines) != checks.count(rules):
+                raise exceptions.RulesError("a rule stands twice in a chunk")
+            self._compiled[digest] = rules
 
     def compile(
         self, head: generations.Head, chunks: abc.Mapping[str, bytes]
@@ -50,9 +50,9 @@
         for digest in head.digests:
             self.compile_chunk(digest, chunks[digest])
         digests = [head.main, *filter(None, head.buckets)]
-        typed = [rule for name in digests for rule in self._compiled[name]]
-        rules = checks.gather(typed, head.generation)
-        _check(_parse(chunks[head.main]), rules, len(typed))
+        parts = [self._compiled[digest] for digest in digests]
+        rules = checks.merge(parts, head.generation)
+        _check(_parse(chunks[head.main]), rules, sum(map(checks.count, parts)))
         self._forget(head)
         return rules
 
--- a/chervilshore/rules/generations.py
+++ b/chervilshore/rules/generations.py
@@ -29,10 +29,10 @@
 """The kinds of rules that are spread over buckets."""
 
 DIGEST_BYTES = 16
-USUAL_RULES = 96
+USUAL_RULES = 128
 """Rules in a bucket, about, when the number of buckets is chosen anew."""
-FEWEST_RULES = 24
-MOST_RULES = 192
+FEWEST_RULES = 32
+MOST_RULES = 256
 """Mean rules in a bucket beyond which the number is chosen anew."""
 
 
--- /dev/null
+++ b/lab/chunking.py
@@ -0,0 +1,52 @@
+"""How large chunks should be: what one team's change moves and writes."""
+
+from chervilshore import edits
+from chervilshore import ids
+from chervilshore.rules import generations
+from measure import rollouts
+
+TEAMS = 26_000
+
+
+def weigh(buckets: int) -> tuple[int, int, int]:
+    """Weigh one number of buckets.
+
+    Returns
+    -------
+    tuple of int
+        Bytes of the head, bytes of the changed chunk, and writes.
+    """
+    packs = []
+    for rate in (10, 11):
+        text = rollouts.write_teams(TEAMS, rate)
+        document = edits.parse(text, "lab")
+        packs.append(generations.pack(document, buckets))
+    before, after = packs
+    head = generations.Head(
+        ids.Generation(2),
+        ids.ChangeId("0" * 16),
+        ids.ChangeId("0" * 16),
+        "author",
+        "reason",
+        1e12,
+        after.main,
+        after.buckets,
+    )
+    new = after.chunks.keys() - before.chunks.keys()
+    changed = sum(len(after.chunks[digest]) for digest in new)
+    # The head, its copy for the history, and the changed chunks.
+    return len(generations.encode_head(head)), changed, 2 + len(new)
+
+
+def main() -> None:
+    """Print a row for each number of buckets."""
+    generations.FEWEST_RULES, generations.MOST_RULES = 0, TEAMS
+    print("buckets  head  changed chunk  to each host  writes")
+    for power in range(0, 15, 2):
+        head, changed, writes = weigh(2**power)
+        total = head + changed
+        print(f"{2**power:7} {head:6} {changed:13} {total:13} {writes:7}")
+
+
+if __name__ == "__main__":
+    main()
