--- a/chervilshore/controllers/grants.py
+++ b/chervilshore/controllers/grants.py
@@ -1,6 +1,5 @@
 """Slots under the grants of each endpoint's keeper."""
 
-import asyncio
 from collections import abc as collections_abc
 import logging
 import random
@@ -11,19 +10,19 @@
 from chervilshore import clock as clocks
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
+from chervilshore.controllers import queueing
 from chervilshore.controllers import slots
 from chervilshore.controllers import waiting
 from chervilshore.decisions import concurrency
 from chervilshore.decisions import grants
+from chervilshore.decisions import outlook
 from chervilshore.decisions import queues
 from chervilshore.decisions import routing
 from chervilshore import events
-from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import metrics as metrics_module
 from chervilshore import records
-from chervilshore import results
 
 LOGGER = logging.getLogger(__name__)
 
@@ -33,12 +32,6 @@
 LONGEST_MS = 60_000.0
 """Milliseconds that an attempt may take at most, unless told otherwise."""
 
-RETRY_AFTER_MS = 1000.0
-"""Milliseconds after which it is worth asking for a slot again."""
-
-LATENCY_WEIGHT = 0.2
-"""Weight of one attempt in an endpoint's latency."""
-
 KINDS = (
     messages.GrantAsk,
     messages.GrantReply,
@@ -49,7 +42,7 @@
 """The messages about grants."""
 
 
-class Grants(mode.Service, slots.Slots):
+class Grants(queueing.QueueingSlots, mode.Service):
     """Gives out slots as the keepers of the endpoints allow.
 
     Parameters
@@ -88,21 +81,20 @@
         metrics: metrics_module.Metrics | None = None,
         longest_ms: float = LONGEST_MS,
     ) -> None:
-        super().__init__()
+        super().__init__(
+            clock,
+            directory,
+            configuration,
+            make_router,
+            make_queue,
+            metrics,
+        )
         self._host = host
-        self._clock = clock
         self._peers = peers
-        self._directory = directory
-        self._configuration = configuration
-        self._make_router = make_router
-        self._make_queue = make_queue
         self._rng = rng
-        self._metrics = metrics
         self._node = grants.Grants(
             host, int(clock.wall()), longest_ms, clock.now()
         )
-        self._pools: dict[ids.PoolName, waiting.PoolWaiters] = {}
-        self._latencies: dict[ids.EndpointId, float] = {}
         self._addresses: dict[ids.HostId, ids.Address] = {}
         self._seen: tuple = ()
         self._is_settling = False
@@ -132,25 +124,14 @@
         self._refresh()
         self._node.tick(self._clock.now())
         self._settle()
-        for pool in self._pools.values():
-            for waiter in list(pool.waiters.values()):
-                self._review(pool, waiter)
+        self._review()
         self._settle()
         if self._metrics is not None:
             self._metrics.set(
-                metrics_module.Metric.ENDPOINTS_KEPT, len(self._node.keepers)
+                metrics_module.Metric.ENDPOINTS_KEPT,
+                len(self._node.tenures.keepers),
             )
 
-    def _review(
-        self, pool: waiting.PoolWaiters, waiter: waiting.Waiter
-    ) -> None:
-        if waiter.future.done():
-            return
-        if not self._list_records(waiter.ticket.need):
-            waiter.future.set_exception(_refuse_endpoint("none is left"))
-        elif waiter.pending is None:
-            self._chase(pool, waiter)
-
     # What this host believes.
 
     def _refresh(self) -> None:
@@ -172,25 +153,30 @@
         places = {}
         for pool, found in zip(rules.pools.values(), endpoints, strict=True):
             for record in found:
-                places[record.endpoint] = grants.Place(
+                places[record.endpoint] = outlook.Place(
                     record.domain,
                     pool.cold,
                     pool.most,
                     rules.is_out(record.domain),
                 )
-        self._node.set_view(grants.View(known, places), self._clock.now())
+        self._node.set_view(outlook.View(known, places), self._clock.now())
 
-    def _list_records(
-        self, need: routing.Need
-    ) -> list[records.EndpointRecord]:
-        rules = self._configuration.rules
-        return [
-            record
-            for record in self._directory.endpoints(need.pool)
-            if record.state is records.EndpointState.LIVE
-            and not rules.is_out(record.domain)
-            and need.allows(record)
-        ]
+    # Slots.
+
+    def _hold(
+        self, record: records.EndpointRecord, grant: ids.GrantId
+    ) -> bool:
+        return self._node.confirm(record.endpoint, grant, self._clock.now())
+
+    def _free(self, slot: slots.Slot, attempt: slots.Attempt) -> None:
+        sample = concurrency.Sample(
+            ((attempt.outcome, attempt.millis),),
+            attempt.instance,
+            attempt.cold,
+        )
+        self._node.release(
+            slot.record.endpoint, slot.grant, sample, self._clock.now()
+        )
 
     def _make_candidate(
         self, record: records.EndpointRecord, now: float
@@ -208,95 +194,8 @@
             latency,
         )
 
-    # Slots.
-
-    async def acquire(self, need: routing.Need) -> slots.Slot:
-        """Wait for a slot; see `Slots.acquire`."""
-        now = self._clock.now()
-        if need.pool not in self._configuration.rules.pools:
-            raise _refuse_endpoint(f"pool {need.pool} has no rule")
-        if not self._list_records(need):
-            raise _refuse_endpoint(f"pool {need.pool} has none")
-        if now >= need.deadline:
-            raise _refuse_deadline()
-        pool = self._find_pool(need.pool)
-        waiter = pool.add(need, now)
-        try:
-            self._chase(pool, waiter)
-            self._settle()
-            return await self._wait(waiter)
-        except TimeoutError:
-            raise _refuse_deadline() from None
-        except asyncio.CancelledError:
-            self._give_back(waiter)
-            raise
-        finally:
-            self._forget(pool, waiter)
-
-    async def _wait(self, waiter: waiting.Waiter) -> slots.Slot:
-        if waiter.future.done():
-            return waiter.future.result()
-        left = waiter.ticket.need.deadline - self._clock.now()
-        return await clocks.wait_for(self._clock, waiter.future, left)
-
-    def _give_back(self, waiter: waiting.Waiter) -> None:
-        future = waiter.future
-        if not future.done() or future.cancelled() or future.exception():
-            return
-        cancelled = slots.Attempt(records.Outcome.CANCELLED)
-        self.release(future.result(), cancelled)
-
-    def confirm(self, slot: slots.Slot) -> bool:
-        """Check a slot right before the send; see `Slots.confirm`."""
-        is_good = self._is_open(slot.record) and self._node.confirm(
-            slot.record.endpoint, slot.grant, self._clock.now()
-        )
-        if not is_good and self._metrics is not None:
-            self._metrics.count(
-                metrics_module.Metric.SLOTS_VOID, slot.record.pool
-            )
-        return is_good
-
-    def _is_open(self, record: records.EndpointRecord) -> bool:
-        found = self._directory.endpoint(record.endpoint)
-        if found is None or found.state is not records.EndpointState.LIVE:
-            return False
-        return not self._configuration.rules.is_out(found.domain)
-
-    def release(self, slot: slots.Slot, attempt: slots.Attempt) -> None:
-        """Give a slot back; see `Slots.release`."""
-        now = self._clock.now()
-        endpoint = slot.record.endpoint
-        sample = concurrency.Sample(
-            ((attempt.outcome, attempt.millis),),
-            attempt.instance,
-            attempt.cold,
-        )
-        self._node.release(endpoint, slot.grant, sample, now)
-        router = self._find_pool(slot.record.pool).router
-        router.note(endpoint, attempt.outcome, attempt.millis, now)
-        if attempt.outcome is records.Outcome.OK:
-            former = self._latencies.get(endpoint, attempt.millis)
-            change = LATENCY_WEIGHT * (attempt.millis - former)
-            self._latencies[endpoint] = former + change
-        self._settle()
-
     # Waiting stages.
 
-    def _find_pool(self, name: ids.PoolName) -> waiting.PoolWaiters:
-        pool = self._pools.get(name)
-        if pool is None:
-            pool = waiting.PoolWaiters(self._make_queue(), self._make_router())
-            self._pools[name] = pool
-        return pool
-
-    def _forget(
-        self, pool: waiting.PoolWaiters, waiter: waiting.Waiter
-    ) -> None:
-        for endpoint in pool.remove(waiter):
-            self._want(pool, endpoint)
-        self._settle()
-
     def _want(
         self, pool: waiting.PoolWaiters, endpoint: ids.EndpointId
     ) -> None:
@@ -317,13 +216,12 @@
         candidates = [
             self._make_candidate(record, now)
             for record in self._list_records(need)
-            if record.endpoint not in waiter.asked
-            and self._node.is_reachable(record.endpoint, now)
+            if self._node.is_reachable(record.endpoint, now)
         ]
-        if not candidates:
-            return
         for candidate in pool.router.rank(need, candidates, now):
             endpoint = candidate.record.endpoint
+            if endpoint in waiter.asked:
+                continue
             pool.ask(waiter, endpoint)
             if candidate.free:
                 # Whoever is next in the queue gets it, mostly this one.
@@ -331,8 +229,7 @@
                 pool.expect(waiter, endpoint)
                 return
             self._want(pool, endpoint)
-            holder = self._node.holders[endpoint]
-            if not holder.is_full():
+            if not self._node.holders[endpoint].is_full():
                 pool.expect(waiter, endpoint)
                 return
 
@@ -345,11 +242,12 @@
 
         def is_eligible(need: routing.Need) -> bool:
             return need.allows(record) and self._node.suits(
-                endpoint, need.deadline, now
+                endpoint, need.ends, now
             )
 
         while self._is_open(record) and self._node.count_free(endpoint, now):
             waiter = pool.pop(now, is_eligible)
+            self._expire(pool)
             if waiter is None:
                 break
             if waiter.future.done():
@@ -371,7 +269,7 @@
         now: float,
     ) -> None:
         need = waiter.ticket.need
-        grant = self._node.take(record.endpoint, need.deadline, now)
+        grant = self._node.take(record.endpoint, need.ends, now)
         epoch = self._node.holders[record.endpoint].promised
         for endpoint in pool.remove(waiter):
             if endpoint != record.endpoint:
@@ -393,7 +291,7 @@
         self._tell_news()
 
     def _tell_news(self) -> None:
-        news, self._node.news = self._node.news, []
+        news, self._node.tenures.news = self._node.tenures.news, []
         for event, endpoint in news:
             events.log_event(LOGGER, event, endpoint=endpoint)
             is_cold = event is events.Event.ENDPOINT_COLD
@@ -423,9 +321,7 @@
     def describe(self) -> dict[str, object]:
         """Write a summary for operators."""
         state = self._node.describe(self._clock.now())
-        state["waiting"] = {
-            name: len(pool) for name, pool in self._pools.items()
-        }
+        state["waiting"] = self._count_waiting()
         return state
 
 
@@ -433,15 +329,3 @@
     if isinstance(message, (messages.GrantAsk, messages.GrantReport)):
         return message.holder
     return message.keeper
-
-
-def _refuse_endpoint(detail: str) -> exceptions.RefusalError:
-    return exceptions.RefusalError(
-        results.Code.NO_ENDPOINT, detail, RETRY_AFTER_MS
-    )
-
-
-def _refuse_deadline() -> exceptions.RefusalError:
-    return exceptions.RefusalError(
-        results.Code.DEADLINE_PASSED, "no slot in time", RETRY_AFTER_MS
-    )
--- a/chervilshore/controllers/waiting.py
+++ b/chervilshore/controllers/waiting.py
@@ -10,6 +10,10 @@
 from chervilshore import ids
 
 
+MOST_REVIEWED = 64
+"""Waiting stages of one pool that are looked after again at a time."""
+
+
 class Waiter(msgspec.Struct, eq=False):
     """One waiting stage.
 
@@ -72,7 +76,7 @@
         waiter = Waiter(ticket, future)
         self.waiters[ticket.number] = waiter
         self._queue.push(ticket, now)
-        self.last_deadline = max(self.last_deadline, need.deadline)
+        self.last_deadline = max(self.last_deadline, need.ends)
         return waiter
 
     def remove(self, waiter: Waiter) -> list[ids.EndpointId]:
@@ -116,6 +120,24 @@
             waiter.pending = None
         return list(found.values())
 
+    def list_idle(self) -> list[Waiter]:
+        """List the oldest stages for which no keeper's answer is due."""
+        found = []
+        for waiter in self.waiters.values():
+            if waiter.pending is None and not waiter.future.done():
+                found.append(waiter)
+            if len(found) >= MOST_REVIEWED:
+                break
+        return found
+
+    def expire(self, now: float) -> list[Waiter]:
+        """Take the stages that cannot make their deadline any more."""
+        return [
+            self.waiters[ticket.number]
+            for ticket in self._queue.expire(now)
+            if ticket.number in self.waiters
+        ]
+
     def pop(
         self,
         now: float,
--- a/chervilshore/decisions/holders.py
+++ b/chervilshore/decisions/holders.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from chervilshore.decisions import concurrency
+from chervilshore.decisions import observations
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import records
@@ -18,9 +19,6 @@
 RENEW_MS = 400.0
 """Milliseconds after which a holder that waits asks again."""
 
-MOST_OUTCOMES = 64
-"""Outcomes that one message tells at most."""
-
 PREFETCH_SHARE = 0.25
 """Free slots that a holder keeps for each one in use, where it is warm."""
 
@@ -100,10 +98,7 @@
         self._horizon_ms = 0.0
         self._has_used = False
         self._is_new = False
-        self._outcomes: list[tuple[records.Outcome, float]] = []
-        self._instance = ids.InstanceId("")
-        self._cold = False
-        self._sent: tuple[list, bool] = ([], False)
+        self._seen = observations.Observations()
 
     def count_free(self, now: float) -> int:
         """Count the slots that may be used at once."""
@@ -174,16 +169,7 @@
         self._is_new = True
         if not running.has_begun:
             return False
-        self._outcomes.extend(sample.outcomes)
-        self._cold = self._cold or sample.cold
-        restarted = bool(sample.instance) and (
-            self._instance not in ("", sample.instance)
-        )
-        self._instance = sample.instance or self._instance
-        failed = any(
-            outcome in concurrency.SIGNS for outcome, _ in sample.outcomes
-        )
-        return sample.cold or restarted or failed
+        return self._seen.note(sample)
 
     def wants_more(self) -> bool:
         """Tell whether more is wanted than the keeper knows of."""
@@ -231,7 +217,7 @@
             The time in milliseconds.
         """
         if self.is_asking:
-            self._unsend()
+            self._seen.take_back()
         free = self._choose_free(keeper, now)
         spare = self._choose_spare(keeper, free)
         self._slots = len(self.running) + free
@@ -248,9 +234,7 @@
         self.is_stale = False
         self._is_new = False
         self._has_used = False
-        self._sent = (self._outcomes, self._cold)
-        self._outcomes = []
-        self._cold = False
+        sample = self._seen.send()
         return messages.GrantAsk(
             self.endpoint,
             self._host,
@@ -262,19 +246,11 @@
             self.asked_wanted,
             spare,
             longest,
-            tuple(self._sent[0]),
-            self._instance,
-            self._sent[1],
+            sample.outcomes,
+            sample.instance,
+            sample.cold,
         )
 
-    def _unsend(self) -> None:
-        # What the keeper may not have heard is told again; it bears hearing
-        # it twice.
-        outcomes, cold = self._sent
-        self._outcomes = (outcomes + self._outcomes)[-MOST_OUTCOMES:]
-        self._cold = self._cold or cold
-        self._sent = ([], False)
-
     def _is_warm_at(self, keeper: ids.HostId) -> bool:
         return keeper == self.keeper and self.warmth is records.Warmth.WARM
 
@@ -324,12 +300,12 @@
         self.is_asking = False
         self.misses = 0
         if reply.epoch > self.promised:
-            self._unsend()
+            self._seen.take_back()
             self._promise(reply.keeper, reply.epoch, now)
             self.is_stale = True
             return True
         self.promised_at = now
-        self._sent = ([], False)
+        self._seen.forget_sent()
         self.limit = reply.limit
         self.warmth = reply.warmth
         self.heard_at = now
@@ -381,9 +357,9 @@
             self._promise(keeper, epoch, now)
             # Answers to what was sent before must not be taken any more.
             self._number += 1
-            self._unsend()
+            self._seen.take_back()
             self.is_asking = False
-            self.is_stale = bool(self.wanted or self._outcomes or self._cold)
+            self.is_stale = bool(self.wanted) or self._seen.is_any()
         longest = self._count_longest(0, 0.0, now)
         return messages.Holding(
             self.endpoint,
@@ -404,7 +380,7 @@
 
     def lose_reply(self) -> None:
         """Give up waiting for an answer."""
-        self._unsend()
+        self._seen.take_back()
         self.is_asking = False
         self.misses += 1
         self._is_new = True
--- a/chervilshore/decisions/keepers.py
+++ b/chervilshore/decisions/keepers.py
@@ -7,9 +7,9 @@
 from collections import abc as collections_abc
 import math
 
-import msgspec
-
+from chervilshore.decisions import census
 from chervilshore.decisions import concurrency
+from chervilshore.decisions import sessions
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import records
@@ -17,12 +17,6 @@
 LIFETIME_MS = 1000.0
 """Milliseconds in which attempts may begin under a grant."""
 
-MARGIN_MS = 50.0
-"""Milliseconds added where two hosts count the same time."""
-
-FRESH_MS = 5000.0
-"""Milliseconds for which a report of a warm endpoint is believed."""
-
 NUDGE_MS = 100.0
 """Milliseconds after which an answer that asks for slots is repeated."""
 
@@ -30,45 +24,6 @@
 """Share of the limit up to which slots are given out in advance."""
 
 
-class Session(msgspec.Struct):
-    """What the keeper knows of one holder.
-
-    Parameters
-    ----------
-    life : int
-        The holder's process.
-    number : int
-        Its latest message.
-    serial : int
-        The latest answer to that message.
-    received : float
-        The moment at which that message came.
-    running : int
-        Attempts that ran there then.
-    occupied : int
-        Attempts that it may have there at most.
-    wanted : int
-        Slots that its waiting stages still want.
-    since : float
-        The moment since which it waits.
-    ends : float
-        The moment by which its last attempt has ended.
-    nudged : float
-        The moment at which it was last told without having asked.
-    """
-
-    life: int
-    number: int = 0
-    serial: int = 0
-    received: float = 0.0
-    running: int = 0
-    occupied: int = 0
-    wanted: int = 0
-    since: float = 0.0
-    ends: float = 0.0
-    nudged: float = float("-inf")
-
-
 Replies = dict[ids.HostId, messages.GrantReply]
 """Answers by the host that they go to."""
 
@@ -86,19 +41,8 @@
         This tenure; it is above all earlier ones that are known.
     limit : Limit
         The endpoint's limit, at its cold bound.
-    hosts : iterable of HostId
-        Hosts that may have something there, besides this tenure's grants.
-    longest_ms : float
-        Milliseconds that an attempt may take at most.
-    now : float
-        The time in milliseconds.
-    not_before : float
-        The moment before which more hosts may come to be known.
-
-    Attributes
-    ----------
-    unheard : set of HostId
-        Hosts that have not reported yet.
+    account : Census
+        Which hosts may still have something there from before.
     """
 
     def __init__(
@@ -107,49 +51,26 @@
         host: ids.HostId,
         epoch: ids.Epoch,
         limit: concurrency.Limit,
-        hosts: collections_abc.Iterable[ids.HostId],
-        longest_ms: float,
-        now: float,
-        not_before: float = 0.0,
+        account: census.Census,
     ) -> None:
         self.endpoint = endpoint
         self.epoch = epoch
         self.limit = limit
-        self.unheard = set(hosts)
-        self.sessions: dict[ids.HostId, Session] = {}
-        self.settles = now + longest_ms + LIFETIME_MS + MARGIN_MS
+        self.census = account
+        self.sessions = sessions.Sessions()
         self.floor = epoch
         self._host = host
-        self._heard: set[ids.HostId] = set()
-        self._named: set[ids.HostId] = set()
-        self._inherited = not_before
-        self._evidence = (ids.Epoch(0), float("-inf"), 0)
-        self._is_settled = False
-        self._alive = frozenset(self.unheard)
         self._down: frozenset[ids.HostId] = frozenset()
 
     def is_settled(self, now: float) -> bool:
         """Tell whether all that may run there is accounted for."""
-        if self._is_settled:
-            return True
-        is_known = not self.unheard and now >= self._inherited
-        self._is_settled = is_known or now >= self.settles
-        return self._is_settled
-
-    def count_unsettled_ms(self, now: float) -> float:
-        """Count the milliseconds until all has ended that is unknown."""
-        if self.is_settled(now):
-            return 0.0
-        return self.settles - now
+        return self.census.is_settled(now)
 
     def count_in_use(self, now: float) -> int:
         """Count the attempts that may be there at most."""
-        is_warm = self.limit.warmth is not records.Warmth.COLD
-        return sum(
-            session.occupied
-            for host, session in self.sessions.items()
-            if now < session.ends and not (is_warm and host in self._down)
-        )
+        # Where it is warm, slots of hosts that seem down go to others.
+        is_cold = self.limit.warmth is records.Warmth.COLD
+        return self.sessions.count(now, frozenset() if is_cold else self._down)
 
     def set_hosts(
         self,
@@ -158,24 +79,9 @@
         left: frozenset[ids.HostId],
         now: float,
     ) -> None:
-        """Learn which hosts are believed to be down.
-
-        Parameters
-        ----------
-        alive : frozenset of HostId
-            Hosts that are there.
-        down : frozenset of HostId
-            Hosts that vanished without leaving; where the endpoint is
-            warm, their slots go to others.
-        left : frozenset of HostId
-            Hosts that left of late with nothing in flight.
-        now : float
-            The time in milliseconds.
-        """
-        self._alive = alive
+        """Learn which hosts are there; see `Census.set_hosts`."""
         self._down = down
-        # A host that somebody names may be there again.
-        self.unheard -= left - self._named
+        self.census.set_hosts(alive, left)
         self._resume_if_known(now)
 
     def take_report(
@@ -202,51 +108,21 @@
             The time in milliseconds.
         """
         self.floor = max(self.floor, holding.promised)
-        self._expect({holding.former, *others})
+        self.census.expect({holding.former, *others} - {self._host})
         if holding.promised != self.epoch:
             return
-        session = self.sessions.get(holder)
-        if session is not None and life < session.life:
+        if not self.sessions.adopt(holder, life, holding, now):
             return
-        if not self._is_settled:
-            self._inherited = max(self._inherited, now + holding.unsettled_ms)
-        if session is None or session.life != life:
-            self.sessions[holder] = Session(
-                life,
-                received=now,
-                running=holding.running,
-                occupied=holding.running,
-                ends=now + holding.longest_ms + MARGIN_MS,
-            )
-        self._weigh_evidence(holding, now)
-        self._hear(holder)
+        self.census.hear(holder, holding, now)
         self._resume_if_known(now)
 
-    def _expect(self, hosts: set[ids.HostId]) -> None:
-        self._named |= hosts
-        self.unheard |= hosts - self._heard - {ids.HostId(""), self._host}
-
-    def _hear(self, holder: ids.HostId) -> None:
-        self._heard.add(holder)
-        self.unheard.discard(holder)
-
-    def _weigh_evidence(self, holding: messages.Holding, now: float) -> None:
-        if holding.age_ms > FRESH_MS:
-            return
-        limit = holding.limit
-        if holding.warmth is records.Warmth.COLD:
-            limit = 0
-        found = (holding.heard, now - holding.age_ms, limit)
-        self._evidence = max(self._evidence, found)
-
     def _resume_if_known(self, now: float) -> None:
         # Slots of silent hosts matter only where the endpoint may be cold.
-        limit = self._evidence[2]
-        if self._is_settled or not limit or self.unheard & self._alive:
+        limit = self.census.find_limit()
+        if not limit:
             return
-        running = sum(session.occupied for session in self.sessions.values())
-        self.limit.resume(running, limit, now)
-        self._is_settled = True
+        self.limit.resume(self.sessions.count(now), limit, now)
+        self.census.settle()
 
     def take_ask(self, ask: messages.GrantAsk, now: float) -> Replies:
         """Answer a holder, and whoever else gains or loses by it."""
@@ -254,15 +130,15 @@
         if ask.epoch != self.epoch:
             # The holder may still take grants of another keeper; it has to
             # promise itself to this one first.
-            stranger = Session(ask.life, ask.number, received=now)
+            stranger = sessions.Session(ask.life, ask.number, received=now)
             return {ask.holder: self._reply(stranger, 0, now)}
-        session = self._find_session(ask)
+        session = self.sessions.find(ask)
         if session is None:
             return {}
-        self._hear(ask.holder)
+        self.census.hear(ask.holder)
         was_in_use = self.count_in_use(now)
         was_warm = self.limit.warmth is not records.Warmth.COLD
-        self._renew(session, ask, now)
+        sessions.renew(session, ask, now)
         sample = concurrency.Sample(ask.outcomes, ask.instance, ask.cold)
         self.limit.note(sample, was_in_use, now)
         replies = self._offer(now)
@@ -274,48 +150,9 @@
             self._add_spare(session, ask, replies, now)
         return replies
 
-    def _find_session(self, ask: messages.GrantAsk) -> Session | None:
-        session = self.sessions.get(ask.holder)
-        if session is not None:
-            if ask.life < session.life:
-                return None
-            if ask.life == session.life:
-                return session if ask.number > session.number else None
-        # The connections of an earlier process have closed.
-        session = Session(ask.life)
-        self.sessions[ask.holder] = session
-        return session
-
-    def _renew(
-        self, session: Session, ask: messages.GrantAsk, now: float
-    ) -> None:
-        if not session.wanted:
-            session.since = now
-        session.number = ask.number
-        session.serial = 0
-        session.received = now
-        session.running = ask.running
-        session.occupied = ask.running + ask.free
-        session.wanted = ask.wanted
-        session.ends = now + ask.longest_ms + MARGIN_MS
-
     def _offer(self, now: float) -> Replies:
-        waiting = [
-            (host, session)
-            for host, session in self.sessions.items()
-            if session.wanted
-        ]
-        changed = {}
-        free = self._count_free(now) if waiting else 0
-        while free > 0 and waiting:
-            host, session = min(
-                waiting, key=lambda item: (item[1].occupied, item[1].since)
-            )
-            session.occupied += 1
-            session.wanted -= 1
-            changed[host] = session
-            free -= 1
-            waiting = [item for item in waiting if item[1].wanted]
+        free = self._count_free(now) if self.sessions.is_wanted() else 0
+        changed = self.sessions.offer(free)
         return {
             host: self._answer(session, now)
             for host, session in changed.items()
@@ -328,12 +165,15 @@
 
     def _add_spare(
         self,
-        session: Session,
+        session: sessions.Session,
         ask: messages.GrantAsk,
         replies: Replies,
         now: float,
     ) -> None:
-        if self.limit.warmth is not records.Warmth.WARM or self._is_wanted():
+        if (
+            self.limit.warmth is not records.Warmth.WARM
+            or self.sessions.is_wanted()
+        ):
             return
         room = int(SPARE_SHARE * self.limit.value) - self.count_in_use(now)
         added = min(ask.spare, room)
@@ -341,39 +181,34 @@
             session.occupied += added
             replies[ask.holder] = self._answer(session, now)
 
-    def _is_wanted(self) -> bool:
-        return any(session.wanted for session in self.sessions.values())
-
     def _withdraw(self, now: float) -> Replies:
         """Tell all holders that nothing new may begin."""
         replies = {}
-        for host, session in self.sessions.items():
-            if session.occupied and now < session.ends:
+        for host, session in self.sessions.list_active(now):
+            if session.occupied:
                 session.nudged = now
                 replies[host] = self._reply(session, 0, now)
         return replies
 
-    def _answer(self, session: Session, now: float) -> messages.GrantReply:
+    def _answer(
+        self, session: sessions.Session, now: float
+    ) -> messages.GrantReply:
         return self._reply(session, self._choose_slots(session, now), now)
 
-    def _choose_slots(self, session: Session, now: float) -> int:
+    def _choose_slots(self, session: sessions.Session, now: float) -> int:
         is_over = self.count_in_use(now) > self.limit.value
         if is_over and self.limit.warmth is records.Warmth.COLD:
             return 0
-        if is_over or self._is_wanted():
+        if is_over or self.sessions.is_wanted():
             return min(session.occupied, self._choose_share(now))
         return session.occupied
 
     def _choose_share(self, now: float) -> int:
-        users = sum(
-            1
-            for session in self.sessions.values()
-            if session.wanted or (session.occupied and now < session.ends)
-        )
+        users = self.sessions.count_users(now)
         return math.ceil(self.limit.value / max(1, users))
 
     def _reply(
-        self, session: Session, slots: int, now: float
+        self, session: sessions.Session, slots: int, now: float
     ) -> messages.GrantReply:
         session.serial += 1
         return messages.GrantReply(
@@ -394,10 +229,10 @@
 
         It has to be called every `NUDGE_MS`.
         """
-        self._drop_ended(now)
+        self.sessions.drop_ended(now, LIFETIME_MS)
         replies = self._offer(now)
         is_over = self.count_in_use(now) > self.limit.value
-        if not is_over and not self._is_wanted():
+        if not is_over and not self.sessions.is_wanted():
             return replies
         for host, session in self.sessions.items():
             if host not in replies and self._has_too_much(session, now):
@@ -405,7 +240,7 @@
                 replies[host] = self._answer(session, now)
         return replies
 
-    def _has_too_much(self, session: Session, now: float) -> bool:
+    def _has_too_much(self, session: sessions.Session, now: float) -> bool:
         if now >= session.ends or now < session.nudged + NUDGE_MS:
             return False
         if self.limit.warmth is records.Warmth.COLD:
@@ -413,15 +248,6 @@
             return session.occupied > session.running
         return session.occupied > self._choose_slots(session, now)
 
-    def _drop_ended(self, now: float) -> None:
-        for host, session in list(self.sessions.items()):
-            lapsed = now >= session.received + LIFETIME_MS
-            if lapsed:
-                # Whoever waits asks again within that time.
-                session.wanted = 0
-            if lapsed and now >= session.ends:
-                del self.sessions[host]
-
     def describe(self, now: float) -> dict[str, object]:
         """Write a summary for operators."""
         return {
@@ -430,7 +256,7 @@
             "warmth": self.limit.warmth.value,
             "in_use": self.count_in_use(now),
             "settled": self.is_settled(now),
-            "unheard": sorted(self.unheard),
+            "unheard": sorted(self.census.unheard),
             "holders": {
                 host: session.occupied
                 for host, session in self.sessions.items()
--- a/chervilshore/decisions/routing.py
+++ b/chervilshore/decisions/routing.py
@@ -59,6 +59,9 @@
         What requests share that an endpoint may have cached; may be empty.
     excluded : frozenset of EndpointId
         Endpoints that have failed this stage already.
+    settle_ms : float
+        Milliseconds after the deadline in which a call that cannot be
+        repeated may go on.
     """
 
     request: ids.RequestId
@@ -70,6 +73,12 @@
     domains: tuple[ids.DomainId, ...] = ()
     prefix: str = ""
     excluded: frozenset[ids.EndpointId] = frozenset()
+    settle_ms: float = 0.0
+
+    @property
+    def ends(self) -> float:
+        """The moment by which the endpoint is done with it at the latest."""
+        return self.deadline + self.settle_ms
 
     def allows(self, record: records.EndpointRecord) -> bool:
         """Tell whether the rules and earlier attempts allow an endpoint."""
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -229,6 +229,7 @@
             deadline=self._choose_deadline(work),
             prefix=self._read_prefix(work),
             excluded=work.excluded | avoided,
+            settle_ms=self._choose_settle(work),
         )
 
     def _choose_deadline(self, work: Work) -> float:
@@ -236,6 +237,12 @@
             work.pools_left, work.exchange.deadline, self._clock.now()
         )
 
+    def _choose_settle(self, work: Work) -> float:
+        if work.exchange.pipeline.repeatable:
+            return 0.0
+        later = work.exchange.deadline - self._choose_deadline(work)
+        return max(0.0, later) + SETTLE_MS
+
     def _read_prefix(self, work: Work) -> str:
         if work.pool.kind is not records.EndpointKind.ENGINE:
             return ""
--- a/tests/grants_helpers.py
+++ b/tests/grants_helpers.py
@@ -8,6 +8,7 @@
 
 from chervilshore.decisions import concurrency
 from chervilshore.decisions import grants
+from chervilshore.decisions import outlook
 from chervilshore import records
 
 TICK_MS = 100.0
@@ -164,7 +165,7 @@
             if self.now < self.doubted.get((name, other), 0.0):
                 continue
             hosts[other] = (host.domain, state)
-        return grants.View(hosts, self.places)
+        return outlook.View(hosts, self.places)
 
     def spread(self, most=2000.0):
         for name, host in self.hosts.items():
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -6,7 +6,7 @@
 from testtools import assertions
 from testtools import matchers
 
-from chervilshore.decisions import grants
+from chervilshore.decisions import outlook
 from tests import grants_helpers
 
 HOMES = {"a1": "a", "a2": "a", "a3": "a", "b1": "b"}
@@ -16,7 +16,7 @@
 
 def _make_fleet(rng):
     places = {
-        "e1": grants.Place("a", rng.choice((1, 2)), 16),
+        "e1": outlook.Place("a", rng.choice((1, 2)), 16),
     }
     return grants_helpers.Fleet(rng, HOMES, places)
 
