--- a/chervilshore/controllers/membership.py
+++ b/chervilshore/controllers/membership.py
@@ -207,9 +207,16 @@
             self._hear(probe.address, pong)
         else:
             self._members.fail(probe, self._clock.now())
-            self._peers.forget(probe.address)
+            self._forget_if_down(probe)
         self._tell_changes()
 
+    def _forget_if_down(self, probe: probes.Probe) -> None:
+        # What waits for a dead host must not reach its next life; a slow
+        # host keeps its connection and what others ask it.
+        known = self._members.get(probe.host)
+        if known is None or known.state is records.HostState.DOWN:
+            self._peers.forget(probe.address)
+
     async def _ask_helpers(self, probe: probes.Probe) -> messages.Pong | None:
         request = messages.PingRequest(
             probe.host, probe.address, self._members.take_news(probe.host)
--- a/chervilshore/decisions/membership.py
+++ b/chervilshore/decisions/membership.py
@@ -11,28 +11,15 @@
 
 import msgspec
 
+from chervilshore.decisions import beliefs
 from chervilshore.decisions import news
 from chervilshore.decisions import probes
 from chervilshore import ids
 from chervilshore import records
 
-NO_DEADLINE = math.inf
 MOST_HEALTH_SCORE = 3
 
 _State = records.HostState
-_RANKS = {
-    _State.ALIVE: 0,
-    _State.SUSPECT: 1,
-    _State.LEAVING: 2,
-    _State.DOWN: 3,
-}
-
-
-class _Member(msgspec.Struct):
-    record: records.HostRecord
-    deadline: float = NO_DEADLINE
-    changed: float = 0.0
-    accused: bool = False
 
 
 class Members:
@@ -57,7 +44,8 @@
         self.me = me
         self.numbers = numbers
         self._rng = rng
-        self._members: dict[ids.HostId, _Member] = {}
+        self._members: dict[ids.HostId, beliefs.Member] = {}
+        self._in_doubt: dict[ids.HostId, beliefs.Member] = {}
         self._digests = news.Digests()
         self._news = news.News()
         self._order: list[ids.HostId] = []
@@ -98,6 +86,14 @@
         """Note where peers reach this host."""
         self.me = msgspec.structs.replace(self.me, peer_address=address)
 
+    def begin_life(self, incarnation: ids.Incarnation) -> None:
+        """Begin a new life with an incarnation above the former ones."""
+        self._renew(self.me.state, incarnation)
+
+    def calm(self) -> None:
+        """Drop all news, for a fleet that has known itself for long."""
+        self._news = news.News()
+
     def count_states(self) -> dict[str, int]:
         """Count the hosts by state, without this one."""
         counts = {state.value: 0 for state in _State}
@@ -225,6 +221,9 @@
         """
         self._health_score = max(0, self._health_score - 1)
         self._doubtful.pop(probe.host, None)
+        member = self._members.get(probe.host)
+        if member is not None:
+            member.misses = 0
 
     def fail(self, probe: probes.Probe, now: float) -> None:
         """Note that neither the host nor a helper has answered."""
@@ -236,7 +235,10 @@
             return
         self._health_score = min(MOST_HEALTH_SCORE, self._health_score + 1)
         state = member.record.state
-        if state is _State.LEAVING:
+        member.misses += 1
+        if member.misses < self.numbers.misses:
+            self._order.append(probe.host)
+        elif state is _State.LEAVING:
             self._set(member, member.record, _State.DOWN, now)
         elif state is _State.ALIVE:
             self._set(member, member.record, _State.SUSPECT, now)
@@ -251,12 +253,12 @@
         # to blame for that.
         if gap > 2 * self.numbers.period_ms:
             self._resumed = now
-            for member in self._members.values():
+            for member in self._in_doubt.values():
                 member.deadline += gap
 
     def _lapse(self, now: float) -> None:
         forgotten = []
-        for host, member in self._members.items():
+        for host, member in list(self._in_doubt.items()):
             state = member.record.state
             if state is _State.SUSPECT and member.deadline <= now:
                 self._set(member, member.record, _State.DOWN, now)
@@ -265,6 +267,7 @@
                     forgotten.append(host)
         for host in forgotten:
             del self._members[host]
+            del self._in_doubt[host]
             self._news.drop(host)
 
     def _choose_target(self, now: float) -> probes.Probe | None:
@@ -283,7 +286,7 @@
             address = self._doubtful.pop(host)
             chosen.append(probes.Probe(host, address, now, False))
         share = self.numbers.helpers / max(1, len(self._members))
-        for member in self._members.values():
+        for member in self._in_doubt.values():
             if member.record.state is not _State.SUSPECT:
                 continue
             if member.accused or self._rng.random() < share:
@@ -293,7 +296,7 @@
     def _choose_down(self, now: float) -> probes.Probe | None:
         down = [
             member
-            for member in self._members.values()
+            for member in self._in_doubt.values()
             if member.record.state is _State.DOWN
         ]
         if not down:
@@ -301,7 +304,7 @@
         return self._probe(self._rng.choice(down), now, False)
 
     def _probe(
-        self, member: _Member, now: float, counts: bool
+        self, member: beliefs.Member, now: float, counts: bool
     ) -> probes.Probe:
         record = member.record
         return probes.Probe(record.host, record.peer_address, now, counts)
@@ -313,11 +316,8 @@
 
     def _suspicion_ms(self) -> float:
         number = len(self._members) + 1
-        periods = max(
-            2.0, self.numbers.suspicion_periods * math.log2(number + 1)
-        )
         slowdown = 1 + max(0, self._health_score - 1) / 2
-        return periods * self.numbers.period_ms * slowdown
+        return self.numbers.suspicion_ms * math.log2(number + 1) * slowdown
 
     def _hear_of_me(self, update: records.HostRecord) -> None:
         older = update.incarnation < self.me.incarnation
@@ -343,32 +343,22 @@
                 self._add(update, now)
             return
         known = member.record
-        if update.incarnation < known.incarnation:
-            return
-        if update.incarnation == known.incarnation:
-            self._note_doubt(update, known)
-            if _RANKS[update.state] <= _RANKS[known.state]:
-                return
-        state = update.state
-        # One peer's word alone does not take a host down that this one
-        # believes alive: that peer may be the one that was cut off.
-        if state is _State.DOWN and known.state is _State.ALIVE:
-            state = _State.SUSPECT
-        if not update.peer_address:
-            update = msgspec.structs.replace(
-                known, incarnation=update.incarnation
-            )
-        self._set(member, update, state, now)
+        self._note_doubt(update, known)
+        believed = beliefs.weigh(known, update)
+        if believed is not None:
+            self._set(member, believed, believed.state, now)
 
     def _note_doubt(
         self, update: records.HostRecord, known: records.HostRecord
     ) -> None:
+        if update.incarnation < known.incarnation:
+            return
         if known.state is _State.DOWN and update.state is not _State.DOWN:
             self._doubtful.setdefault(known.host, known.peer_address)
 
     def _add(self, update: records.HostRecord, now: float) -> None:
         record = msgspec.structs.replace(update, state=_State.DOWN)
-        member = _Member(record, changed=now)
+        member = beliefs.Member(record, changed=now)
         self._members[update.host] = member
         # A newcomer takes a random place among those still to be probed.
         place = self._rng.randint(0, len(self._order))
@@ -377,7 +367,7 @@
 
     def _set(
         self,
-        member: _Member,
+        member: beliefs.Member,
         record: records.HostRecord,
         state: _State,
         now: float,
@@ -387,7 +377,12 @@
         self._digests.mix(member.record)
         member.changed = now
         member.accused = False
-        member.deadline = NO_DEADLINE
+        member.misses = 0
+        if state in (_State.SUSPECT, _State.DOWN):
+            self._in_doubt[record.host] = member
+        else:
+            self._in_doubt.pop(record.host, None)
+        member.deadline = beliefs.NO_DEADLINE
         if state is _State.SUSPECT:
             member.deadline = now + self._suspicion_ms()
         self._news.add(record.host)
--- a/chervilshore/decisions/probes.py
+++ b/chervilshore/decisions/probes.py
@@ -18,8 +18,10 @@
         Milliseconds that the helpers have after that.
     helpers : int
         Hosts that are asked to probe a host that did not answer.
-    suspicion_periods : float
-        Periods of suspicion for each doubling of the number of hosts.
+    misses : int
+        Probes in a row without an answer before a host is suspected.
+    suspicion_ms : float
+        Milliseconds of suspicion for each doubling of the number of hosts.
     most_updates : int
         News on one message.
     repeats : int
@@ -36,14 +38,15 @@
         Milliseconds after which a host that is down is forgotten.
     """
 
-    period_ms: float = 400.0
+    period_ms: float = 250.0
     direct_ms: float = 150.0
     indirect_ms: float = 200.0
     helpers: int = 3
-    suspicion_periods: float = 0.75
+    misses: int = 2
+    suspicion_ms: float = 200.0
     most_updates: int = 6
     repeats: int = 2
-    down_periods: int = 5
+    down_periods: int = 8
     rechecks: int = 3
     mismatches: int = 6
     sync_ms: float = 5000.0
