--- a/tests/configuration_helpers.py
+++ b/tests/configuration_helpers.py
@@ -129,6 +129,16 @@
             notice = messages.GenerationNotice(service.rules.generation)
             end.send(other, notice)
 
+    def make_operator(self, platform=None):
+        return operations.Operations(
+            platform or self.platform, self, self.clock
+        )
+
+    def cut_platform(self, domain, down):
+        for name, own in self.platforms.items():
+            if name.startswith(domain):
+                own.down = down
+
     def list_generations(self):
         return [service.rules.generation for service in self.services.values()]
 
@@ -181,8 +191,7 @@
 
 async def accept(fleet, number=0, platform=None, author="Morag"):
     """Have the rules with a number accepted, and return their head."""
-    platform = platform or fleet.platform
-    operator = operations.Operations(platform, fleet, fleet.clock)
+    operator = fleet.make_operator(platform)
 
     async def run():
         snapshot = await operator.store.read()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,6 @@
 
 from chervilshore.clients import memory
 from chervilshore import ids
-from chervilshore import operations
 from chervilshore import records
 from chervilshore.rules import generations
 from chervilshore.rules import guards
@@ -150,10 +149,8 @@
     def is_cut(sender, receiver):
         return ("scot-c" in sender) != ("scot-c" in receiver)
 
-    cut = [name for name in running.services if name.startswith("scot-c")]
     network.loses = is_cut
-    for name in cut:
-        running.platforms[name].down = True
+    running.cut_platform("scot-c", True)
     for number in (1, 2, 3):
         await helpers.accept(running, number)
         await running.run(2000)
@@ -175,7 +172,7 @@
     await lose_chunk(running, content)
     await running.run(5000)
     assert_generation(running, 1)
-    operator = operations.Operations(running.platform, running, clock)
+    operator = running.make_operator()
     found = await helpers.drive(
         clock, operator.hosts.wait(ids.Generation(2), "", 500)
     )
