Show what each change did, and keep a rule's origin in its comment

The history tells who, when, why and what; only chunks that differ are read for it. A command that sets a field keeps who asked for the rule and adds who set it. Hosts count requests by pipeline and refusals by result code, which status, refusals and the guard against removals read.

--- a/chervilshore/changes.py
+++ b/chervilshore/changes.py
@@ -14,6 +14,7 @@
 from chervilshore import clock as clocks
 from chervilshore import exceptions
 from chervilshore import ids
+from chervilshore.rules import differences
 from chervilshore.rules import generations
 from chervilshore.rules import lines
 
@@ -200,6 +201,32 @@
             raise exceptions.RulesInvalid(problems)
         return document
 
+    async def compare(
+        self, before: generations.Head | None, after: generations.Head
+    ) -> tuple[differences.Difference, ...]:
+        """Find the rules that one generation changed.
+
+        Only the chunks that differ are read. A rule stands in the same
+        bucket in both, as long as there are equally many.
+        """
+        same: set[str] = set()
+        if before is not None and len(before.buckets) == len(after.buckets):
+            same = set(before.digests) & set(after.digests)
+        old = await self._read_part(before, same)
+        new = await self._read_part(after, same)
+        return differences.compare(old, new)
+
+    async def _read_part(
+        self, head: generations.Head | None, left_out: set[str]
+    ) -> lines.Document:
+        entries: list[lines.Line | str] = []
+        for digest in head.digests if head else ():
+            if digest not in left_out:
+                content = await self._read_chunk(digest)
+                document, _ = lines.parse(content.decode(), marks=True)
+                entries.extend(document.entries)
+        return lines.Document("", tuple(entries))
+
     async def publish(self, change: Change, timeout_ms: float) -> Verdict:
         """Have a change accepted, whole or not at all.
 
--- a/chervilshore/commands.py
+++ b/chervilshore/commands.py
@@ -169,7 +169,8 @@
         """Tell what became of a change whose answer was lost."""
         verdict = await self._operator.store.settle(generation, change)
         code = _SETTLED[verdict]
-        text = f"change {change} for generation {generation}: {verdict.value}"
+        text = f"change {change} for generation {generation}: "
+        text += _SETTLED_TEXTS[verdict]
         return reports.Report(text, {"verdict": verdict.value}, code)
 
 
@@ -181,6 +182,14 @@
 }
 
 
+_SETTLED_TEXTS = {
+    changes.Verdict.ACCEPTED: "it was accepted",
+    changes.Verdict.CONFLICT: "not accepted; another change has that number",
+    changes.Verdict.NOT_ACCEPTED: "not accepted",
+    changes.Verdict.UNKNOWN: "not known yet; it may still be accepted",
+}
+
+
 _FAILURES = (
     (exceptions.GuardRefused, reports.ExitCode.GUARDED),
     (exceptions.ChangeConflict, reports.ExitCode.CONFLICT),
@@ -203,4 +212,7 @@
         data["conflicts"] = [str(one) for one in error.conflicts]
     if isinstance(error, exceptions.ChangeUnknown):
         data |= {"generation": error.generation, "change": error.change}
-    return reports.Report(f"{code.name.lower()}: {error}", data, code)
+    text = f"{code.name.lower()}: {error}"
+    if code is reports.ExitCode.UNAVAILABLE:
+        text = f"the platform does not answer, nothing was changed: {error}"
+    return reports.Report(text, data, code)
--- a/chervilshore/edits.py
+++ b/chervilshore/edits.py
@@ -246,16 +246,11 @@
         difference: differences.Difference,
     ) -> str:
         """Find who last made a rule what it is now."""
-        if len(past) < 2:
-            return past[0].author if past else ""
-        after = await self._store.read_document(past[0])
         for newer, older in zip(past, past[1:]):
-            before = await self._store.read_document(older)
-            changed = differences.compare(before, after)
+            changed = await self._store.compare(older, newer)
             if any(one.key == difference.key for one in changed):
                 return f"{newer.author} in generation {newer.generation}"
-            after = before
-        return past[-1].author
+        return past[-1].author if past else ""
 
     async def _read_usage(
         self, before: model.Rules, after: model.Rules
--- a/chervilshore/operations.py
+++ b/chervilshore/operations.py
@@ -1,5 +1,6 @@
 """What operators do with the configuration, for programs and the tool."""
 
+import itertools
 import secrets
 
 import msgspec
@@ -21,6 +22,21 @@
 """Times that a command which changes one rule reads anew after a race."""
 
 
+class Entry(msgspec.Struct, frozen=True):
+    """An accepted change.
+
+    Parameters
+    ----------
+    head : Head
+        Its generation, with who, when and why.
+    differences : tuple of Difference
+        What it changed; empty for the oldest one that is kept.
+    """
+
+    head: generations.Head
+    differences: tuple[differences.Difference, ...]
+
+
 class Operations:
     """Reads and changes the configuration, and asks hosts about it.
 
@@ -62,11 +78,20 @@
         text = await self.store.read_text(head)
         return f"{lines.write_header(number)}\n{text}"
 
-    async def read_history(self, most: int) -> tuple[generations.Head, ...]:
-        """Read the newest heads, the newest first."""
+    async def read_history(self, most: int) -> tuple[Entry, ...]:
+        """Read the newest changes, the newest first."""
         snapshot = await self.store.read()
-        first = max(1, snapshot.generation - most + 1)
-        return await self.store.read_past(snapshot, ids.Generation(first))
+        first = max(0, snapshot.generation - most)
+        past = await self.store.read_past(snapshot, ids.Generation(first))
+        entries = []
+        for head, before in itertools.zip_longest(past[:most], past[1:]):
+            if head is None:
+                break
+            found = ()
+            if before is not None or head.generation == 1:
+                found = await self.store.compare(before, head)
+            entries.append(Entry(head, found))
+        return tuple(entries)
 
     async def plan(self, edit: edits.Edit) -> edits.Plan:
         """Work out what an edit comes to; see `edits.Planner.plan`."""
@@ -157,7 +182,7 @@
         """
         snapshot = await self.store.read()
         current = await self.store.read_document(snapshot.head)
-        comment = f"{edit.author}, {edit.reason}"
+        asked = f"{edit.author}, {edit.reason}"
         rows = []
         found = False
         for entry in current.entries:
@@ -166,12 +191,17 @@
                 if f"{field}={value}" in entry.words:
                     rows.extend((*entry.notes, entry.format()))
                     continue
-                text = lines.set_field(entry, field, value, comment)
+                text = lines.set_field(entry, field, value, asked)
                 rows.extend((*entry.notes, text))
             else:
                 rows.append(differences.write([entry]).rstrip("\n"))
         if not found:
-            raise exceptions.ObjectMissing(" ".join(key))
+            names = [line.key[1] for line in current.lines]
+            nearest = lines.find_nearest(key[1], names)
+            hint = f"; did you mean {nearest!r}?" if nearest else ""
+            raise exceptions.ObjectMissing(
+                f"no rule defines {key[0]} {key[1]!r}{hint}"
+            )
         return msgspec.structs.replace(
             edit,
             document=edits.parse("\n".join(rows) + "\n", "edit"),
--- a/chervilshore/overviews.py
+++ b/chervilshore/overviews.py
@@ -47,9 +47,8 @@
     ]
     told = {}
     for section in SECTIONS:
-        rows = _gather_section(section, answers)
-        told[section] = rows
-        parts.append(_format_rows(section, rows))
+        told |= _gather_section(section, answers)
+    parts.extend(_format_rows(title, rows) for title, rows in told.items())
     data = {
         "generation": generation,
         "hosts": hosts,
@@ -185,18 +184,30 @@
 
 def _gather_section(
     section: str, answers: abc.Sequence[Answer]
-) -> list[dict[str, typing.Any]]:
-    rows = []
+) -> dict[str, list[dict[str, typing.Any]]]:
+    """Gather one table of plain values, and one for each mapping."""
+    tables: dict[str, list] = {}
     for record, status in answers:
         told = getattr(status, section, None)
-        if isinstance(told, dict):
-            told = [_to_row(value, name) for name, value in told.items()]
-        rows.extend({"by": record.host} | _to_row(one) for one in told or ())
-    return rows
-
-
-def _to_row(value: typing.Any, name: str = "") -> dict[str, typing.Any]:
-    row = {"name": name} if name else {}
+        if not isinstance(told, dict):
+            continue
+        plain = {}
+        for name, value in told.items():
+            if not isinstance(value, dict):
+                plain[name] = value
+                continue
+            rows = tables.setdefault(f"{section}: {name}", [])
+            rows.extend(_to_row(record.host, *item) for item in value.items())
+        if plain:
+            rows = tables.setdefault(section, [])
+            rows.append({"by": record.host} | plain)
+    return {title: rows for title, rows in tables.items() if rows}
+
+
+def _to_row(
+    host: ids.HostId, name: str, value: typing.Any
+) -> dict[str, typing.Any]:
+    row = {"by": host, "name": name}
     return row | (value if isinstance(value, dict) else {"value": value})
 
 
--- a/chervilshore/reports.py
+++ b/chervilshore/reports.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from chervilshore import edits
+from chervilshore import operations
 from chervilshore.rules import differences
 from chervilshore.rules import explanations
 from chervilshore.rules import generations
@@ -16,6 +17,10 @@
 from chervilshore import statuses
 
 
+MOST_SHOWN = 20
+"""Lines of one change that the history shows to people."""
+
+
 class ExitCode(enum.IntEnum):
     """How the tool ends; docs/OPERATORS.md explains each."""
 
@@ -58,13 +63,17 @@
 
 def format_table(rows: abc.Sequence[abc.Sequence[typing.Any]]) -> str:
     """Write rows in columns; the first row is the head."""
-    cells = [[str(cell) for cell in row] for row in rows]
+    cells = [[_format_cell(cell) for cell in row] for row in rows]
     widths = [max(map(len, column)) for column in zip(*cells)]
     return "\n".join(
         "  ".join(map(str.ljust, row, widths)).rstrip() for row in cells
     )
 
 
+def _format_cell(cell: typing.Any) -> str:
+    return f"{cell:g}" if isinstance(cell, float) else str(cell)
+
+
 def report_problems(problems: abc.Sequence[lines.Problem]) -> Report:
     """Show what is wrong with a file."""
     return Report(
@@ -209,18 +218,22 @@
     return Report("\n".join(rows), data, code)
 
 
-def report_history(heads: abc.Sequence[generations.Head]) -> Report:
-    """Show who changed the configuration, when and why."""
-    table = [("generation", "time (UTC)", "author", "change", "reason")]
-    table += [
-        (
-            head.generation,
-            format_time(head.time_ms),
-            head.author,
-            head.change,
-            head.reason,
+def report_history(entries: abc.Sequence[operations.Entry]) -> Report:
+    """Show who changed the configuration, when, why and what."""
+    rows = []
+    for entry in entries:
+        head = entry.head
+        rows.append(
+            f"generation {head.generation}, {format_time(head.time_ms)} UTC, "
+            f"{head.author}: {head.reason} (change {head.change})"
         )
-        for head in heads
+        shown = [row for one in entry.differences for row in one.describe()]
+        rows.extend(f"    {row}" for row in shown[:MOST_SHOWN])
+        if len(shown) > MOST_SHOWN:
+            rows.append(f"    and {len(shown) - MOST_SHOWN} lines more")
+    data = [
+        describe_head(entry.head)
+        | {"differences": describe_differences(entry.differences)}
+        for entry in entries
     ]
-    data = {"history": [describe_head(head) for head in heads]}
-    return Report(format_table(table), data)
+    return Report("\n".join(rows), {"history": data})
--- a/chervilshore/rules/lines.py
+++ b/chervilshore/rules/lines.py
@@ -18,6 +18,9 @@
 
 _LEXER_CHARACTERS = frozenset("'\"\\")
 
+_SINCE = "; now "
+"""Stands in a comment before what a command of the tool has set."""
+
 _COMMENT = "a comment '# who asked, why' at the end of the line"
 
 
@@ -186,8 +189,19 @@
     return document, tuple(parser.problems)
 
 
-def set_field(line: Line, field: str, value: str, comment: str) -> str:
-    """Write a line with another value of a field and another comment."""
+def set_field(line: Line, field: str, value: str, asked: str) -> str:
+    """Write a line with another value of a field.
+
+    Parameters
+    ----------
+    line : Line
+        The line as it was.
+    field, value : str
+        The field and its new value.
+    asked : str
+        Who asked for the new value, and why; the comment keeps who asked
+        for the rule itself.
+    """
     word = f"{field}={value}"
     tokens = [
         word if token.startswith(f"{field}=") else token
@@ -195,7 +209,8 @@
     ]
     if word not in tokens:
         tokens.append(word)
-    return f"{' '.join(tokens)}  # {comment}"
+    origin = line.comment.partition(_SINCE)[0]
+    return f"{' '.join(tokens)}  # {origin}{_SINCE}{word} by {asked}"
 
 
 def write_header(generation: ids.Generation) -> str:
--- a/chervilshore/server.py
+++ b/chervilshore/server.py
@@ -16,6 +16,7 @@
 from chervilshore import ids
 from chervilshore import metrics
 from chervilshore import results
+from chervilshore import tallies
 
 REQUEST_HEADER = "X-Request-Id"
 CODE_HEADER = "X-Result-Code"
@@ -118,6 +119,7 @@
         self.draining = False
         self.ready: collections_abc.Callable[[], bool] = lambda: True
         self.sections: dict[str, Section] = {}
+        self._tallies = tallies.Tallies()
         self._clock = clock
         self._handle = handle
         self._metrics = counters
@@ -215,6 +217,7 @@
         class_name: str,
         millis: float,
     ) -> None:
+        self._tallies.count(pipeline, answer.code)
         number = str(answer.code.value.number)
         self._metrics.count(metrics.Metric.REQUESTS, pipeline, number)
         self._metrics.observe(
@@ -241,6 +244,8 @@
         state["ready"] = self.ready()
         state["draining"] = self.draining
         state["in_flight"] = self._in_flight
+        state["pipelines"] = self._tallies.describe_pipelines()
+        state["refusals"] = self._tallies.describe_refusals()
         return web.Response(
             body=msgspec.json.encode(state), content_type="application/json"
         )
--- a/chervilshore/tallies.py
+++ b/chervilshore/tallies.py
@@ -19,12 +19,13 @@
         Parameters
         ----------
         pipeline : PipelineName
-            A pipeline of the rules; names that callers make up would fill
-            the memory.
+            A pipeline of the rules, since names that callers make up would
+            fill the memory; empty when there is none.
         code : Code
             How it has ended.
         """
-        self._pipelines[pipeline] += 1
+        if pipeline:
+            self._pipelines[pipeline] += 1
         if code.value.family is not results.Family.DONE:
             self._refusals[str(code.value.number)] += 1
 
