--- a/chervilshore/reports.py
+++ b/chervilshore/reports.py
@@ -36,6 +36,28 @@
     MISSING = 9
     DIFFERENT = 10
 
+    @property
+    def text(self) -> str:
+        """What it means, for people."""
+        return _MEANINGS[self]
+
+
+_MEANINGS = {
+    ExitCode.DONE: "Done; a change is in force on all hosts.",
+    ExitCode.FAILED: "It failed for another reason, which is told.",
+    ExitCode.USAGE: "The command line is wrong.",
+    ExitCode.INVALID: "The rules have problems; nothing was changed.",
+    ExitCode.GUARDED: "It looks like a mistake; nothing was changed.",
+    ExitCode.CONFLICT: "Somebody else was faster; nothing was changed.",
+    ExitCode.LAGGING: "A change is accepted and not yet in force on all "
+    "hosts, or some hosts do not answer.",
+    ExitCode.UNAVAILABLE: "The platform is down; nothing was changed.",
+    ExitCode.UNKNOWN: "The change may or may not have been accepted; ask "
+    "with `settle`.",
+    ExitCode.MISSING: "What was named does not exist.",
+    ExitCode.DIFFERENT: "`diff` has found differences.",
+}
+
 
 class Report(msgspec.Struct, frozen=True):
     """What a command found.
--- a/chervilshore/rules/guards.py
+++ b/chervilshore/rules/guards.py
@@ -28,6 +28,28 @@
     CONTRADICTION = "contradiction"
     UNREADABLE = "unreadable"
 
+    @property
+    def text(self) -> str:
+        """What is refused without the override, for people."""
+        return _TEXTS[self]
+
+
+_TEXTS = {
+    Guard.LAST_DOMAIN: "Taking out the last serving failure domain, or the "
+    "last one that holds a pool's endpoints.",
+    Guard.IN_USE: "Removing a pool that has endpoints, or a pipeline or "
+    "service that was asked for or may have been.",
+    Guard.LIMIT_JUMP: "Changing a limit of a team or pool, or a deadline, "
+    "by over ten times.",
+    Guard.MANY_DROPPED: "Dropping over a fifth of the rules.",
+    Guard.NEVER_MATCHES: "A route that can never match.",
+    Guard.CONTRADICTION: "Two rules that contradict each other: routes with "
+    "the same conditions, a route to a pool of another kind or only to "
+    "domains that are out, one path that may and may not be repeated.",
+    Guard.UNREADABLE: "Changing rules of which a part is lost or changed in "
+    "the platform; the newest readable ones stand in for them.",
+}
+
 
 class Danger(msgspec.Struct, frozen=True):
     """Something in a change that looks like a mistake."""
--- a/chervilshore/tables.py
+++ b/chervilshore/tables.py
@@ -1,12 +1,19 @@
 """Write the tables in docs/ from the code."""
 
 from collections import abc as collections_abc
+import enum
 import logging
 import pathlib
 
+import msgspec
+
 from chervilshore import events
 from chervilshore import metrics
+from chervilshore import reports
 from chervilshore import results
+from chervilshore.rules import guards
+from chervilshore.rules import model
+from chervilshore.rules import words
 from chervilshore import settings
 
 BEGIN = "<!-- table from the code: make tables -->"
@@ -92,11 +99,55 @@
     return format_table(heads, rows)
 
 
+def format_rules() -> str:
+    """Write the table of rules and their fields."""
+    rows = [
+        (kind, f"{word}=", _find_default(shape, field), field.value.expected)
+        for kind, shape in words.SHAPES.items()
+        for word, field in shape.fields.items()
+    ]
+    return format_table(("rule", "field", "default", "allowed"), rows)
+
+
+def _find_default(shape: words.Shape, field: words.Field) -> str:
+    if field.required:
+        return "required"
+    # A service is built by a function, and is a pipeline.
+    kind = shape.build if isinstance(shape.build, type) else model.Pipeline
+    default = next(
+        known.default
+        for known in msgspec.structs.fields(kind)
+        if known.name == field.attribute
+    )
+    if isinstance(default, bool):
+        return "yes" if default else "no"
+    if isinstance(default, enum.Enum):
+        return default.value
+    if isinstance(default, float):
+        return f"{default:g}"
+    return str(default) if default not in ("", ()) else "any"
+
+
+def format_guards() -> str:
+    """Write the table of guards."""
+    rows = [(guard.value, guard.text) for guard in guards.Guard]
+    return format_table(("override", "refused without it"), rows)
+
+
+def format_exit_codes() -> str:
+    """Write the table of the tool's exit codes."""
+    rows = [(str(code.value), code.text) for code in reports.ExitCode]
+    return format_table(("exit code", "meaning"), rows)
+
+
 TABLES = {
     "RESULTS.md": format_results,
     "EVENTS.md": format_events,
     "METRICS.md": format_metrics,
     "SETTINGS.md": format_settings,
+    "RULES.md": format_rules,
+    "GUARDS.md": format_guards,
+    "EXITCODES.md": format_exit_codes,
 }
 """The pages with a table, and what writes it."""
 
