--- a/chervilshore/decisions/retries.py
+++ b/chervilshore/decisions/retries.py
@@ -9,20 +9,20 @@
 RETRY_RATIO = 0.1
 """Retries that each first attempt earns."""
 
-HEDGE_RATIO = 0.015
+HEDGE_RATIO = 0.01
 """Hedges that each first attempt earns."""
 
 RETRY_FLOOR = 0.2
 """Retries a second that a host may make however little it does."""
 
-HEDGE_FLOOR = 0.0
-"""Hedges a second that a host may make however little it does."""
+MOST_HEDGES = 3.0
+"""Hedges that may be saved up."""
 
 MOST_TOKENS = 20.0
 """Retries that may be saved up."""
 
-HEDGE_QUANTILE = 0.95
-"""The part of attempts that are over before a hedge begins."""
+HEDGE_FACTOR = 3.0
+"""Times the pool's median after which a hedge begins."""
 
 HEDGE_SAMPLES = 20
 """Attempts that must be known of a pool before it is hedged."""
@@ -127,6 +127,8 @@
         The budget of all retries.
     own : RetryPolicy or None
         The budget of hedges.
+    factor : float
+        Times the pool's median after which a hedge begins.
     """
 
     def __init__(
@@ -134,10 +136,12 @@
         times: deadlines.StageTimes,
         budget: RetryPolicy,
         own: RetryPolicy | None = None,
+        factor: float = HEDGE_FACTOR,
     ) -> None:
         self._times = times
         self._budget = budget
-        self._own = own or RetryBudget(HEDGE_RATIO, HEDGE_FLOOR)
+        self._factor = factor
+        self._own = own or RetryBudget(HEDGE_RATIO, 0.0, MOST_HEDGES)
 
     def note_first(self) -> None:
         """Count the first attempt of a stage that may be hedged."""
@@ -153,7 +157,7 @@
         """
         if self._times.count(pool, now) < HEDGE_SAMPLES:
             return None
-        return self._times.quantile(pool, HEDGE_QUANTILE, now)
+        return self._times.quantile(pool, 0.5, now) * self._factor
 
     def may_hedge(self, now: float) -> bool:
         """Tell whether one may be made now, and count it if so."""
--- a/chervilshore/decisions/samples.py
+++ b/chervilshore/decisions/samples.py
@@ -58,6 +58,13 @@
         self._forget(now)
         return len(self._by_size)
 
+    def mean(self, now: float) -> float:
+        """Tell the mean of the samples; 0 when there is none."""
+        self._forget(now)
+        if not self._by_size:
+            return 0.0
+        return sum(self._by_size) / len(self._by_size)
+
     def quantile(self, part: float, now: float) -> float | None:
         """Tell a quantile.
 
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Small seeded experiments that chose between ways to decide."""
--- /dev/null
+++ b/lab/pool_model.py
@@ -0,0 +1,287 @@
+"""A queueing model of one pool behind several entry hosts.
+
+It is no cluster: no messages, no failures of hosts. Slots are counted
+ideally, so that only the decision at hand makes a difference.
+"""
+
+from collections import abc as collections_abc
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from chervilshore.decisions import queues
+from chervilshore.decisions import retries
+from chervilshore.decisions import routing
+from chervilshore.decisions import shedding as load_shedding
+from chervilshore import records
+
+POOL = "pool"
+DOMAINS = ("north", "south", "west")
+FAR_MS = 1.5
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """A kind of requests and its part of the load."""
+
+    team: str
+    priority: int = 0
+    part: float = 1.0
+    deadline_ms: float = 7000.0
+    aging_ms: int = 1000
+
+
+class Shape(msgspec.Struct, frozen=True):
+    """Sizes of the pool and of the load.
+
+    ``load`` takes a moment in milliseconds and tells the arrivals as a
+    part of capacity; ``slow`` takes an endpoint's index and a moment and
+    tells by how much its calls take longer.
+    """
+
+    load: collections_abc.Callable[[float], float]
+    kinds: tuple[Kind, ...] = (Kind("team"),)
+    slow: collections_abc.Callable[[int, float], float] = lambda index, now: (
+        1.0
+    )
+    endpoints: int = 9
+    hosts: int = 9
+    slots: int = 8
+    service_ms: float = 400.0
+    end_ms: float = 40_000.0
+    seed: int = 1
+
+
+class Job:
+    """A request in the model."""
+
+    def __init__(self, number, host, kind, now, work) -> None:
+        self.number = number
+        self.host = host
+        self.kind = kind
+        self.arrived = now
+        self.deadline = now + kind.deadline_ms
+        self.work = work
+        self.running: dict[int, float] = {}
+        self.ticket = None
+        self.ended: float | None = None
+        self.refused: float | None = None
+        self.attempts = 0
+        self.waited = 0.0
+
+
+class Host:
+    """The decisions of one entry host."""
+
+    def __init__(
+        self,
+        router: routing.Router,
+        queue: queues.WaitQueue,
+        shedding: load_shedding.Shedding,
+        hedging: retries.Hedging | None = None,
+    ) -> None:
+        self.router = router
+        self.queue = queue
+        self.shedding = shedding
+        self.hedging = hedging
+        self.in_flight: dict[int, int] = {}
+
+
+MakeHost = collections_abc.Callable[[str, random.Random], Host]
+"""Takes a host's domain and a generator."""
+
+
+class Model:
+    """Runs a load against a pool."""
+
+    def __init__(self, shape: Shape, make_host: MakeHost, times=None) -> None:
+        self.shape = shape
+        self.now = 0.0
+        self.jobs: list[Job] = []
+        self.used = [0] * shape.endpoints
+        self.cross = 0
+        self.times = times
+        self._random = random.Random(shape.seed)
+        self._events: list = []
+        self._order = itertools.count()
+        self._records = [
+            records.EndpointRecord(
+                f"e{index}", POOL, DOMAINS[index % 3], f"a{index}"
+            )
+            for index in range(shape.endpoints)
+        ]
+        self._hosts = [
+            make_host(DOMAINS[index % 3], random.Random(index))
+            for index in range(shape.hosts)
+        ]
+
+    @property
+    def capacity(self) -> float:
+        """Requests a millisecond that all endpoints do when healthy."""
+        shape = self.shape
+        return shape.endpoints * shape.slots / shape.service_ms
+
+    def run(self) -> "Model":
+        """Run to the end of the load, and until all has ended."""
+        self._schedule_arrival()
+        while self._events:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        return self
+
+    def _at(self, moment, action, *arguments) -> None:
+        entry = (moment, next(self._order), action, arguments)
+        heapq.heappush(self._events, entry)
+
+    def _schedule_arrival(self) -> None:
+        rate = self.capacity * max(1e-6, self.shape.load(self.now))
+        moment = self.now + self._random.expovariate(rate)
+        if moment < self.shape.end_ms:
+            self._at(moment, self._arrive)
+
+    def _arrive(self) -> None:
+        self._schedule_arrival()
+        kinds = self.shape.kinds
+        kind = self._random.choices(kinds, [one.part for one in kinds])[0]
+        host = self._random.choice(self._hosts)
+        mean = self.shape.service_ms
+        # Half of each call is the same for all; the rest varies.
+        work = mean / 2 + self._random.expovariate(2 / mean)
+        job = Job(len(self.jobs), host, kind, self.now, work)
+        self.jobs.append(job)
+        wait = host.shedding.admit((POOL,), kind.priority, self.now)
+        if wait:
+            job.refused = wait
+            return
+        self._at(job.deadline, self._give_up, job)
+        self._begin(job)
+
+    def _begin(self, job: Job) -> None:
+        host = job.host
+        need = self._need(job)
+        for candidate in host.router.rank(
+            need, self._candidates(host, need), self.now
+        ):
+            if candidate.free:
+                self._start(job, int(candidate.record.endpoint[1:]))
+                return
+        job.ticket = queues.Ticket(job.number, need, self.now)
+        host.queue.push(job.ticket, self.now)
+
+    def _need(self, job: Job, excluded=frozenset()) -> routing.Need:
+        kind = job.kind
+        return routing.Need(
+            f"r{job.number}",
+            kind.team,
+            kind.priority,
+            POOL,
+            job.deadline,
+            kind.aging_ms,
+            excluded=excluded,
+        )
+
+    def _candidates(self, host: Host, need: routing.Need) -> list:
+        slots = self.shape.slots
+        return [
+            routing.Candidate(
+                record,
+                max(0, slots - self.used[index]),
+                host.in_flight.get(index, 0),
+                slots,
+                records.Warmth.WARM,
+            )
+            for index, record in enumerate(self._records)
+            if need.allows(record)
+        ]
+
+    def _start(self, job: Job, index: int) -> None:
+        host = job.host
+        first = not job.attempts
+        job.attempts += 1
+        job.running[index] = self.now
+        self.used[index] += 1
+        host.in_flight[index] = host.in_flight.get(index, 0) + 1
+        far = (
+            self._records[index].domain != DOMAINS[self._hosts.index(host) % 3]
+        )
+        self.cross += far
+        took = job.work * self.shape.slow(index, self.now) + FAR_MS * far
+        self._at(self.now + took, self._finish, job, index)
+        if first:
+            job.waited = self.now - job.arrived
+            host.shedding.note_wait(POOL, job.waited, self.now)
+            self._plan_hedge(job)
+
+    def _plan_hedge(self, job: Job) -> None:
+        hedging = job.host.hedging
+        if hedging is None:
+            return
+        hedging.note_first()
+        delay = hedging.delay(POOL, self.now)
+        if delay is not None:
+            self._at(self.now + delay, self._hedge, job)
+
+    def _hedge(self, job: Job) -> None:
+        if job.ended is not None or not job.running:
+            return
+        host = job.host
+        need = self._need(job, frozenset(f"e{one}" for one in job.running))
+        ranked = host.router.rank(need, self._candidates(host, need), self.now)
+        for candidate in ranked:
+            if candidate.free and host.hedging.may_hedge(self.now):
+                self._start(job, int(candidate.record.endpoint[1:]))
+                return
+
+    def _finish(self, job: Job, index: int) -> None:
+        if index not in job.running:
+            return
+        job.ended = self.now
+        self._release(job, index, records.Outcome.OK)
+        for other in list(job.running):
+            self._release(job, other, records.Outcome.CANCELLED)
+        self._leave(job)
+
+    def _give_up(self, job: Job) -> None:
+        if job.ended is not None:
+            return
+        if job.ticket is not None and not job.attempts:
+            job.host.queue.remove(job.ticket)
+            job.host.shedding.note_drop(POOL, self.now)
+        for index in list(job.running):
+            self._release(job, index, records.Outcome.CANCELLED)
+        self._leave(job)
+
+    def _leave(self, job: Job) -> None:
+        job.host.shedding.release(
+            (POOL,), job.kind.priority, self.now - job.arrived, self.now
+        )
+
+    def _release(self, job: Job, index: int, outcome) -> None:
+        millis = self.now - job.running.pop(index)
+        host = job.host
+        host.in_flight[index] -= 1
+        self.used[index] -= 1
+        host.router.note(f"e{index}", outcome, millis, self.now)
+        if self.times is not None:
+            self.times.note(POOL, millis, self.now)
+        self._serve_waiting(index)
+
+    def _serve_waiting(self, index: int) -> None:
+        hosts = self._hosts[:]
+        self._random.shuffle(hosts)
+        for host in hosts:
+            if self.used[index] >= self.shape.slots:
+                return
+            if not len(host.queue):
+                continue
+            ticket = host.queue.pop(
+                self.now, lambda one, host=host: self._suits(host, one, index)
+            )
+            if ticket is not None:
+                self._start(self.jobs[ticket.number], index)
+
+    def _suits(self, host: Host, ticket, index: int) -> bool:
+        need = ticket.need
+        ranked = host.router.rank(need, self._candidates(host, need), self.now)
+        return any(one.record.endpoint == f"e{index}" for one in ranked)
--- /dev/null
+++ b/lab/routers.py
@@ -0,0 +1,27 @@
+"""Simple routers to compare with."""
+
+import random
+
+from chervilshore.decisions import routing
+
+
+class RandomRouter(routing.Router):
+    """Any endpoint, each as likely as the others."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def rank(self, need, candidates, now):
+        return self._generator.sample(candidates, len(candidates))
+
+
+class TwoChoicesRouter(routing.Router):
+    """Of two random endpoints the one with fewer attempts goes first."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def rank(self, need, candidates, now):
+        ranked = self._generator.sample(candidates, len(candidates))
+        ranked[:2] = sorted(ranked[:2], key=lambda one: one.in_flight)
+        return ranked
--- /dev/null
+++ b/lab/routing_bench.py
@@ -0,0 +1,116 @@
+"""Compare routers while one endpoint in three is ten times slower.
+
+Run with ``python -m lab.routing_bench``.
+"""
+
+import statistics
+
+from chervilshore.decisions import completion
+from chervilshore.decisions import deadlines
+from chervilshore.decisions import ejection
+from chervilshore.decisions import fairness
+from chervilshore.decisions import retries
+from chervilshore.decisions import routing
+from chervilshore.decisions import shedding
+from lab import pool_model
+from lab import routers
+
+SEEDS = (1, 2)
+SLOW_FROM_MS = 5_000.0
+
+
+def slow_third(index, now):
+    return 10.0 if index % 3 == 0 and now >= SLOW_FROM_MS else 1.0
+
+
+class LateHedging(retries.Hedging):
+    """Begins after the 95th percentile of the pool."""
+
+    def delay(self, pool, now):
+        if self._times.count(pool, now) < retries.HEDGE_SAMPLES:
+            return None
+        return self._times.quantile(pool, 0.95, now)
+
+
+def make_ways():
+    """Name the ways to compare; each makes a host."""
+
+    def host(router, hedging=None):
+        return pool_model.Host(
+            router, fairness.FairQueue(), shedding.NoShedding(), hedging
+        )
+
+    def expect(domain, generator, times, eject=True, hedge=True):
+        judge = ejection.OutlierEjection() if eject else ejection.NoEjection()
+        router = completion.CompletionRouter(domain, generator, judge)
+        budget = retries.RetryBudget()
+        return host(router, retries.Hedging(times, budget) if hedge else None)
+
+    def hedge_late(domain, generator, times):
+        made = expect(domain, generator, times, False)
+        made.hedging = LateHedging(times, retries.RetryBudget())
+        return made
+
+    return {
+        "random": lambda d, g, t: host(routers.RandomRouter(g)),
+        "least in flight": lambda d, g, t: host(
+            routing.LeastInFlightRouter(d)
+        ),
+        "two choices": lambda d, g, t: host(routers.TwoChoicesRouter(g)),
+        "completion only": lambda d, g, t: expect(d, g, t, False, False),
+        "hedge after p95": lambda d, g, t: hedge_late(d, g, t),
+        "with hedging": lambda d, g, t: expect(d, g, t, False, True),
+        "with ejection": lambda d, g, t: expect(d, g, t, True, False),
+        "with both": expect,
+    }
+
+
+def measure(shape, way):
+    times = deadlines.StageTimes()
+    model = pool_model.Model(shape, lambda d, g: way(d, g, times), times)
+    model.run()
+    done = [job for job in model.jobs if job.ended is not None]
+    took = sorted(job.ended - job.arrived for job in done)
+    attempts = sum(job.attempts for job in model.jobs)
+    return (
+        100.0 * len(done) / len(model.jobs),
+        attempts / len(done),
+        statistics.median(took),
+        took[int(0.99 * len(took))],
+        100.0 * model.cross / attempts,
+    )
+
+
+def main():
+    cases = {
+        "healthy, 0.8": (0.8, lambda index, now: 1.0),
+        "one in three slow, 0.6": (0.6, slow_third),
+    }
+    for deadline in (1500.0, 7000.0):
+        for name, (load, slow) in cases.items():
+            print(f"\n{name}, deadline {deadline:.0f} ms")
+            print(
+                f"{'way':18}{'attain %':>9}{'work':>7}{'p50':>7}{'p99':>7}"
+                f"{'far %':>7}"
+            )
+            for label, way in make_ways().items():
+                rows = []
+                for seed in SEEDS:
+                    kind = pool_model.Kind("team", deadline_ms=deadline)
+                    shape = pool_model.Shape(
+                        lambda now, load=load: load,
+                        (kind,),
+                        slow,
+                        seed=seed,
+                    )
+                    rows.append(measure(shape, way))
+                a, w, p50, p99, far = (
+                    statistics.mean(column) for column in zip(*rows)
+                )
+                print(
+                    f"{label:18}{a:9.2f}{w:7.3f}{p50:7.0f}{p99:7.0f}{far:7.0f}"
+                )
+
+
+if __name__ == "__main__":
+    main()
