--- a/chervilshore/decisions/completion.py
+++ b/chervilshore/decisions/completion.py
@@ -40,6 +40,13 @@
 """The part by which expectations are varied, so that hosts do not herd."""
 
 
+Costed = tuple[float, routing.Candidate]
+"""A candidate after the milliseconds that it is expected to take."""
+
+Views = dict[ids.EndpointId, ejections.View]
+"""What is thought of each endpoint."""
+
+
 class CompletionRouter(routing.Router):
     """Ranks by the expected completion under what is known.
 
@@ -83,23 +90,14 @@
     ) -> list[routing.Candidate]:
         """Order the candidates; see `Router.rank`."""
         usable = [one for one in candidates if self._is_usable(need, one)]
-        endpoints = [one.record.endpoint for one in usable]
-        standings = self._ejection.judge(endpoints, now)
-        left = need.deadline - now
-        typical = self._typical(usable, now)
-        costs = {
-            one.record.endpoint: self._expect(one, typical, left, now)
-            for one in usable
-        }
-        ranked = sorted(
-            (one for one in usable if not self._is_left_out(one, standings)),
-            key=lambda one: costs[one.record.endpoint],
+        views = self._ejection.judge(
+            [one.record.endpoint for one in usable], now
         )
-        due = [one for one in ranked if self._is_due(one, standings)]
-        ranked = [one for one in ranked if one not in due]
-        ranked = self._drop_far_behind(ranked, costs)
-        self._prefer_prefix(need, ranked, costs)
-        return self._start_probe(due, left, now) + ranked
+        left = need.deadline - now
+        ranked, due = self._sort(usable, views, left, now)
+        self._prefer_prefix(need, ranked)
+        probe = self._start_probe(due, left, now)
+        return probe + [one for _, one in ranked]
 
     def note(
         self,
@@ -125,44 +123,49 @@
             return False
         return need.allows(record) and not self._is_out(record.domain)
 
-    def _drop_far_behind(
+    def _sort(
         self,
-        ranked: list[routing.Candidate],
-        costs: dict[ids.EndpointId, float],
-    ) -> list[routing.Candidate]:
-        """Rather wait for a good endpoint than use a far worse one."""
-        if not ranked:
-            return ranked
-        most = WORTH_FACTOR * costs[ranked[0].record.endpoint]
-        return [one for one in ranked if costs[one.record.endpoint] <= most]
+        usable: list[routing.Candidate],
+        views: Views,
+        left: float,
+        now: float,
+    ) -> tuple[list[Costed], list[routing.Candidate]]:
+        """Sort what may be used by its cost, apart from what is probed."""
+        typical = self._typical(usable, views)
+        costed = []
+        due = []
+        for one in usable:
+            view = views[one.record.endpoint]
+            if view.standing is ejections.Standing.IN:
+                cost = self._expect(one, view, typical, left, now)
+                costed.append((cost, one))
+            elif view.standing is ejections.Standing.PROBE:
+                due.append(one)
+        costed.sort(key=lambda pair: pair[0])
+        # It is better to wait for a good endpoint than use a far worse one.
+        most = WORTH_FACTOR * costed[0][0] if costed else 0.0
+        return [pair for pair in costed if pair[0] <= most], due
 
-    def _is_left_out(
-        self,
-        candidate: routing.Candidate,
-        standings: dict[ids.EndpointId, ejections.Standing],
-    ) -> bool:
-        standing = standings[candidate.record.endpoint]
-        return standing is ejections.Standing.OUT
+    def _typical(
+        self, candidates: list[routing.Candidate], views: Views
+    ) -> float:
+        known = sorted(
+            latency
+            for one in candidates
+            if (latency := _latency(one, views[one.record.endpoint]))
+        )
+        return known[(len(known) - 1) // 2] if known else UNKNOWN_LATENCY_MS
 
-    def _is_due(
+    def _guess(
         self,
         candidate: routing.Candidate,
-        standings: dict[ids.EndpointId, ejections.Standing],
-    ) -> bool:
-        standing = standings[candidate.record.endpoint]
-        return standing is ejections.Standing.PROBE
-
-    def _latency(self, candidate: routing.Candidate, now: float) -> float:
-        own = self._ejection.latency(candidate.record.endpoint, now)
-        return own or candidate.latency_ms
-
-    def _guess(
-        self, candidate: routing.Candidate, typical: float, now: float
+        view: ejections.View,
+        typical: float,
+        now: float,
     ) -> float:
         """Weigh an endpoint's own times against its pool's."""
-        own = self._latency(candidate, now) or typical
-        trust = self._ejection.trust(candidate.record.endpoint, now)
-        guess = typical + trust * (own - typical)
+        own = _latency(candidate, view) or typical
+        guess = typical + view.trust * (own - typical)
         overdue = self._overdue(candidate, now)
         return overdue if overdue > OVERDUE_FACTOR * guess else guess
 
@@ -174,24 +177,15 @@
             return 0.0
         return now - self._quiet.setdefault(endpoint, now)
 
-    def _typical(
-        self, candidates: list[routing.Candidate], now: float
-    ) -> float:
-        known = sorted(
-            latency
-            for one in candidates
-            if (latency := self._latency(one, now))
-        )
-        return known[(len(known) - 1) // 2] if known else UNKNOWN_LATENCY_MS
-
     def _expect(
         self,
         candidate: routing.Candidate,
+        view: ejections.View,
         typical: float,
         left: float,
         now: float,
     ) -> float:
-        latency = self._guess(candidate, typical, now)
+        latency = self._guess(candidate, view, typical, now)
         load = candidate.in_flight / max(1, candidate.limit)
         cost = latency * (1.0 + load)
         if not candidate.free:
@@ -201,27 +195,20 @@
             cost += FAR_PART * typical * ample
         return cost * (1.0 + JITTER * self._generator.random())
 
-    def _prefer_prefix(
-        self,
-        need: routing.Need,
-        ranked: list[routing.Candidate],
-        costs: dict[ids.EndpointId, float],
-    ) -> None:
+    def _prefer_prefix(self, need: routing.Need, ranked: list[Costed]) -> None:
         """Move the endpoint that may have the prefix to the front."""
         if not need.prefix or not ranked:
             return
-        most = costs[ranked[0].record.endpoint] * (1.0 + AFFINITY_PART)
-        mean = sum(one.in_flight for one in ranked) / len(ranked)
+        most = ranked[0][0] * (1.0 + AFFINITY_PART)
+        mean = sum(one.in_flight for _, one in ranked) / len(ranked)
         fitting = {
-            one.record.endpoint: one
-            for one in ranked
-            if costs[one.record.endpoint] <= most
-            and one.in_flight <= AFFINITY_LOAD * mean + 1.0
+            one.record.endpoint: index
+            for index, (cost, one) in enumerate(ranked)
+            if cost <= most and one.in_flight <= AFFINITY_LOAD * mean + 1.0
         }
         chosen = rendezvous.choose(fitting, need.prefix)
         if chosen is not None:
-            ranked.remove(fitting[chosen])
-            ranked.insert(0, fitting[chosen])
+            ranked.insert(0, ranked.pop(fitting[chosen]))
 
     def _start_probe(
         self, due: list[routing.Candidate], left: float, now: float
@@ -231,3 +218,7 @@
             if self._ejection.start_probe(one.record.endpoint, left, now):
                 return [one]
         return []
+
+
+def _latency(candidate: routing.Candidate, view: ejections.View) -> float:
+    return view.latency_ms or candidate.latency_ms
--- a/chervilshore/decisions/ejection.py
+++ b/chervilshore/decisions/ejection.py
@@ -5,6 +5,8 @@
 import enum
 import math
 
+import msgspec
+
 from chervilshore.decisions import samples
 from chervilshore import ids
 from chervilshore import records
@@ -60,6 +62,24 @@
     OUT = "out"
 
 
+class View(msgspec.Struct):
+    """What is thought of an endpoint now.
+
+    Parameters
+    ----------
+    standing : Standing
+        How it may be used.
+    latency_ms : float
+        The median time of its recent calls; 0 when unknown.
+    trust : float
+        From 0 to 1 how much that median is worth.
+    """
+
+    standing: Standing = Standing.IN
+    latency_ms: float = 0.0
+    trust: float = 0.0
+
+
 class Ejection(abc.ABC):
     """Judges endpoints by how their calls went."""
 
@@ -76,7 +96,7 @@
     @abc.abstractmethod
     def judge(
         self, endpoints: Endpoints, now: float
-    ) -> dict[ids.EndpointId, Standing]:
+    ) -> dict[ids.EndpointId, View]:
         """Tell how each endpoint of a pool may be used now.
 
         Parameters
@@ -108,14 +128,6 @@
             Whether the request should go there now.
         """
 
-    @abc.abstractmethod
-    def latency(self, endpoint: ids.EndpointId, now: float) -> float | None:
-        """Tell the median milliseconds of recent calls, if known."""
-
-    @abc.abstractmethod
-    def trust(self, endpoint: ids.EndpointId, now: float) -> float:
-        """Tell from 0 to 1 how much that median is worth."""
-
     def describe(self, now: float) -> dict[str, float]:
         """Tell the milliseconds for which endpoints stay left out."""
         return {}
@@ -135,9 +147,9 @@
 
     def judge(
         self, endpoints: Endpoints, now: float
-    ) -> dict[ids.EndpointId, Standing]:
+    ) -> dict[ids.EndpointId, View]:
         """Keep all; see `Ejection.judge`."""
-        return dict.fromkeys(endpoints, Standing.IN)
+        return {endpoint: View() for endpoint in endpoints}
 
     def start_probe(
         self, endpoint: ids.EndpointId, left: float, now: float
@@ -145,14 +157,6 @@
         """Never probe; see `Ejection.start_probe`."""
         return False
 
-    def latency(self, endpoint: ids.EndpointId, now: float) -> float | None:
-        """Know nothing; see `Ejection.latency`."""
-        return None
-
-    def trust(self, endpoint: ids.EndpointId, now: float) -> float:
-        """Trust nothing; see `Ejection.trust`."""
-        return 0.0
-
 
 class _Health:
     """What is known of one endpoint.
@@ -164,6 +168,8 @@
         or not.
     failed, slow : int
         Failures and slow calls in a row.
+    blamed : bool
+        Whether the latest call did not succeed.
     out : bool
         Whether it is left out.
     ejected : float
@@ -183,6 +189,7 @@
         "results",
         "failed",
         "slow",
+        "blamed",
         "out",
         "ejected",
         "until",
@@ -204,6 +211,7 @@
         self.results = samples.Window(RECENT_CALLS)
         self.failed = 0
         self.slow = 0
+        self.blamed = False
         self.worst_ms = 0.0
 
     def eject(self, now: float) -> None:
@@ -221,10 +229,14 @@
     def is_failing(self, now: float) -> bool:
         if self.failed >= CONSECUTIVE_FAILURES:
             return True
-        known = self.results.count(now)
-        return known >= JUDGED_CALLS and (
-            self.results.mean(now) < LEAST_SUCCESS
-        )
+        # Only a recent failure makes the mean worth working out.
+        if not self.blamed or self.results.count(now) < JUDGED_CALLS:
+            return False
+        return self.results.mean(now) < LEAST_SUCCESS
+
+    def note_result(self, good: bool, now: float) -> None:
+        self.results.note(float(good), now)
+        self.blamed = not good
 
     def note_time(self, millis: float, now: float) -> None:
         self.times.note(millis, now)
@@ -269,28 +281,26 @@
             self._note_least(health, millis, now)
         elif outcome in FAILURES:
             health.failed += 1
-            health.results.note(0.0, now)
+            health.note_result(False, now)
         else:
             health.failed = 0
             health.note_time(millis, now)
-            health.results.note(float(outcome is records.Outcome.OK), now)
+            health.note_result(outcome is records.Outcome.OK, now)
 
     def judge(
         self, endpoints: Endpoints, now: float
-    ) -> dict[ids.EndpointId, Standing]:
+    ) -> dict[ids.EndpointId, View]:
         """Tell how each may be used; see `Ejection.judge`."""
-        standings = {
-            endpoint: self._standing(endpoint, now) for endpoint in endpoints
-        }
-        left_out = len(endpoints) - list(standings.values()).count(Standing.IN)
-        spare = int(len(endpoints) * self._most_share) - left_out
-        self._set_bounds(standings, now)
-        if spare <= 0:
-            return standings
-        for endpoint in self._find_bad(standings, now)[:spare]:
-            self._health[endpoint].eject(now)
-            standings[endpoint] = Standing.OUT
-        return standings
+        views = {endpoint: self._view(endpoint, now) for endpoint in endpoints}
+        self._set_bounds(views)
+        kept = sum(view.standing is Standing.IN for view in views.values())
+        most = int(len(endpoints) * self._most_share)
+        spare = most - (len(endpoints) - kept)
+        if spare > 0:
+            for endpoint in self._find_bad(views, now)[:spare]:
+                self._health[endpoint].eject(now)
+                views[endpoint].standing = Standing.OUT
+        return views
 
     def start_probe(
         self, endpoint: ids.EndpointId, left: float, now: float
@@ -304,17 +314,6 @@
         health.wait(now)
         return True
 
-    def latency(self, endpoint: ids.EndpointId, now: float) -> float | None:
-        """Tell the median time; see `Ejection.latency`."""
-        health = self._health.get(endpoint)
-        return health.times.quantile(0.5, now) if health else None
-
-    def trust(self, endpoint: ids.EndpointId, now: float) -> float:
-        """Trust many calls more; see `Ejection.trust`."""
-        health = self._health.get(endpoint)
-        known = health.times.count(now) if health else 0
-        return known / (known + TRUSTED_CALLS)
-
     def describe(self, now: float) -> dict[str, float]:
         """Tell how long endpoints stay out; see `Ejection.describe`."""
         return {
@@ -323,39 +322,41 @@
             if health.out
         }
 
-    def _standing(self, endpoint: ids.EndpointId, now: float) -> Standing:
+    def _view(self, endpoint: ids.EndpointId, now: float) -> View:
         health = self._health.get(endpoint)
-        if health is None or not health.out:
-            return Standing.IN
-        return Standing.PROBE if now >= health.until else Standing.OUT
+        if health is None:
+            return View()
+        median = health.times.quantile(0.5, now)
+        view = View()
+        if median is not None:
+            known = len(health.times)
+            view.latency_ms = median
+            view.trust = known / (known + TRUSTED_CALLS)
+        if health.out:
+            due = now >= health.until
+            view.standing = Standing.PROBE if due else Standing.OUT
+        return view
 
-    def _set_bounds(
-        self, standings: dict[ids.EndpointId, Standing], now: float
-    ) -> None:
+    def _set_bounds(self, views: dict[ids.EndpointId, View]) -> None:
         """Compare with the lower median of the endpoints' own medians."""
-        medians = {
-            endpoint: median
-            for endpoint in standings
-            if (median := self.latency(endpoint, now)) is not None
-        }
-        if not medians:
+        ordered = sorted(
+            view.latency_ms for view in views.values() if view.trust
+        )
+        if not ordered:
             return
-        ordered = sorted(medians.values())
         bound = SLOW_FACTOR * ordered[(len(ordered) - 1) // 2]
-        for endpoint in medians:
-            if standings[endpoint] is Standing.IN:
+        for endpoint, view in views.items():
+            if view.trust and view.standing is Standing.IN:
                 self._health[endpoint].bound_ms = bound
 
     def _find_bad(
-        self,
-        standings: dict[ids.EndpointId, Standing],
-        now: float,
+        self, views: dict[ids.EndpointId, View], now: float
     ) -> list[ids.EndpointId]:
         failing = []
         slow = []
-        for endpoint, standing in standings.items():
+        for endpoint, view in views.items():
             health = self._health.get(endpoint)
-            if health is None or standing is not Standing.IN:
+            if health is None or view.standing is not Standing.IN:
                 continue
             if health.is_failing(now):
                 failing.append(endpoint)
--- a/chervilshore/decisions/samples.py
+++ b/chervilshore/decisions/samples.py
@@ -37,6 +37,10 @@
         )
         self._by_size: list[float] = []
 
+    def __len__(self) -> int:
+        """Count the samples, forgotten ones among them or not."""
+        return len(self._by_size)
+
     def note(self, value: float, now: float) -> None:
         """Add a sample.
 
