--- a/chervilshore/decisions/limits.py
+++ b/chervilshore/decisions/limits.py
@@ -11,6 +11,9 @@
 IDLE_MS = 60_000.0
 """Milliseconds without a request after which a team is forgotten."""
 
+SPARSE_HOSTS = 128
+"""Hosts of a fleet for which one more request at once is allowed."""
+
 DURATION_WEIGHT = 0.1
 """The part that one request has in a team's mean duration."""
 
@@ -96,9 +99,18 @@
         The mean time of its requests.
     promised : Promises
         The moments that refused requests were given.
+    began : float
+        The moment of the first request.
+    arrived, peak, refused : int
+        Requests, the most in flight and the refused ones since the latest
+        report.
     """
 
     __slots__ = (
+        "began",
+        "arrived",
+        "peak",
+        "refused",
         "tokens",
         "filled",
         "in_flight",
@@ -114,11 +126,18 @@
         self.latest = now
         self.duration_ms = UNKNOWN_DURATION_MS
         self.promised = promises.Promises()
+        self.began = now
+        self.arrived = 0
+        self.peak = 0
+        self.refused = 0
 
 
 class SplitLimits(TeamLimits):
     """The baseline: every host enforces an equal part of each limit.
 
+    A host of a large fleet lets a team have a little more at once than
+    its part, as that would be less than one request.
+
     Parameters
     ----------
     hosts : int
@@ -126,12 +145,13 @@
     """
 
     def __init__(self, hosts: int = 1) -> None:
-        self._hosts = hosts
+        self.count_hosts(hosts)
         self._teams: dict[ids.TeamId, TeamState] = {}
 
     def count_hosts(self, hosts: int) -> None:
         """Learn how many entry hosts share the limits."""
         self._hosts = max(1, hosts)
+        self._least = 1 + self._hosts // SPARSE_HOSTS
 
     def admit(self, team: model.Team, now: float) -> float:
         """Admit within the allowance; see `TeamLimits.admit`."""
@@ -141,14 +161,18 @@
             state = TeamState(allowance.burst, now)
             self._teams[team.name] = state
         state.latest = now
+        state.arrived += 1
         self._fill(state, allowance, now)
         if state.in_flight >= allowance.concurrency:
+            state.refused += 1
             gap = state.duration_ms / max(1, state.in_flight)
             return state.promised.take(gap, gap, now)
         if state.tokens < 1.0:
+            state.refused += 1
             return self._promise_token(state, allowance.rate, now)
         state.tokens -= 1.0
         state.in_flight += 1
+        state.peak = max(state.peak, state.in_flight)
         return 0.0
 
     def release(self, team: ids.TeamId, millis: float, now: float) -> None:
@@ -171,8 +195,8 @@
         """Tell what a team may send through this host now."""
         return Allowance(
             team.rate / self._hosts,
-            max(1.0, team.burst / self._hosts),
-            max(1, math.floor(team.concurrency / self._hosts)),
+            max(float(self._least), team.burst / self._hosts),
+            max(self._least, math.floor(team.concurrency / self._hosts)),
         )
 
     def forget_idle(self, now: float) -> None:
--- a/chervilshore/messages.py
+++ b/chervilshore/messages.py
@@ -250,17 +250,75 @@
 # Limits.
 
 
+class Demand(msgspec.Struct, frozen=True, array_like=True):
+    """What a host could use of a team's limits.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second that come to it.
+    concurrency : int
+        Requests in flight that it could have.
+    held_rate : float
+        Its share of the rate now; 0 when it has none.
+    held_concurrency : int
+        Its share of the requests in flight.
+    """
+
+    rate: float
+    concurrency: int
+    held_rate: float = 0.0
+    held_concurrency: int = 0
+
+
+class Share(msgspec.Struct, frozen=True, array_like=True):
+    """A host's part of a team's limits.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second.
+    concurrency : int
+        Requests in flight.
+    """
+
+    rate: float
+    concurrency: int
+
+
 class DemandReport(Message, frozen=True, tag="ld"):
-    """Tells a team's keeper how much a host wants of the team's limit."""
+    """Tells teams' keeper how much a host could use of their limits.
+
+    Parameters
+    ----------
+    holder : HostId
+        The host.
+    sent : float
+        The moment in milliseconds on its own clock.
+    demands : dict
+        Its demand by team; one without any gives the share back.
+    """
 
     holder: ids.HostId
-    demand: dict[ids.TeamId, float]
+    sent: float
+    demands: dict[ids.TeamId, Demand]
 
 
 class ShareReply(Message, frozen=True, tag="ls"):
-    """Tells a host its share of the teams' limits."""
+    """Tells a host its shares of the teams' limits.
+
+    Parameters
+    ----------
+    sent : float
+        The moment that the report named.
+    shares : dict
+        Its shares by team; a team that is kept elsewhere is missing.
+    lifetime_ms : float
+        Milliseconds that they last, counted from that moment.
+    """
 
-    shares: dict[ids.TeamId, float]
+    sent: float
+    shares: dict[ids.TeamId, Share]
     lifetime_ms: float
 
 
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -156,6 +156,20 @@
         "",
     ),
     # Grants, routing and limits.
+    Setting(
+        "limit_report_ms",
+        whole(50, 60_000),
+        "time between two reports to the keepers of team limits, in "
+        "milliseconds",
+        "500",
+    ),
+    Setting(
+        "limit_share_ms",
+        whole(200, 600_000),
+        "how long a share of a team's limits lasts without a report, in "
+        "milliseconds",
+        "2000",
+    ),
     # Claims.
     Setting(
         "claim_shards",
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,110 @@
+"""Team limits over a fleet."""
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore.decisions import rendezvous
+from tests import limits_helpers
+
+
+@pytest.fixture
+async def fleet(clock, network):
+    made = limits_helpers.Fleet(
+        clock, network, rate=100.0, burst=20.0, concurrency=18
+    )
+    await made.start()
+    yield made
+    await made.stop()
+
+
+def keeper_of(fleet):
+    return rendezvous.choose([one.host for one in fleet.records], "vans")
+
+
+def count(fleet):
+    """Take the admitted requests since the last count."""
+    total = sum(fleet.admitted.values())
+    fleet.admitted.clear()
+    return total
+
+
+def within(least, most):
+    return matchers.MatchesAll(
+        matchers.GreaterThan(least - 1), matchers.LessThan(most + 1)
+    )
+
+
+async def test_ten_times_the_limit_gets_the_limit(fleet):
+    await fleet.send(1000.0, 20_000.0)
+    assertions.assert_that(count(fleet), within(1900, 2200))
+
+
+async def test_a_team_at_one_host_gets_its_whole_limit(fleet):
+    await fleet.send(95.0, 3_000.0, ["h3"])
+    count(fleet)
+    fleet.refused.clear()
+    await fleet.send(95.0, 5_000.0, ["h3"])
+    assertions.assert_that(count(fleet), within(470, 475))
+    # The whole moves on when the load does.
+    await fleet.send(95.0, 3_000.0, ["h7"])
+    count(fleet)
+    await fleet.send(95.0, 5_000.0, ["h7"])
+    assertions.assert_that(count(fleet), within(470, 475))
+
+
+async def test_requests_in_flight_are_held_over_the_fleet(fleet):
+    peaks = []
+    await fleet.send(80.0, 2_000.0, hold_ms=2_000.0)
+    for _ in range(30):
+        await fleet.send(80.0, 200.0, hold_ms=2_000.0)
+        peaks.append(sum(fleet.running.values()))
+    assertions.assert_that(max(peaks), within(15, 18))
+
+
+async def test_a_dead_keeper_never_lets_more_through(fleet):
+    await fleet.send(1000.0, 3_000.0)
+    count(fleet)
+    dead = keeper_of(fleet)
+    await fleet.kill(dead)
+    # Nobody has noticed for longer than the shares last.
+    await fleet.send(1000.0, 3_000.0)
+    assertions.assert_that(count(fleet), within(250, 330))
+    fleet.tell(fleet.limits, {dead})
+    await fleet.send(1000.0, 3_000.0)
+    assertions.assert_that(count(fleet), within(240, 330))
+    await fleet.send(1000.0, 3_000.0)
+    assertions.assert_that(count(fleet), within(255, 330))
+
+
+@pytest.mark.parametrize("noticed", [True, False])
+async def test_both_sides_of_a_cut_together_stay_within_the_limit(
+    fleet, noticed
+):
+    await fleet.send(1000.0, 3_000.0)
+    count(fleet)
+    cut = {one.host for one in fleet.records if one.domain == "d0"}
+    rest = set(fleet.limits) - cut
+    addresses = {one.peer_address: one.host for one in fleet.records}
+    fleet.network.loses = lambda sender, receiver: (
+        (addresses[sender] in cut) != (addresses[receiver] in cut)
+    )
+    if noticed:
+        await fleet.send(1000.0, 2_000.0)
+        fleet.tell(cut, rest)
+        fleet.tell(rest, cut)
+        count(fleet)
+    await fleet.send(1000.0, 9_000.0)
+    assertions.assert_that(count(fleet), within(800, 990))
+    fleet.network.loses = lambda sender, receiver: False
+    fleet.tell(fleet.limits, set())
+    await fleet.send(1000.0, 6_000.0)
+    assertions.assert_that(count(fleet), within(560, 660))
+
+
+async def test_only_active_teams_cost_messages(fleet):
+    await fleet.send(90.0, 2_000.0)
+    await fleet.send(0.0, 20_000.0)
+    before = fleet.network.messages
+    await fleet.send(0.0, 20_000.0)
+    assertions.assert_that(fleet.network.messages, matchers.Equals(before))
