--- a/chervilshore/decisions/shedding.py
+++ b/chervilshore/decisions/shedding.py
@@ -50,6 +50,20 @@
             The time in milliseconds.
         """
 
+    def note_ask(self, pool: ids.PoolName, now: float) -> None:
+        """Learn that a stage asks for a slot.
+
+        Either `note_wait` or `note_drop` must follow, also when the
+        request is cancelled.
+
+        Parameters
+        ----------
+        pool : PoolName
+            The pool.
+        now : float
+            The time in milliseconds.
+        """
+
     def note_wait(self, pool: ids.PoolName, millis: float, now: float) -> None:
         """Learn how long a stage waited for its slot.
 
@@ -64,7 +78,7 @@
         """
 
     def note_drop(self, pool: ids.PoolName, now: float) -> None:
-        """Learn that a stage got no slot in time."""
+        """Learn that a stage got no slot, or was cancelled before."""
 
     def describe(self) -> dict[str, dict[str, float]]:
         """Tell the limits in force, by pool."""
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -189,15 +189,20 @@
         return await self._call(work, slot)
 
     async def _take_slot(self, work: Work, hedge: bool) -> slots.Slot:
-        begun = self._clock.now()
         need = self._make_need(work, hedge)
+        if hedge:
+            # A hedge waits behind all others and says nothing of the load.
+            return await self._take_confirmed(need)
+        pool = work.pool.name
+        begun = self._clock.now()
+        self._shedding.note_ask(pool, begun)
         try:
             slot = await self._take_confirmed(need)
-        except exceptions.RefusalError:
-            self._shedding.note_drop(work.pool.name, self._clock.now())
+        except BaseException:
+            self._shedding.note_drop(pool, self._clock.now())
             raise
         now = self._clock.now()
-        self._shedding.note_wait(work.pool.name, now - begun, now)
+        self._shedding.note_wait(pool, now - begun, now)
         self._metrics.observe(
             metrics.Metric.QUEUE_SECONDS,
             now - begun,
--- a/lab/pool_model.py
+++ b/lab/pool_model.py
@@ -160,6 +160,7 @@
     def _begin(self, job: Job) -> None:
         host = job.host
         need = self._need(job)
+        host.shedding.note_ask(POOL, self.now)
         for candidate in host.router.rank(
             need, self._candidates(host, need), self.now
         ):
