--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -16,6 +16,7 @@
 from chervilshore.clients import platform as platforms
 from chervilshore import clock as clocks
 from chervilshore import commands
+from chervilshore import edits
 from chervilshore import exceptions
 from chervilshore import operations
 from chervilshore import reports
@@ -38,6 +39,8 @@
         How hosts are asked; nothing asks them over HTTP.
     write : callable
         Takes each line of output.
+    clock : Clock or None
+        Measures all waits; nothing means the machine's own.
     """
 
     def __init__(
@@ -45,7 +48,9 @@
         platform: platforms.Platform | None = None,
         admin: admin_clients.Admin | None = None,
         write: abc.Callable[[str], None] = print,
+        clock: clocks.Clock | None = None,
     ) -> None:
+        self._clock = clock or clocks.SystemClock()
         self._platform = platform
         self._admin = admin
         self._write = write
@@ -78,12 +83,11 @@
             return commands.check(*_read_file(arguments.file))
         if arguments.command == "format":
             return _format(arguments)
-        clock = clocks.SystemClock()
         async with contextlib.AsyncExitStack() as stack:
             session = await stack.enter_async_context(aiohttp.ClientSession())
             platform = self._platform or _connect(arguments, stack)
             admin = self._admin or admin_clients.RestAdmin(session)
-            operator = operations.Operations(platform, admin, clock)
+            operator = operations.Operations(platform, admin, self._clock)
             run = commands.Commands(operator, self._choose_say(arguments))
             return await getattr(self, f"_{arguments.command}")(run, arguments)
 
@@ -96,20 +100,25 @@
         return await run.show(arguments.generation)
 
     async def _diff(self, run, arguments) -> reports.Report:
-        document = operations.parse(*_read_file(arguments.file))
+        document = edits.parse(*_read_file(arguments.file))
         return await run.diff(document)
 
     async def _apply(self, run, arguments) -> reports.Report:
         text, file = _read_file(arguments.file)
         edit = _make_edit(
             arguments,
-            document=operations.parse(text, file),
+            document=edits.parse(text, file),
             base=arguments.generation,
             merge=arguments.merge,
         )
-        return await run.apply(
+        report = await run.apply(
             edit, arguments.timeout * 1000.0, arguments.dry_run
         )
+        if edit.document.generation is not None and not arguments.dry_run:
+            # The file can be edited again, with the edits of others in it.
+            shown = await run.show(report.data["generation"])
+            _rewrite(arguments.file, shown.data["text"])
+        return report
 
     async def _rollback(self, run, arguments) -> reports.Report:
         return await run.rollback(
@@ -131,6 +140,18 @@
     async def _history(self, run, arguments) -> reports.Report:
         return await run.history(arguments.most)
 
+    async def _status(self, run, arguments) -> reports.Report:
+        return await run.status()
+
+    async def _refusals(self, run, arguments) -> reports.Report:
+        return await run.refusals()
+
+    async def _explain(self, run, arguments) -> reports.Report:
+        return await run.explain(arguments.field)
+
+    async def _prune(self, run, arguments) -> reports.Report:
+        return await run.prune(arguments.keep)
+
     async def _settle(self, run, arguments) -> reports.Report:
         return await run.settle(arguments.generation, arguments.change)
 
@@ -194,6 +215,20 @@
     )
     one.add_argument("state", choices=("out", "in"))
     one.add_argument("name")
+    add("status", parents=[common], help="hosts, domains, endpoints, limits")
+    add("refusals", parents=[common], help="which requests were refused")
+    one = add("explain", parents=[common], help="which rules would decide")
+    one.add_argument(
+        "field", nargs="+", help="pipeline=NAME and team=NAME of a request"
+    )
+    one = add("prune", parents=[common], help="remove old generations")
+    one.add_argument(
+        "--keep",
+        type=_parse_keep,
+        required=True,
+        metavar="N",
+        help="newest generations that stay",
+    )
     one = add("settle", parents=[common], help="ask for a change's outcome")
     one.add_argument("generation", type=int)
     one.add_argument("change")
@@ -226,9 +261,9 @@
     return change
 
 
-def _make_edit(arguments: argparse.Namespace, **fields) -> operations.Edit:
+def _make_edit(arguments: argparse.Namespace, **fields) -> edits.Edit:
     fields.setdefault("document", None)
-    return operations.Edit(
+    return edits.Edit(
         author=arguments.author or getpass.getuser(),
         reason=" ".join(arguments.reason.split()),
         allowed=frozenset(map(guards.Guard, arguments.allow)),
@@ -245,11 +280,28 @@
         raise exceptions.RulesError(f"{name}: {error}") from error
 
 
+def _parse_keep(text: str) -> int:
+    kept = int(text)
+    if kept < 1:
+        raise ValueError(text)
+    return kept
+
+
+def _rewrite(file: str, text: str) -> None:
+    if file == "-":
+        return
+    # A tool that dies here must leave the old file or the new one.
+    path = pathlib.Path(file)
+    written = path.with_name(path.name + ".new")
+    written.write_text(text)
+    written.replace(path)
+
+
 def _format(arguments: argparse.Namespace) -> reports.Report:
     report = commands.format_file(*_read_file(arguments.file))
     if not arguments.write or arguments.file == "-":
         return report
-    pathlib.Path(arguments.file).write_text(report.data["text"])
+    _rewrite(arguments.file, report.data["text"])
     word = "rewritten" if report.data["changed"] else "unchanged"
     return reports.Report(f"{arguments.file}: {word}", report.data)
 
