--- a/chervilshore/controllers/grants.py
+++ b/chervilshore/controllers/grants.py
@@ -200,12 +200,12 @@
         self, pool: waiting.PoolWaiters, endpoint: ids.EndpointId
     ) -> None:
         now = self._clock.now()
-        self._node.want(
-            endpoint,
-            pool.count_wanted(endpoint),
-            pool.last_deadline,
-            now,
-        )
+        record = self._directory.endpoint(endpoint)
+        wanted = 0
+        # A slot that nobody here may use must go back and stay there.
+        if record is not None and self._is_open(record):
+            wanted = pool.count_wanted(endpoint)
+        self._node.want(endpoint, wanted, pool.last_deadline, now)
 
     def _chase(
         self, pool: waiting.PoolWaiters, waiter: waiting.Waiter
--- a/chervilshore/policies.py
+++ b/chervilshore/policies.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chervilshore.decisions import admittance
 from chervilshore.decisions import completion
 from chervilshore.decisions import deadlines
 from chervilshore.decisions import ejection
@@ -95,7 +96,7 @@
         times=times,
         budget=budget,
         hedging=retries.Hedging(times, budget),
-        shed=shedding.NoShedding(),
+        shed=admittance.AdaptiveConcurrency(),
         team_limits=shared_limits.SharedLimits(),
         make_router=make_router,
         make_queue=fairness.FairQueue,
