Name the hosts that a former keeper waited for, and end an endless exchange

Cause: with nine daemons starting, tenures move as hosts become known, and each new keeper inherited the whole wait of the former one: 70 s in which five endpoints gave out nothing. And a slot in a domain that had gone out was returned and granted again without end when keeper and holder were one host, which stopped that host.

A test shows the exchange; it fails when the condition is taken away.

--- a/chervilshore/decisions/census.py
+++ b/chervilshore/decisions/census.py
@@ -57,8 +57,10 @@
         return self._is_settled
 
     def count_unsettled_ms(self, now: float) -> float:
-        """Count the milliseconds until everything unknown has ended."""
-        return 0.0 if self.is_settled(now) else self.ends - now
+        """Count the milliseconds until all hosts should be known."""
+        if self.is_settled(now):
+            return 0.0
+        return max(0.0, self._not_before - now)
 
     def settle(self) -> None:
         """Let what is unknown not matter any more."""
--- a/chervilshore/decisions/grants.py
+++ b/chervilshore/decisions/grants.py
@@ -6,7 +6,6 @@
 
 import collections
 
-import msgspec
 
 from chervilshore.decisions import concurrency
 from chervilshore.decisions import holders
@@ -301,10 +300,7 @@
         holder = self._find_holder(endpoint)
         self._busy.add(endpoint)
         holding = holder.take_recall(recall.keeper, recall.epoch, now)
-        unsettled = self.tenures.count_unsettled_ms(endpoint, now)
-        if not unsettled:
-            return holding
-        return msgspec.structs.replace(holding, unsettled_ms=unsettled)
+        return self.tenures.add_unsettled(holding, now)
 
     # Time.
 
--- a/chervilshore/decisions/keepers.py
+++ b/chervilshore/decisions/keepers.py
@@ -108,7 +108,8 @@
             The time in milliseconds.
         """
         self.floor = max(self.floor, holding.promised)
-        self.census.expect({holding.former, *others} - {self._host})
+        named = {holding.former, *holding.unheard, *others}
+        self.census.expect(named - {self._host})
         if holding.promised != self.epoch:
             return
         if not self.sessions.adopt(holder, life, holding, now):
--- a/chervilshore/decisions/tenures.py
+++ b/chervilshore/decisions/tenures.py
@@ -2,6 +2,8 @@
 
 from collections import abc as collections_abc
 
+import msgspec
+
 from chervilshore.decisions import census
 from chervilshore.decisions import concurrency
 from chervilshore.decisions import keepers
@@ -80,7 +82,7 @@
         self._outlook = seen
         self._send = send
         self._report = report
-        self._unsettled: dict[ids.EndpointId, float] = {}
+        self._dropped: dict[ids.EndpointId, census.Census] = {}
         self._recalled: dict[ids.HostId, float] = {}
 
     def take_view(self, former: outlook.View, now: float) -> None:
@@ -176,9 +178,8 @@
     def drop(self, endpoint: ids.EndpointId, now: float) -> None:
         """Give up a tenure."""
         keeper = self.keepers.pop(endpoint)
-        unsettled = keeper.census.count_unsettled_ms(now)
-        if unsettled > 0:
-            self._unsettled[endpoint] = now + unsettled
+        if not keeper.is_settled(now):
+            self._dropped[endpoint] = keeper.census
 
     def give_way(
         self, endpoint: ids.EndpointId, epoch: ids.Epoch, now: float
@@ -188,15 +189,33 @@
         if keeper is not None and keeper.epoch < epoch:
             self.drop(endpoint, now)
 
-    def count_unsettled_ms(
-        self, endpoint: ids.EndpointId, now: float
-    ) -> float:
-        """Count the milliseconds that a former tenure had yet to wait."""
-        unsettled = self._unsettled.get(endpoint, now) - now
-        if unsettled <= 0:
-            self._unsettled.pop(endpoint, None)
-            return 0.0
-        return unsettled
+    def add_unsettled(
+        self, holding: messages.Holding, now: float
+    ) -> messages.Holding:
+        """Tell what a former tenure had yet to wait for.
+
+        The hosts that it waited for are named, so that the next keeper
+        asks them itself; only a host that nobody hears of has to be waited
+        out.
+
+        Parameters
+        ----------
+        holding : Holding
+            What this host has as a holder.
+        now : float
+            The time in milliseconds.
+        """
+        account = self._dropped.get(holding.endpoint)
+        if account is None:
+            return holding
+        if account.is_settled(now):
+            del self._dropped[holding.endpoint]
+            return holding
+        return msgspec.structs.replace(
+            holding,
+            unsettled_ms=account.count_unsettled_ms(now),
+            unheard=tuple(sorted(account.unheard)),
+        )
 
     def retire(self, now: float) -> None:
         """Give up all tenures, once nothing of this host is in flight."""
--- a/chervilshore/messages.py
+++ b/chervilshore/messages.py
@@ -304,8 +304,10 @@
     warmth : Warmth
         The warmth that came with it.
     unsettled_ms : float
-        As a former keeper: milliseconds until everything that it could
-        not account for has ended.
+        As a former keeper: milliseconds until it would have known all
+        hosts.
+    unheard : tuple of HostId
+        As a former keeper: the hosts that it could not account for.
     """
 
     endpoint: ids.EndpointId
@@ -318,6 +320,7 @@
     limit: int = 0
     warmth: records.Warmth = records.Warmth.COLD
     unsettled_ms: float = 0.0
+    unheard: tuple[ids.HostId, ...] = ()
 
 
 class GrantReport(Message, frozen=True, tag="gp"):
--- a/tests/test_grants_controller.py
+++ b/tests/test_grants_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from testtools import assertions
 from testtools import matchers
@@ -183,3 +184,41 @@
     await task
     sent = world.network.messages - before
     assertions.assert_that(sent, matchers.LessThan(20))
+
+
+async def test_a_slot_in_a_domain_that_went_out_goes_back_for_good(
+    clock, network
+):
+    """Keeper and holder on one host must not hand it to and fro."""
+    world = World(clock, network, ("h1",), endpoints=("e1", "e2"))
+    elsewhere = records.EndpointRecord("e2", POOL, "b", "e2:1")
+    listed = world.directory.host_list
+    world.directory.host_list = records.HostList(
+        listed.hosts, (listed.endpoints[0], elsewhere)
+    )
+    await world.start()
+    tasks = [world.acquire("h1", 60_000.0) for _ in range(12)]
+    await clock.advance(300)
+    exchanged = []
+    decided = world.slots["h1"]._node
+    handle = decided._handle
+
+    def count(sender, message, now):
+        exchanged.append(message)
+        assert len(exchanged) < 500, "an exchange without end"
+        handle(sender, message, now)
+
+    decided._handle = count
+    out = model.Domain("a", state=records.DomainState.OUT)
+    world.configuration.put(
+        msgspec.structs.replace(world.rules, generation=2, domains={"a": out})
+    )
+    for task in tasks:
+        if task.done():
+            _end(world, "h1", task.result())
+    await clock.advance(500)
+    waiting = sum(not task.done() for task in tasks)
+    assertions.assert_that(waiting, matchers.GreaterThan(0))
+    for task in tasks:
+        task.cancel()
+    await world.stop()
