--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -10,6 +10,7 @@
 import sys
 
 import aiohttp
+import msgspec
 import orjson
 
 from chervilshore.clients import admin as admin_clients
@@ -114,10 +115,19 @@
         report = await run.apply(
             edit, arguments.timeout * 1000.0, arguments.dry_run
         )
-        if edit.document.generation is not None and not arguments.dry_run:
-            # The file can be edited again, with the edits of others in it.
+        if edit.document.generation is None or arguments.dry_run:
+            return report
+        return await self._rewrite(run, arguments.file, report)
+
+    async def _rewrite(self, run, file: str, report) -> reports.Report:
+        """Let the file be edited again, with the edits of others in it."""
+        try:
             shown = await run.show(report.data["generation"])
-            _rewrite(arguments.file, shown.data["text"])
+            _write_file(file, shown.data["text"])
+        except (exceptions.ChervilshoreError, OSError) as error:
+            # The change is accepted all the same, and must not look refused.
+            text = f"{report.text}\n{file} was not rewritten: {error}"
+            return msgspec.structs.replace(report, text=text)
         return report
 
     async def _rollback(self, run, arguments) -> reports.Report:
@@ -287,7 +297,7 @@
     return kept
 
 
-def _rewrite(file: str, text: str) -> None:
+def _write_file(file: str, text: str) -> None:
     if file == "-":
         return
     # A tool that dies here must leave the old file or the new one.
@@ -301,7 +311,7 @@
     report = commands.format_file(*_read_file(arguments.file))
     if not arguments.write or arguments.file == "-":
         return report
-    _rewrite(arguments.file, report.data["text"])
+    _write_file(arguments.file, report.data["text"])
     word = "rewritten" if report.data["changed"] else "unchanged"
     return reports.Report(f"{arguments.file}: {word}", report.data)
 
--- a/chervilshore/tables.py
+++ b/chervilshore/tables.py
@@ -125,7 +125,9 @@
         return default.value
     if isinstance(default, float):
         return f"{default:g}"
-    return str(default) if default not in ("", ()) else "any"
+    if default in ("", ()):
+        return "any" if kind is model.Route else "none"
+    return str(default)
 
 
 def format_guards() -> str:
--- a/tests/configuration_helpers.py
+++ b/tests/configuration_helpers.py
@@ -204,8 +204,9 @@
 class FollowingAdmin(admin_clients.Admin):
     """Hosts that have in force whatever the platform has accepted."""
 
-    def __init__(self, platform):
+    def __init__(self, platform, clock):
         self._platform = platform
+        self._clock = clock
         self.pipelines = {}
         self.refusals = {}
         self.generations = {}
@@ -214,7 +215,12 @@
     async def ask(self, address, timeout_ms):
         if address in self.silent:
             raise exceptions.PeerError(address)
-        head = (await changes.Store(self._platform, None).read()).head
+        try:
+            head = (
+                await changes.Store(self._platform, self._clock).read()
+            ).head
+        except exceptions.PlatformError as error:
+            raise exceptions.PeerError(address) from error
         return admin_clients.HostStatus(
             host=address.partition(":")[0],
             domain="",
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -17,7 +17,7 @@
 
     def __init__(self, folder):
         self.platform = memory.MemoryPlatform(races.QuickClock())
-        self.admin = helpers.FollowingAdmin(self.platform)
+        self.admin = helpers.FollowingAdmin(self.platform, races.QuickClock())
         self.platform.host_list = records.HostList(
             hosts=(helpers.make_host("scot-a", 0),)
         )
@@ -202,3 +202,25 @@
     tool.platform.faults = memory.plan_nothing
     await tool.run(*words)
     assertions.assert_that(await tool.run(*settle), matchers.Equals(5))
+
+
+async def test_an_outage_after_the_acceptance_does_not_look_refused(tool):
+    await tool.edit("borders rate=20", "borders rate=25")
+
+    def stop_after_head(call, key):
+        if call == "update" and key == "configuration/head":
+            tool.platform.faults = lambda call, key: memory.Fault.DOWN
+        return memory.Fault.NONE
+
+    tool.platform.faults = stop_after_head
+    words = ("apply", str(tool.file), "--reason", "more")
+    assertions.assert_that(await tool.run(*words), matchers.Equals(6))
+    output = "\n".join(tool.output)
+    for part in ("generation 2 is accepted", "was not rewritten"):
+        assertions.assert_that(output, matchers.Contains(part))
+    tool.platform.faults = memory.plan_nothing
+    # The old file says what is accepted already.
+    assertions.assert_that(await tool.run(*words), matchers.Equals(0))
+    assertions.assert_that(
+        tool.file.read_text(), matchers.StartsWith("#% generation 2")
+    )
