--- a/chervilshore/rules/generations.py
+++ b/chervilshore/rules/generations.py
@@ -28,6 +28,9 @@
 SPREAD = ("team", "assign")
 """The kinds of rules that are spread over buckets."""
 
+MOST_CHUNK_BYTES = 500_000
+"""Bytes of a chunk; the platform takes values of twice that."""
+
 DIGEST_BYTES = 16
 USUAL_RULES = 128
 """Rules in a bucket, about, when the number of buckets is chosen anew."""
@@ -150,6 +153,11 @@
         The parsed file, without problems.
     buckets_before : int
         The number of buckets of the generation before.
+
+    Raises
+    ------
+    exceptions.RulesError
+        A chunk would be too large.
     """
     spread = [line for line in document.lines if line.kind in SPREAD]
     count = count_buckets(len(spread), buckets_before)
@@ -214,6 +222,11 @@
     if not text:
         return ""
     content = text.encode()
+    if len(content) > MOST_CHUNK_BYTES:
+        raise exceptions.RulesError(
+            f"rules that are kept together take {len(content)} bytes; "
+            f"at most {MOST_CHUNK_BYTES} are possible"
+        )
     name = digest(content)
     chunks[name] = content
     return name
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -101,3 +101,12 @@
     assertions.assert_that(size, matchers.LessThan(16_000))
     rules, _ = checks.check(document)
     assertions.assert_that(rules.teams["t1234"].rate, matchers.Equals(7.0))
+
+
+def test_rules_that_are_too_large_for_a_chunk_are_refused():
+    rows = "".join(
+        f"class c{number} priority=1  # Morag, {'why ' * 50}\n"
+        for number in range(2500)
+    )
+    with pytest.raises(exceptions.RulesError):
+        generations.pack(lines.parse(rows)[0])
