Let another host watch when the watcher alone is cut off

A watcher that is alive and cannot reach the platform kept a single-domain deployment on old rules. It now asks the next host in rank, which watches for five seconds; at most three hosts of a domain do, so that an outage for all does not bring every host to ask.

--- a/chervilshore/controllers/generations.py
+++ b/chervilshore/controllers/generations.py
@@ -37,10 +37,16 @@
 IDLE_MS = 250.0
 """Milliseconds between two looks at who should watch."""
 
+STAND_IN_MS = 5000.0
+"""Milliseconds for which a host watches after it was asked to."""
+
 RETRY_MS = 250.0
 MOST_RETRY_MS = 5000.0
 """Milliseconds before the platform or the peers are asked again."""
 
+MOST_WATCH_WAIT_MS = 1000.0
+"""Milliseconds before a watch that failed is tried again, at most."""
+
 PARALLEL = 8
 """Chunks that are fetched at once."""
 
@@ -95,6 +101,9 @@
         self._version = 0
         self._watching = False
         self._read_at = 0.0
+        self._stand_in_until = 0.0
+        self._watch_wait = RETRY_MS
+        peers.handle(messages.WatchRequest, self._take_watch_request)
         peers.handle(messages.GenerationNotice, self._take_notice)
         peers.handle(messages.HeadRequest, self._give_head)
         peers.handle(messages.ChunkRequest, self._give_chunk)
@@ -142,6 +151,11 @@
     ) -> None:
         self.note_generation(notice.generation, sender)
 
+    def _take_watch_request(
+        self, sender: ids.Address, request: messages.WatchRequest
+    ) -> None:
+        self._stand_in_until = self._clock.now() + STAND_IN_MS
+
     def _give_head(
         self, sender: ids.Address, request: messages.HeadRequest
     ) -> messages.HeadReply:
@@ -176,16 +190,18 @@
         # peers may know more than an old read of the platform.
         await asyncio.gather(self._ask_peers_for_head(), self._read_head())
         while not self.should_stop:
-            ranked = rollout.rank_watchers(
-                self._directory.hosts(), self._domain
-            )
-            first = ranked[0].host if ranked else self._host
-            self._note_watching(first == self._host)
+            self._note_watching(self._is_watcher())
             if self._watching:
                 await self._watch_once()
             else:
                 await self._clock.sleep(IDLE_MS)
 
+    def _is_watcher(self) -> bool:
+        if self._clock.now() < self._stand_in_until:
+            return True
+        ranked = rollout.rank_watchers(self._directory.hosts(), self._domain)
+        return not ranked or ranked[0].host == self._host
+
     def _note_watching(self, watching: bool) -> None:
         if watching and not self._watching:
             events.log_event(logger, events.Event.WATCHING)
@@ -198,9 +214,12 @@
                 generations.HEAD_KEY, before, WATCH_MS
             )
         except exceptions.PlatformError:
-            await self._clock.sleep(self._jitter(RETRY_MS))
+            self._ask_next_watcher()
+            await self._clock.sleep(self._jitter(self._watch_wait))
+            self._watch_wait = min(MOST_WATCH_WAIT_MS, self._watch_wait * 2)
             await self._read_head()
             return
+        self._watch_wait = RETRY_MS
         for stored in found:
             self._take_stored(stored)
         if found and self._version == before:
@@ -210,6 +229,14 @@
             # A watch may skip a change, so the head is read besides.
             await self._read_head()
 
+    def _ask_next_watcher(self) -> None:
+        """Have another host watch, if only this one is cut off."""
+        following = rollout.choose_next_watcher(
+            self._host, self._domain, self._directory.hosts()
+        )
+        if following is not None:
+            self._peers.send(following.peer_address, messages.WatchRequest())
+
     async def _read_head(self) -> None:
         stored = await self._sources.read_head()
         if stored is not None:
--- a/chervilshore/decisions/rollout.py
+++ b/chervilshore/decisions/rollout.py
@@ -12,6 +12,9 @@
 FANOUT = 4
 """Hosts of its own domain that each host tells."""
 
+MOST_WATCHERS = 3
+"""Hosts of a domain that watch at most, while others cannot."""
+
 DOORS = 2
 """Hosts in each other domain that a watcher tells."""
 
@@ -31,6 +34,22 @@
     return _rank(hosts, domain, f"watch/{domain}")
 
 
+def choose_next_watcher(
+    me: ids.HostId,
+    domain: ids.DomainId,
+    hosts: abc.Iterable[records.HostRecord],
+) -> records.HostRecord | None:
+    """Choose who may watch when this host cannot reach the platform.
+
+    Only few hosts of a domain may, so that an outage of the platform does
+    not bring all of them to ask it.
+    """
+    few = rank_watchers(hosts, domain)[:MOST_WATCHERS]
+    names = [host.host for host in few]
+    place = names.index(me) if me in names else -1
+    return few[place + 1] if place + 1 < len(few) else None
+
+
 def choose_notified(
     me: ids.HostId,
     domain: ids.DomainId,
--- a/chervilshore/messages.py
+++ b/chervilshore/messages.py
@@ -140,6 +140,10 @@
     generation: ids.Generation
 
 
+class WatchRequest(Message, frozen=True, tag="cw"):
+    """Asks a host to watch the platform for a while; the sender cannot."""
+
+
 class HeadRequest(Message, frozen=True, tag="ch"):
     """Asks a peer for the newest head that it has."""
 
@@ -372,6 +376,7 @@
     ListingNotice,
     ListingTaken,
     GenerationNotice,
+    WatchRequest,
     HeadRequest,
     HeadReply,
     ChunkRequest,
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -148,6 +148,25 @@
         assertions.assert_that(count, matchers.GreaterThan(10))
 
 
+async def test_a_slow_platform_changes_only_the_time(clock):
+    class SlowPlatform(races.PassingPlatform):
+        async def _pass(self, call, *arguments):
+            await clock.sleep(400)
+            found = await super()._pass(call, *arguments)
+            await clock.sleep(400)
+            return found
+
+    inner = memory.MemoryPlatform(clock)
+    await begin(inner, clock)
+    told = await helpers.drive(
+        clock, change_rate(SlowPlatform(inner), clock, 25, timeout_ms=100.0)
+    )
+    assertions.assert_that(told, matchers.Equals(2))
+    assertions.assert_that(
+        await read_rate(inner, clock), matchers.Equals((2, 25.0))
+    )
+
+
 async def test_a_conflict_names_the_lines_and_both_authors(quick, store):
     await begin(store, quick)
     operator = operations.Operations(store, None, quick)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -106,6 +106,33 @@
     assert_generation(running, 2)
 
 
+async def test_a_watcher_that_alone_is_cut_off_is_stood_in_for(
+    clock, platform, network
+):
+    fleet = helpers.Fleet(clock, platform, network, ("scot-a",), 5)
+    await fleet.start()
+    await helpers.accept(fleet)
+    await fleet.run(3000)
+    (watcher,) = fleet.list_watchers()
+    fleet.platforms[watcher].down = True
+    await helpers.accept(fleet, 1)
+    await fleet.run(3500)
+    assert_generation(fleet, 2)
+    # In an outage for all, only few hosts ask the platform.
+    fleet.cut_platform("scot-a", True)
+    await fleet.run(6000)
+    before = {name: own.calls for name, own in fleet.platforms.items()}
+    await fleet.run(10_000)
+    asking = [
+        name
+        for name, own in fleet.platforms.items()
+        if own.calls > before[name]
+    ]
+    assertions.assert_that(asking, matchers.HasLength(3))
+    await fleet.stop()
+    assertions.assert_that(fleet.broken, matchers.Equals([]))
+
+
 async def test_all_watchers_killed_at_once_are_replaced(running):
     dead = running.list_watchers()
     for name in dead:
