--- a/chervilshore/decisions/limits.py
+++ b/chervilshore/decisions/limits.py
@@ -12,7 +12,10 @@
 """Milliseconds without a request after which a team is forgotten."""
 
 SPARSE_HOSTS = 128
-"""Hosts of a fleet for which one more request at once is allowed."""
+"""Hosts of a fleet for which one more request in flight is allowed."""
+
+LEAST_BURST = 3.0
+"""Requests at once that a host lets a team have in any case."""
 
 DURATION_WEIGHT = 0.1
 """The part that one request has in a team's mean duration."""
@@ -195,7 +198,7 @@
         """Tell what a team may send through this host now."""
         return Allowance(
             team.rate / self._hosts,
-            max(float(self._least), team.burst / self._hosts),
+            max(min(LEAST_BURST, team.burst), team.burst / self._hosts),
             max(self._least, math.floor(team.concurrency / self._hosts)),
         )
 
--- a/chervilshore/decisions/shared_limits.py
+++ b/chervilshore/decisions/shared_limits.py
@@ -22,7 +22,7 @@
 SMOOTHING = 0.5
 """The part that the newest count has in a falling demand."""
 
-DEPTH_MS = 1000.0
+DEPTH_MS = 2000.0
 """Milliseconds of its rate that a share lets through at once at least."""
 
 GROWING = 1.5
@@ -72,7 +72,7 @@
         depth = share.rate * DEPTH_MS / clocks.MILLIS_PER_SECOND
         return limits.Allowance(
             share.rate,
-            max(1.0, depth, team.burst * part),
+            max(limits.LEAST_BURST, depth, team.burst * part),
             min(share.concurrency, team.concurrency),
         )
 
--- a/lab/limits_bench.py
+++ b/lab/limits_bench.py
@@ -1,6 +1,7 @@
 """Compare an even split of team limits with shares that follow demand.
 
-Nine hosts, a limit of 100 requests a second over the fleet, 20 seconds.
+Nine hosts, a limit over the fleet of some requests a second and 20 at
+once, 20 seconds.
 Run with ``python -m lab.limits_bench``.
 """
 
@@ -10,15 +11,14 @@
 from chervilshore import clock as clocks
 from tests import limits_helpers
 
-RATE = 100.0
 SECONDS = 20
 
 
-async def run(shared, sent, hosts):
+async def run(shared, rate, sent, hosts):
     clock = clocks.ManualClock()
     network = memory.MemoryNetwork(clock)
     fleet = limits_helpers.Fleet(
-        clock, network, rate=RATE, burst=20.0, concurrency=100
+        clock, network, rate=rate, burst=20.0, concurrency=100
     )
     if shared:
         await fleet.start()
@@ -31,20 +31,22 @@
 
 async def main():
     cases = {
-        "10 times the limit, nine hosts": (1000.0, None),
-        "10 times the limit, one host": (1000.0, ["h4"]),
-        "0.95 of the limit, nine hosts": (95.0, None),
-        "0.95 of the limit, one host": (95.0, ["h4"]),
-        "0.95 of the limit, three hosts": (95.0, ["h0", "h4", "h8"]),
+        "100/s: 1000/s, nine hosts": (100.0, 1000.0, None),
+        "100/s: 1000/s, one host": (100.0, 1000.0, ["h4"]),
+        "100/s: 95/s, nine hosts": (100.0, 95.0, None),
+        "100/s: 95/s, one host": (100.0, 95.0, ["h4"]),
+        "100/s: 95/s, three hosts": (100.0, 95.0, ["h0", "h4", "h8"]),
+        "20/s: 200/s, nine hosts": (20.0, 200.0, None),
+        "20/s: 16/s, nine hosts": (20.0, 16.0, None),
     }
     print(
         f"{'case':32}{'split':>7}{'shares':>8}{'may':>6}"
         f"{'messages':>10}{'bytes':>8}"
     )
-    for name, (sent, hosts) in cases.items():
-        split, _, _ = await run(False, sent, hosts)
-        shares, messages, size = await run(True, sent, hosts)
-        may = int(min(sent, RATE) * SECONDS)
+    for name, (rate, sent, hosts) in cases.items():
+        split, _, _ = await run(False, rate, sent, hosts)
+        shares, messages, size = await run(True, rate, sent, hosts)
+        may = int(min(sent, rate) * SECONDS)
         print(f"{name:32}{split:7}{shares:8}{may:6}{messages:10}{size:8}")
 
 
