Prove claims over seeded fault schedules

Cause: the safety of claims rests on what happens when calls are lost, late or stalled, and when hosts die between two steps.

--- a/chervilshore/controllers/claimlog.py
+++ b/chervilshore/controllers/claimlog.py
@@ -1,6 +1,7 @@
 """One host's writing of one log of claims."""
 
 import asyncio
+from collections import abc
 import logging
 
 import msgspec
@@ -72,7 +73,7 @@
         self._written = -float("inf")
         self._waiting: dict[tuple, claims.Entry] = {}
         self._maybe_sent: set[tuple] = set()
-        self._changed = asyncio.Event()
+        self._changed = asyncio.get_running_loop().create_future()
         self._wake = asyncio.Event()
         self._watchers = 0
         self._worker: asyncio.Task | None = None
@@ -105,19 +106,15 @@
             The last word within that time.
         """
         self.used = self._clock.now()
-        end = self.used + hold_ms
-        verdict = self._judge(claim)
         self._watchers += 1
         try:
-            while verdict.state in claims.WAITING:
-                left = end - self._clock.now()
-                if left <= 0:
-                    break
-                await self._wait_for_change(left)
-                verdict = self._judge(claim)
+            await self._wait_until(
+                lambda: self._judge(claim).state not in claims.WAITING,
+                hold_ms,
+            )
         finally:
             self._watchers -= 1
-        return verdict
+        return self.reader.ledger.judge(claim)
 
     async def store(self, entry: claims.Entry, hold_ms: float) -> bool:
         """Bring an outcome or a release into the log.
@@ -129,16 +126,12 @@
             being tried.
         """
         self.used = self._clock.now()
-        end = self.used + hold_ms
         if self.reader.ledger.holds(entry):
             return True
         self._enqueue(entry)
-        while _name(entry) in self._waiting:
-            left = end - self._clock.now()
-            if left <= 0:
-                return False
-            await self._wait_for_change(left)
-        return True
+        return await self._wait_until(
+            lambda: _name(entry) not in self._waiting, hold_ms
+        )
 
     def withdraw(self, claim: claims.Claim) -> bool:
         """Take back a claim that waits.
@@ -174,15 +167,27 @@
         if self._worker is None or self._worker.done():
             self._worker = asyncio.ensure_future(self._work())
 
-    async def _wait_for_change(self, millis: float) -> None:
+    async def _wait_until(
+        self, is_over: abc.Callable[[], bool], millis: float
+    ) -> bool:
+        if is_over():
+            return True
+        timer = asyncio.ensure_future(self._clock.sleep(millis))
         try:
-            await clocks.wait_for(self._clock, self._changed.wait(), millis)
-        except TimeoutError:
-            return
+            while not timer.done():
+                await asyncio.wait(
+                    {timer, self._changed},
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if is_over():
+                    return True
+            return False
+        finally:
+            timer.cancel()
 
     def _tell_change(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._changed.set_result(None)
+        self._changed = asyncio.get_running_loop().create_future()
 
     async def _work(self) -> None:
         while self.busy:
--- a/chervilshore/controllers/compaction.py
+++ b/chervilshore/controllers/compaction.py
@@ -140,7 +140,7 @@
         )
         await self._write_head(head)
         if log.ledger is ledger:
-            oldest = head.elapsed_ms - self._policy.retention_ms
+            oldest = snapshots.find_oldest(head, self._policy.retention_ms)
             ledger.keep(sealed, head.elapsed_ms, oldest)
         events.log_event(
             _LOGGER,
--- a/chervilshore/decisions/snapshots.py
+++ b/chervilshore/decisions/snapshots.py
@@ -98,6 +98,11 @@
     )
 
 
+def find_oldest(head: Head, retention_ms: float) -> float:
+    """Tell the shard's time before which chunks are not kept."""
+    return head.elapsed_ms - retention_ms
+
+
 def finish(
     head: Head,
     through: ids.Sequence,
@@ -117,7 +122,7 @@
     retention_ms : float
         Milliseconds of the shard's time for which a chunk is kept.
     """
-    oldest = head.elapsed_ms - retention_ms
+    oldest = find_oldest(head, retention_ms)
     kept = tuple(chunk for chunk in head.chunks if chunk.written_ms >= oldest)
     dropped = tuple(
         chunk.name for chunk in head.chunks if chunk.written_ms < oldest
--- a/tests/claims_helpers.py
+++ b/tests/claims_helpers.py
@@ -143,12 +143,15 @@
         return answer
 
     async def _pass(self, host, exchange, budget):
-        task = asyncio.ensure_future(host.chain(exchange))
+        task = asyncio.ensure_future(self._handle(host, exchange))
         done, _ = await asyncio.wait({task}, timeout=budget / 1000 + 1)
         if not done or host.dead:
             return None
+        return task.result()
+
+    async def _handle(self, host, exchange):
         try:
-            return task.result()
+            return await host.chain(exchange)
         except exceptions.RefusalError as error:
             return base.Answer(error.code, detail=error.detail)
 
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -12,7 +12,8 @@
     `rates` gives the chance of each fault for one call: down, lost (the
     answer is lost before the effect), unheard (after it), late (the
     answer is lost and the effect comes later) and stall (the host is
-    paused for up to `stall_ms` before or after the effect).
+    paused for up to `stall_ms` before or after the effect). `before` may
+    be set to a coroutine function that sees each call first.
     """
 
     def __init__(self, inner, clock, rng, stall_ms=2000.0):
@@ -24,6 +25,7 @@
         self.down = False
         self.dead = False
         self.late = set()
+        self.before = None
 
     async def get(self, key):
         return await self._call(False, key, self.inner.get, key)
@@ -53,6 +55,8 @@
         return await self.inner.hosts()
 
     async def _call(self, writes, key, call, *arguments):
+        if self.before is not None:
+            await self.before(call.__name__, key)
         await self._pass(key)
         if writes and self._happens("lost"):
             raise exceptions.PlatformUnknown(key)
@@ -63,7 +67,7 @@
         try:
             return await call(*arguments)
         finally:
-            await self._pause()
+            await self._stall()
             if writes and self._happens("unheard"):
                 raise exceptions.PlatformUnknown(key)
 
@@ -73,7 +77,10 @@
             raise exceptions.PlatformUnavailable(key)
 
     async def _pause(self):
-        await self.clock.sleep(self.rng.uniform(0.5, 4))
+        await self.clock.sleep(self.rng.uniform(1, 6))
+        await self._stall()
+
+    async def _stall(self):
         if self._happens("stall"):
             await self.clock.sleep(self.rng.uniform(0, self.stall_ms))
         if self.dead:
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -5,23 +5,38 @@
 """
 
 import asyncio
+import selectors
 
 from chervilshore import clock as clocks
 
 
+STEP_SECONDS = 1e-6
+"""What a jump goes past its timer, so that time never stands still."""
+
+
+class IdleSelector(selectors.SelectSelector):
+    """Never waits, as there is no socket to wait for."""
+
+    def select(self, timeout=None):
+        return []
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """Runs timers in order without waiting for them."""
 
     def __init__(self) -> None:
         self._moment = 0.0
-        super().__init__()
+        super().__init__(IdleSelector())
 
     def time(self) -> float:
         return self._moment
 
     def _run_once(self) -> None:
-        if not self._ready and self._scheduled:
-            self._moment = max(self._moment, self._scheduled[0]._when)
+        if not self._ready:
+            if not self._scheduled:
+                raise RuntimeError("nothing is left that could happen")
+            moment = max(self._moment, self._scheduled[0]._when)
+            self._moment = moment + STEP_SECONDS
         super()._run_once()
 
 
@@ -39,6 +54,13 @@
 
 
 def run(coroutine):
-    """Run a coroutine on a virtual loop to its end."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(coroutine)
+    """Run a coroutine on a virtual loop, then cancel what it left."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        while tasks := asyncio.all_tasks(loop):
+            for task in tasks:
+                task.cancel()
+            loop.run_until_complete(asyncio.wait(tasks))
+        loop.close()
