--- a/tests/test_claims_crashes.py
+++ b/tests/test_claims_crashes.py
@@ -73,7 +73,7 @@
     virtual.run(run())
 
 
-@pytest.mark.parametrize("pause_ms", [550, 5000])
+@pytest.mark.parametrize("pause_ms", [400, 5000])
 def test_a_paused_writer_does_not_count_a_batch_that_is_void(
     pause_ms, monkeypatch
 ):
@@ -86,7 +86,7 @@
         owner, other = _find_owner(fleet)
         paused = fleet.hosts[other]
         await fleet.send(other, "first")
-        await fleet.clock.sleep(200)
+        await fleet.clock.sleep(50)
         await fleet.hosts[owner].claims.maybe_start()
 
         async def pause(call, key):
