--- /dev/null
+++ b/chervilshore/clients/engines.py
@@ -0,0 +1,184 @@
+"""The side of a model engine that takes orders."""
+
+import abc
+from collections import abc as collections_abc
+
+import aiohttp
+import msgspec
+
+from chervilshore import clock as clocks
+from chervilshore.decisions import orders
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import records
+
+STATE_PATH = "/admin/engine"
+"""Where an engine tells its state."""
+
+ORDER_PATH = "/admin/engine/orders"
+"""Where an engine takes orders."""
+
+Guard = collections_abc.Callable[[], bool]
+"""Tells, right before an order goes out, whether it still may."""
+
+
+class OrderCall(msgspec.Struct, frozen=True):
+    """An order on the wire.
+
+    Parameters
+    ----------
+    order : OrderId
+        The order.
+    kind : OrderKind
+        What to do.
+    argument : str
+        With what.
+    fence : FencingToken
+        The token of the lease under which it is sent.
+    """
+
+    order: ids.OrderId
+    kind: orders.OrderKind
+    argument: str
+    fence: ids.FencingToken
+
+
+class Engines(abc.ABC):
+    """Reads the state of engines and sends them orders."""
+
+    @abc.abstractmethod
+    async def read(
+        self, record: records.EndpointRecord, timeout_ms: float
+    ) -> orders.EngineState:
+        """Read an engine's state.
+
+        Raises
+        ------
+        exceptions.EndpointError
+            There was no whole answer in time.
+        """
+
+    @abc.abstractmethod
+    async def send(
+        self,
+        record: records.EndpointRecord,
+        call: OrderCall,
+        guard: Guard,
+        timeout_ms: float,
+    ) -> None:
+        """Send an order; after the timeout it can take no effect any more.
+
+        Parameters
+        ----------
+        record : EndpointRecord
+            The engine.
+        call : OrderCall
+            The order.
+        guard : Guard
+            Asked after the connection stands, right before the order
+            itself goes out.
+        timeout_ms : float
+            Milliseconds until the engine must have answered.
+
+        Raises
+        ------
+        exceptions.LeaseLost
+            The guard or the engine refused the order; it has not run.
+        exceptions.EndpointUnreached
+            Nothing of it went out.
+        exceptions.EndpointRejected
+            The engine answered that it failed.
+        exceptions.EndpointBroken
+            Its fate is unknown.
+        """
+
+
+class HttpEngines(Engines):
+    """Engines over HTTP.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Makes the connections.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def read(
+        self, record: records.EndpointRecord, timeout_ms: float
+    ) -> orders.EngineState:
+        """Read an engine's state; see `Engines.read`."""
+        url = f"http://{record.address}{STATE_PATH}"
+        try:
+            async with self._session.get(
+                url, timeout=_make_timeout(timeout_ms)
+            ) as response:
+                body = await response.read()
+                if response.status != 200:
+                    raise exceptions.EndpointBroken(f"{response.status}")
+            return msgspec.json.decode(body, type=orders.EngineState)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            msgspec.DecodeError,
+        ) as error:
+            raise exceptions.EndpointBroken(repr(error)) from error
+
+    async def send(
+        self,
+        record: records.EndpointRecord,
+        call: OrderCall,
+        guard: Guard,
+        timeout_ms: float,
+    ) -> None:
+        """Send an order; see `Engines.send`."""
+        url = f"http://{record.address}{ORDER_PATH}"
+        body = _GuardedBody(msgspec.json.encode(call), guard)
+        try:
+            async with self._session.post(
+                url,
+                data=body.generate(),
+                headers={"Content-Type": "application/json"},
+                timeout=_make_timeout(timeout_ms),
+            ) as response:
+                text = await response.text()
+                status = response.status
+        except aiohttp.ClientConnectorError as error:
+            raise exceptions.EndpointUnreached(repr(error)) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            if body.refused:
+                raise exceptions.LeaseLost(call.order) from error
+            raise exceptions.EndpointBroken(repr(error)) from error
+        except exceptions.LeaseLost:
+            raise
+        _check_status(status, text)
+
+
+class _GuardedBody:
+    """Asks the guard when the body itself is about to be written."""
+
+    def __init__(self, data: bytes, guard: Guard) -> None:
+        self.refused = False
+        self._data = data
+        self._guard = guard
+
+    async def generate(self) -> collections_abc.AsyncIterator[bytes]:
+        """Yield the body, unless the guard refuses it."""
+        if not self._guard():
+            self.refused = True
+            raise exceptions.LeaseLost("the lease is over")
+        yield self._data
+
+
+def _make_timeout(millis: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=millis / clocks.MILLIS_PER_SECOND)
+
+
+def _check_status(status: int, text: str) -> None:
+    if status == 409:
+        raise exceptions.LeaseLost(text)
+    if 400 <= status < 500:
+        raise exceptions.EndpointRejected(f"{status} {text}")
+    if status >= 300:
+        raise exceptions.EndpointBroken(f"{status} {text}")
--- a/chervilshore/controllers/owners.py
+++ b/chervilshore/controllers/owners.py
@@ -10,6 +10,21 @@
 from chervilshore import records
 
 
+def _find_alive(
+    directory: directories.Directory,
+) -> dict[ids.HostId, records.HostRecord]:
+    return {
+        record.host: record
+        for record in directory.hosts()
+        if record.state is records.HostState.ALIVE
+    }
+
+
+def choose(directory: directories.Directory, name: str) -> ids.HostId | None:
+    """Choose the live host that owns something."""
+    return rendezvous.choose(_find_alive(directory), name)
+
+
 class Owners:
     """Finds the owners of shards among the live hosts.
 
@@ -61,11 +76,7 @@
         """
         if self._peers is None:
             return None
-        hosts = {
-            record.host: record
-            for record in self._directory.hosts()
-            if record.state is records.HostState.ALIVE
-        }
+        hosts = _find_alive(self._directory)
         chosen = rendezvous.choose(hosts, name)
         if chosen is None or chosen == self._host:
             return None
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -69,6 +69,11 @@
     CLAIM_UNSTORED = EventSpec(5007, _ERROR, "outcome of claim given up")
 
     # Leases and orders: 6000 to 6999.
+    LEASE_TAKEN = EventSpec(6001, _INFO, "lease taken")
+    LEASE_LOST = EventSpec(6002, _INFO, "lease given back or lost")
+    ORDER_MOVED = EventSpec(6003, _INFO, "order went on at engine")
+    ORDER_UNSETTLED = EventSpec(6004, _WARNING, "order has no outcome yet")
+    ORDERS_BLOCKED = EventSpec(6005, _WARNING, "orders wait for platform")
 
     # Requests: 7000 to 7999.
     REQUEST_DONE = EventSpec(7001, _DEBUG, "request done")
--- a/chervilshore/ids.py
+++ b/chervilshore/ids.py
@@ -65,6 +65,9 @@
 Sequence = typing.NewType("Sequence", int)
 """A position in a log of claims."""
 
+OrderId = typing.NewType("OrderId", str)
+"""One instruction to engines."""
+
 FencingToken = typing.NewType("FencingToken", int)
 """The lease's version on an order; an engine refuses a lower one."""
 
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -152,6 +152,11 @@
     )
 
     # Leases and orders.
+    ORDERS = _counter(
+        "chervilshore_order_steps_total",
+        ("pool", "progress"),
+        "Steps of orders to engines.",
+    )
 
     # The platform.
     PLATFORM_CALLS = _counter(
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -235,6 +235,25 @@
         "5",
     ),
     # Leases and orders.
+    Setting(
+        "lease_ms",
+        whole(1000, 600_000),
+        "time for which a lease lasts, alike on all hosts, in milliseconds",
+        "10000",
+    ),
+    Setting(
+        "order_ms",
+        whole(100, 600_000),
+        "longest wait for an engine's answer to an order, alike on all "
+        "hosts, in milliseconds",
+        "5000",
+    ),
+    Setting(
+        "load_interval_ms",
+        whole(0, 600_000),
+        "least time between two weight loads in the fleet, in milliseconds",
+        "2000",
+    ),
     # The platform.
     Setting(
         "platform_ms",
