Keep a former holder from judging a later one's order

Cause: a host paused after it read the orders woke as a former holder, saw that the next one had stored its intent, asked the engine, and set the order back to waiting while it was on its way: it ran twice. Change: the intent carries the fencing token; only a holder with that token or a higher one may settle or drop it.

--- a/chervilshore/controllers/orders.py
+++ b/chervilshore/controllers/orders.py
@@ -1,6 +1,7 @@
 """Carrying out orders to engines, one holder for each pool."""
 
 import asyncio
+from collections import abc as collections_abc
 import logging
 import random
 
@@ -169,20 +170,28 @@
         order = self._booked[step.order].order
         detail = "the engine left before it was sent"
         if order.at(step.endpoint) is orders.Progress.SENT:
+            self._check_token(order, step.endpoint)
             detail = "the engine left; whether it ran is unknown"
         await self._move(step, orders.Progress.GONE, detail)
 
+    def _check_token(
+        self, order: orders.Order, endpoint: ids.EndpointId
+    ) -> None:
+        if not order.may_judge(endpoint, self.lease.token):
+            raise exceptions.LeaseLost(order.order)
+
     async def _settle(
         self, step: orders.Step, record: records.EndpointRecord
     ) -> None:
         # What this host has sent itself may still take effect for a while;
         # what an earlier holder sent may not, as the lease was waited for.
+        order = self._booked[step.order].order
+        self._check_token(order, step.endpoint)
         sent = self._sent.get((step.order, step.endpoint))
         work = self._terms.lease.work_ms
         if sent is not None and self._clock.now() < sent + work:
             return
         state = await self._engines.read(record, work)
-        order = self._booked[step.order].order
         await self._move(step, orders.settle(order, state))
 
     async def _send(
@@ -191,16 +200,19 @@
         order = self._booked[step.order].order
         if order.kind in orders.LOADING and not await self._limit.take():
             return
-        await self._move(step, orders.Progress.SENT)
+        token = self.lease.token
+        await self._write(
+            step, lambda found: found.intend(step.endpoint, token)
+        )
         name = (step.order, step.endpoint)
         call = engines_module.OrderCall(
-            order.order, order.kind, order.argument, self.lease.token
+            order.order, order.kind, order.argument, token
         )
         work = self._terms.lease.work_ms
 
         def guard() -> bool:
             self._sent[name] = self._clock.now()
-            return self.lease.holds()
+            return self.lease.holds() and self.lease.token == token
 
         try:
             await self._engines.send(record, call, guard, work)
@@ -217,13 +229,23 @@
         step: orders.Step,
         progress: orders.Progress,
         detail: str = "",
+    ) -> None:
+        await self._write(
+            step, lambda found: found.move(step.endpoint, progress, detail)
+        )
+
+    async def _write(
+        self,
+        step: orders.Step,
+        change: collections_abc.Callable[[orders.Order], orders.Order],
     ) -> None:
         async with self._writing:
             booked = self._booked[step.order]
-            order = booked.order.move(step.endpoint, progress, detail)
+            order = change(booked.order)
             self._booked[step.order] = await orderbook.rewrite(
                 self._platform, booked, order
             )
+        progress = order.at(step.endpoint)
         events.log_event(
             _LOGGER,
             events.Event.ORDER_MOVED,
--- a/chervilshore/decisions/orders.py
+++ b/chervilshore/decisions/orders.py
@@ -65,6 +65,8 @@
         What has become of it, for each engine that it was sent to.
     details : dict
         What an engine said, where it failed.
+    tokens : dict
+        The fencing token under which it was last sent, for each engine.
     """
 
     order: ids.OrderId
@@ -76,16 +78,34 @@
     reason: str = ""
     progress: dict[ids.EndpointId, Progress] = {}
     details: dict[ids.EndpointId, str] = {}
+    tokens: dict[ids.EndpointId, ids.FencingToken] = {}
 
     def at(self, endpoint: ids.EndpointId) -> Progress:
         """Tell what has become of the order at an engine."""
         return self.progress.get(endpoint, Progress.WAITING)
 
+    def may_judge(
+        self, endpoint: ids.EndpointId, token: ids.FencingToken
+    ) -> bool:
+        """Tell whether a holder may decide what a sending has led to.
+
+        A former holder may not, as a later one may be sending just now.
+        """
+        return token >= self.tokens.get(endpoint, ids.FencingToken(0))
+
     @property
     def is_over(self) -> bool:
         """Whether nothing is left to be done."""
         return all(self.at(name) in ENDS for name in self.endpoints)
 
+    def intend(
+        self, endpoint: ids.EndpointId, token: ids.FencingToken
+    ) -> "Order":
+        """Make the order as it stands right before it is sent."""
+        moved = self.move(endpoint, Progress.SENT)
+        tokens = {**self.tokens, endpoint: token}
+        return msgspec.structs.replace(moved, tokens=tokens)
+
     def move(
         self, endpoint: ids.EndpointId, progress: Progress, detail: str = ""
     ) -> "Order":
