--- a/chervilshore/client.py
+++ b/chervilshore/client.py
@@ -129,6 +129,7 @@
         repeatable: bool = True,
         text_sink: TextSink | None = None,
         resend: bool = True,
+        headers: collections_abc.Mapping[str, str] | None = None,
     ) -> Answer:
         """Send a request, and send it again while that is safe.
 
@@ -152,6 +153,8 @@
             Takes streamed text; it makes the answer a stream.
         resend : bool
             Whether to send again at all.
+        headers : mapping or None
+            Headers to send besides.
 
         Raises
         ------
@@ -163,6 +166,7 @@
         sending = _Sending(
             pipeline, msgspec.json.encode(body), key, repeatable, text_sink
         )
+        sending.headers = dict(headers or {})
         end = self._clock.now() + deadline_ms
         last: Answer | None = None
         while True:
@@ -230,6 +234,7 @@
             "Content-Type": "application/json",
             "X-Team": self._team,
             "X-Deadline-Ms": str(int(left)),
+            **sending.headers,
         }
         if sending.key:
             headers["Idempotency-Key"] = sending.key
@@ -283,6 +288,7 @@
         self.text_sink = text_sink
         self.sends = 0
         self.unsure = 0
+        self.headers: dict[str, str] = {}
         self._streamed = False
         if text_sink is not None:
             self.text_sink = self._note_text(text_sink)
