Show operators what routing, limits and shedding do

The decisions are pure and log nothing, so a reporter compares what they describe each second, sets the metrics and logs what changed.

--- a/chervilshore/decisions/concurrency.py
+++ b/chervilshore/decisions/concurrency.py
@@ -77,6 +77,7 @@
         self._service = 0.0
         self._may_wait = LEAST_WAITING
         self._grown = 0
+        self._refused = 0
 
     def roll(self, now: float) -> None:
         """Look at the bound again when an interval is over."""
@@ -149,6 +150,7 @@
     def refuse(self, now: float) -> float:
         """Count a refusal, and tell when it may come back."""
         self._refusals += 1
+        self._refused += 1
         gap = self._duration_ms / max(1, self.in_flight)
         if self._throughput > 0.0:
             gap = 1.0 / self._throughput
@@ -159,6 +161,7 @@
             "limit": math.floor(self.limit),
             "in_flight": self.in_flight,
             "waiting": self._waiting,
+            "refused": self._refused,
             "completed_per_second": (
                 self._throughput * clocks.MILLIS_PER_SECOND
             ),
--- a/chervilshore/decisions/shared_limits.py
+++ b/chervilshore/decisions/shared_limits.py
@@ -151,6 +151,10 @@
             held.sent = sent
             held.until = sent + lifetime_ms
 
+    def count_shares(self) -> int:
+        """Count the teams of which a share is held or asked for."""
+        return len(self._shares)
+
     def describe(self, now: float) -> dict[str, dict[str, float]]:
         """Tell the shares that hold now, by team."""
         return {
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -56,6 +56,10 @@
     HOST_LIST_READ = EventSpec(3008, _INFO, "host list can be read again")
 
     # Grants, routing and limits: 4000 to 4999.
+    ENDPOINT_EJECTED = EventSpec(4101, _WARNING, "endpoint left out")
+    ENDPOINT_RETURNED = EventSpec(4102, _INFO, "endpoint used again")
+    SHEDDING_BEGAN = EventSpec(4103, _WARNING, "shedding began")
+    SHEDDING_ENDED = EventSpec(4104, _INFO, "shedding ended")
 
     # Claims: 5000 to 5999.
     CLAIMS_LOADED = EventSpec(5001, _INFO, "log of claims loaded")
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -106,6 +106,41 @@
         ("class",),
         "Time that a stage waited for a slot.",
     )
+    SHED_LIMIT = _gauge(
+        "chervilshore_shedding_limit",
+        ("pool",),
+        "Requests in flight that this host takes on for a pool.",
+    )
+    SHED_WAITING = _gauge(
+        "chervilshore_shedding_waiting",
+        ("pool",),
+        "Stages that wait for a slot of a pool.",
+    )
+    SHED_REFUSED = _gauge(
+        "chervilshore_shedding_refused",
+        ("pool",),
+        "Requests refused for a pool since the start.",
+    )
+    EJECTED = _gauge(
+        "chervilshore_endpoints_ejected",
+        ("pool",),
+        "Endpoints that this host leaves out as failing or slow.",
+    )
+    RETRIES_LEFT = _gauge(
+        "chervilshore_retries_left",
+        (),
+        "Retries that the budget allows now.",
+    )
+    RETRIES_DENIED = _gauge(
+        "chervilshore_retries_denied",
+        (),
+        "Retries that the budget has denied since the start.",
+    )
+    TEAM_SHARES = _gauge(
+        "chervilshore_team_shares",
+        (),
+        "Teams of whose limits this host holds a share.",
+    )
 
     # Configuration.
     GENERATION = _gauge(
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -22,6 +22,7 @@
 from chervilshore.controllers import hosts
 from chervilshore.controllers import limits
 from chervilshore.controllers import membership
+from chervilshore.controllers import reporter
 from chervilshore.controllers import slots
 from chervilshore.decisions import shared_limits
 from chervilshore.filters import admission
@@ -77,6 +78,7 @@
         self._make_control()
         self._make_policies()
         self._limits = self._make_limits()
+        self._reporter = self._make_reporter()
         self.server = server.Server(
             clock, self._make_chain(), self._metrics, options.body_bytes
         )
@@ -191,6 +193,29 @@
             self._random,
         )
 
+    def _make_reporter(self) -> reporter.FlowReporter | None:
+        if self._limits is None:
+            return None
+        return reporter.FlowReporter(
+            self._clock,
+            self._metrics,
+            self._policies.shed,
+            self._policies.budget,
+            self._read_ejected,
+            self._policies.team_limits.count_shares,
+        )
+
+    def _read_ejected(self) -> reporter.Ejected:
+        """Tell by pool for how long endpoints stay left out."""
+        found: reporter.Ejected = {}
+        for router in self._policies.routers:
+            left_out = router.describe(self._clock.now())
+            for endpoint, millis in left_out.items():
+                record = self._directory.endpoint(endpoint)
+                if record is not None:
+                    found.setdefault(record.pool, {})[endpoint] = millis
+        return found
+
     def _make_chain(self) -> base.Proceed:
         chosen = self._policies
         attempts = attempt.AttemptRunner(
@@ -249,6 +274,7 @@
             chosen = self._policies
             self.server.sections |= {
                 "limits": self._limits.describe,
+                "ejected": self._read_ejected,
                 "retries": chosen.budget.describe,
                 "stage_times": lambda: chosen.times.describe(now()),
             }
@@ -277,7 +303,7 @@
             self._claims,
         ]
         if self._limits is not None:
-            services.append(self._limits)
+            services += [self._limits, self._reporter]
         return services
 
     async def _listen(self) -> None:
--- a/chervilshore/policies.py
+++ b/chervilshore/policies.py
@@ -44,6 +44,8 @@
         Bounds what each team sends.
     make_router, make_queue : callable
         Make the router and the wait queue of one pool.
+    routers : list of CompletionRouter
+        The routers made so far that leave endpoints out.
     """
 
     times: deadlines.DeadlinePolicy
@@ -53,6 +55,7 @@
     team_limits: limits.TeamLimits
     make_router: collections_abc.Callable[[], routing.Router]
     make_queue: collections_abc.Callable[[], queues.WaitQueue]
+    routers: list[completion.CompletionRouter] = []
 
 
 def make(
@@ -87,10 +90,14 @@
     times = deadlines.StageTimes()
     budget = retries.RetryBudget()
 
+    routers = []
+
     def make_router() -> routing.Router:
-        return completion.CompletionRouter(
+        router = completion.CompletionRouter(
             domain, generator, ejection.OutlierEjection(), is_out
         )
+        routers.append(router)
+        return router
 
     return Policies(
         times=times,
@@ -100,6 +107,7 @@
         team_limits=shared_limits.SharedLimits(),
         make_router=make_router,
         make_queue=fairness.FairQueue,
+        routers=routers,
     )
 
 
--- /dev/null
+++ b/lab/queue_bench.py
@@ -0,0 +1,75 @@
+"""Compare queues while a large team asks for more than there is.
+
+Run with ``python -m lab.queue_bench``.
+"""
+
+from chervilshore.decisions import deadlines
+from chervilshore.decisions import fairness
+from chervilshore.decisions import queues
+from chervilshore.decisions import routing
+from chervilshore.decisions import shedding
+from lab import pool_model
+
+KINDS = (
+    pool_model.Kind("small", 0, 0.1, 2_000.0),
+    pool_model.Kind("large", 0, 0.7, 2_000.0),
+    pool_model.Kind("reviews", 5, 0.2, 30_000.0),
+)
+SEEDS = (1, 2, 3)
+
+
+class DeadlineQueue(queues.FifoQueue):
+    """The earliest deadline goes first."""
+
+    def pop(self, now, eligible):
+        found = min(
+            (one for one in self._tickets.values() if eligible(one)),
+            key=lambda one: one.need.deadline,
+            default=None,
+        )
+        if found is not None:
+            self.remove(found)
+        return found
+
+
+WAYS = {
+    "fifo": queues.FifoQueue,
+    "earliest deadline": DeadlineQueue,
+    "fair": fairness.FairQueue,
+}
+
+
+def measure(make_queue, seed):
+    shape = pool_model.Shape(
+        lambda now: 1.3, KINDS, endpoints=5, hosts=3, seed=seed
+    )
+    model = pool_model.Model(
+        shape,
+        lambda domain, generator: pool_model.Host(
+            routing.LeastInFlightRouter(domain),
+            make_queue(),
+            shedding.NoShedding(),
+        ),
+        deadlines.StageTimes(),
+    )
+    model.run()
+    parts = []
+    for kind in KINDS:
+        jobs = [job for job in model.jobs if job.kind is kind]
+        done = sum(job.ended is not None for job in jobs)
+        parts.append(100.0 * done / len(jobs))
+    return parts
+
+
+def main():
+    print("1.3 of capacity, no shedding; attainment in %")
+    names = "".join(f"{kind.team:>9}" for kind in KINDS)
+    print(f"{'way':18}{names}")
+    for label, make_queue in WAYS.items():
+        rows = [measure(make_queue, seed) for seed in SEEDS]
+        means = [sum(column) / len(rows) for column in zip(*rows)]
+        print(f"{label:18}" + "".join(f"{mean:9.1f}" for mean in means))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_reporter.py
@@ -0,0 +1,54 @@
+"""What operators are shown of routing and shedding."""
+
+import logging
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore.controllers import reporter
+from chervilshore.decisions import concurrency
+from chervilshore.decisions import retries
+from chervilshore import metrics
+
+POOL = "engines"
+
+
+@pytest.fixture
+def seen(caplog):
+    caplog.set_level(logging.INFO)
+    return lambda: [
+        record.event for record in caplog.records if hasattr(record, "event")
+    ]
+
+
+async def test_changes_are_logged_once_and_figures_exposed(clock, seen):
+    ejected = {}
+    shed = concurrency.AdaptiveConcurrency()
+    counters = metrics.Metrics()
+    service = reporter.FlowReporter(
+        clock,
+        counters,
+        shed,
+        retries.RetryBudget(),
+        lambda: {POOL: dict(ejected)},
+        lambda: 3,
+    )
+    await service.start()
+    ejected["e1"] = 500.0
+    for _ in range(200):
+        shed.admit((POOL,), 0, clock.now())
+    await clock.advance(2 * reporter.REPORT_MS)
+    assertions.assert_that(sorted(seen()), matchers.Equals([4101, 4103]))
+    text = counters.render().decode()
+    for line in (
+        'chervilshore_endpoints_ejected{pool="engines"} 1',
+        "chervilshore_team_shares 3",
+    ):
+        assertions.assert_that(text, matchers.Contains(line))
+    ejected.clear()
+    await clock.advance(reporter.CALM_REPORTS * reporter.REPORT_MS)
+    await service.stop()
+    assertions.assert_that(
+        sorted(seen()), matchers.Equals([4101, 4102, 4103, 4104])
+    )
