--- a/lab/overload_bench.py
+++ b/lab/overload_bench.py
@@ -120,21 +120,27 @@
 
 
 def main():
-    names = ("carried %", "late %", "prompt %", "p50", "before %", "after %")
+    names = Figures.__struct_fields__
     for title, sizes in {
-        "9 endpoints of 8 slots": {},
+        "9 endpoints of 8 slots, 9 hosts": {},
         "5 endpoints of 8 slots, 6 hosts": {"endpoints": 5, "hosts": 6},
     }.items():
         print(f"\n{title}")
-        print(f"{'way':18}" + "".join(f"{name:>10}" for name in names))
+        print(f"{'way':18}" + "".join(f"{name:>9}" for name in names))
         for label, way in make_ways().items():
             rows = [
-                measure(pool_model.Shape(load, KINDS, seed=seed, **sizes), way)
+                measure(
+                    pool_model.Shape(load, KINDS, seed=seed, **sizes),
+                    way,
+                    Span(),
+                )
                 for seed in SEEDS
             ]
-            columns = zip(*(msgspec.structs.astuple(row) for row in rows))
-            means = [statistics.mean(column) for column in columns]
-            print(f"{label:18}" + "".join(f"{one:10.2f}" for one in means))
+            means = [
+                statistics.mean(getattr(row, name) for row in rows)
+                for name in names
+            ]
+            print(f"{label:18}" + "".join(f"{mean:9.2f}" for mean in means))
 
 
 if __name__ == "__main__":
