--- a/chervilshore/decisions/concurrency.py
+++ b/chervilshore/decisions/concurrency.py
@@ -1,253 +1,333 @@
-"""Adaptive bounds on the requests that a host takes on."""
+"""How many attempts at once an endpoint bears.
 
-import math
+The limit begins at the cold bound, grows under use while attempts are
+healthy, and falls back to the cold bound on the first sign that the
+endpoint is cold.
+"""
+
+import msgspec
 
-from chervilshore import clock as clocks
-from chervilshore.decisions import promises
-from chervilshore.decisions import shedding
 from chervilshore import ids
+from chervilshore import records
+
+COLD_MS = 1000.0
+"""Milliseconds without growth after the first cold start."""
 
-INTERVAL_MS = 100.0
-"""Milliseconds after which a bound is looked at again."""
+MOST_COLD_MS = 60_000.0
+"""Milliseconds without growth after many cold starts in a row."""
 
-TARGET_MS = 100.0
-"""Milliseconds that a stage may wait for a slot, as a rule."""
+FORGIVE_MS = 30_000.0
+"""Milliseconds of health after which one cold start is forgotten."""
 
-TARGET_PART = 0.5
-"""The part of a request's time that its waits may be, as a rule."""
+IDLE_MS = 30_000.0
+"""Milliseconds of disuse after which the limit is halved."""
 
-LEAST_WAITING = 2.0
-"""Stages that may wait in any case."""
+SLOW_FACTOR = 4.0
+"""Times the baseline at which an attempt counts as slow."""
 
-FIRST_LIMIT = 32.0
-"""Requests in flight before anything is known."""
+SLOW_SIGNS = 5
+"""Slow attempts in a row that are a sign of a cold start."""
 
-LEAST_LIMIT = 2.0
-"""Requests in flight that are always allowed."""
+BUSY_SIGNS = 3
+"""Refusals in a row that are a sign of a cold start."""
 
-MOST_LIMIT = 100_000.0
-"""Requests in flight that are never passed."""
+STRAINED_FACTOR = 2.0
+"""Times the baseline at which the limit stops growing and gives way."""
 
-CUT_PART = 0.5
-"""The part of the way to a lower bound that one step goes."""
+RECENT_WEIGHT = 0.2
+"""Weight of one attempt in the recent latency."""
 
-GROWTH_PART = 0.1
-"""The part of a bound by which it may grow at once within an interval."""
+BASELINE_WEIGHT = 0.002
+"""Weight of one attempt in the baseline, after the first ones."""
 
-LEAST_GROWTH = 2.0
-"""Requests by which a bound may grow at once in any case."""
+USED_SHARE = 0.7
+"""Share of the limit that must be in use for the limit to grow."""
 
-OVERTAKE_PART = 0.5
-"""The part of the bound by which a class may pass it before later ones."""
+GIVE_WAY = 0.9
+"""What the limit is multiplied by when latencies are strained."""
 
-CLASS_PART = 0.05
-"""The part of the bound that each class keeps in any case."""
+PROVEN_MS = 5000.0
+"""Milliseconds of health after which a raised limit counts as warm."""
 
-SMOOTHING = 0.2
-"""The part that the newest interval has in a mean."""
+STEP = 1.5
+"""What the limit is multiplied by after each healthy round of warm-up."""
 
+MOST_INSTANCES = 8
+"""Processes of an endpoint that are remembered."""
 
-class _ClassLoad:
-    """What is known of the requests of one priority."""
+SIGNS = frozenset(
+    (
+        records.Outcome.BUSY,
+        records.Outcome.UNREACHED,
+        records.Outcome.BROKEN,
+    )
+)
+"""Outcomes that may be signs of a cold start."""
 
-    __slots__ = ("in_flight", "offered", "rate")
+
+class Latency:
+    """The latency of an endpoint, recent and as a baseline."""
 
     def __init__(self) -> None:
-        self.in_flight = 0
-        self.offered = 0
-        self.rate = 0.0
-
-
-class _Gate:
-    """The bound for the requests that pass one pool."""
-
-    def __init__(self, now: float) -> None:
-        self.limit = FIRST_LIMIT
-        self.in_flight = 0
-        self._promises = promises.Promises()
-        self._classes: dict[int, _ClassLoad] = {}
-        self._began = now
-        self._waiting = 0
-        self._served = 0
-        self._refusals = 0
-        self._grown = 0
-        self._ended = 0
-        self._duration_ms = 0.0
-        self._throughput = 0.0
-        self._service = 0.0
-        self._may_wait = LEAST_WAITING
-        self._grown = 0
-        self._refused = 0
-
-    def roll(self, now: float) -> None:
-        """Look at the bound again when an interval is over."""
-        passed = now - self._began
-        if passed < INTERVAL_MS:
-            return
-        weight = 1.0 - (1.0 - SMOOTHING) ** (passed / INTERVAL_MS)
-        self._throughput += weight * (self._ended / passed - self._throughput)
-        for load in self._classes.values():
-            load.rate += weight * (load.offered / passed - load.rate)
-            load.offered = 0
-        self._service += weight * (self._served / passed - self._service)
-        self._adapt()
-        self._began = now
-        self._served = 0
-        self._refusals = 0
-        self._grown = 0
-        self._ended = 0
-
-    def offer(self, priority: int) -> None:
-        load = self._classes.get(priority)
-        if load is None:
-            load = self._classes[priority] = _ClassLoad()
-        load.offered += 1
-
-    def has_room(self, priority: int) -> bool:
-        """Tell whether a class may have one more.
-
-        Room is kept for the classes that go first, as much as their
-        arrivals are expected to take besides what they have.
-        """
-        own = self._classes[priority].in_flight
-        if own <= CLASS_PART * self.limit - 1.0:
-            return True
-        taken = own
-        behind = 0
-        for other, load in self._classes.items():
-            if other < priority:
-                taken += max(self._expect(load), load.in_flight)
-            elif other > priority:
-                behind += load.in_flight
-        # It overtakes what goes later, so that takes no room from it.
-        passed = min(behind, OVERTAKE_PART * self.limit)
-        return taken < self.limit + passed or (
-            self._grow() and taken < self.limit
-        )
-
-    def enter(self, priority: int) -> None:
-        self.in_flight += 1
-        self._classes[priority].in_flight += 1
-
-    def leave(self, priority: int, millis: float) -> None:
-        self.in_flight -= 1
-        self._ended += 1
-        self._classes[priority].in_flight -= 1
-        if not self._duration_ms:
-            self._duration_ms = millis
-        self._duration_ms += SMOOTHING * (millis - self._duration_ms)
-
-    def note_ask(self) -> None:
-        self._waiting += 1
-
-    def note_wait(self) -> None:
-        self._waiting -= 1
-        self._served += 1
-
-    def note_drop(self) -> None:
-        self._waiting -= 1
-
-    def refuse(self, now: float) -> float:
-        """Count a refusal, and tell when it may come back."""
-        self._refusals += 1
-        self._refused += 1
-        gap = self._duration_ms / max(1, self.in_flight)
-        if self._throughput > 0.0:
-            gap = 1.0 / self._throughput
-        return self._promises.take(gap, gap, now)
-
-    def describe(self) -> dict[str, float]:
-        return {
-            "limit": math.floor(self.limit),
-            "in_flight": self.in_flight,
-            "waiting": self._waiting,
-            "refused": self._refused,
-            "completed_per_second": (
-                self._throughput * clocks.MILLIS_PER_SECOND
-            ),
-        }
-
-    def _expect(self, load: _ClassLoad) -> float:
-        return load.rate * self._duration_ms
-
-    def _grow(self) -> bool:
-        """Take on one more than the bound while the queue is short."""
-        most = max(LEAST_GROWTH, GROWTH_PART * self.limit)
-        if self._waiting >= self._may_wait or self._grown >= most:
-            return False
-        self._grown += 1
-        self.limit += 1.0
-        return True
+        self.recent = 0.0
+        self.baseline = 0.0
+        self._count = 0
+
+    def note(self, millis: float) -> None:
+        """Learn the milliseconds of one attempt."""
+        self._count += 1
+        weight = max(BASELINE_WEIGHT, 1.0 / self._count)
+        self.baseline += weight * (millis - self.baseline)
+        weight = max(RECENT_WEIGHT, 1.0 / self._count)
+        self.recent += weight * (millis - self.recent)
+
+    def is_slow(self, millis: float) -> bool:
+        """Tell whether one attempt is far over the baseline."""
+        return 0 < SLOW_FACTOR * self.baseline < millis
+
+    def is_strained(self) -> bool:
+        """Tell whether recent attempts are over the baseline."""
+        return self.recent > STRAINED_FACTOR * self.baseline
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """What a holder has told of attempts at an endpoint.
+
+    Parameters
+    ----------
+    outcomes : tuple of (Outcome, float)
+        How they ended, each with its milliseconds.
+    instance : InstanceId
+        The process that answered; empty when none did.
+    cold : bool
+        Whether the endpoint said that it is cold.
+    """
 
-    def _adapt(self) -> None:
-        """Bring the queue to the length at which its wait is as it may be.
+    outcomes: tuple[tuple[records.Outcome, float], ...] = ()
+    instance: ids.InstanceId = ids.InstanceId("")
+    cold: bool = False
 
-        By Little's law the wait is the queue's length over the rate at
-        which slots are given, whatever the order in which that is done.
-        """
-        target = max(TARGET_MS, TARGET_PART * self._duration_ms)
-        self._may_wait = max(LEAST_WAITING, self._service * target)
-        carried = self.in_flight - self._waiting + self._may_wait
-        if self._waiting > self._may_wait:
-            self.limit += CUT_PART * min(0.0, carried - self.limit)
-        elif self._refusals:
-            self.limit = max(self.limit, carried)
-        self.limit = min(MOST_LIMIT, max(LEAST_LIMIT, self.limit))
-
-
-class AdaptiveConcurrency(shedding.Shedding):
-    """Bounds the requests in flight by how many of their stages wait.
-
-    Each pool has a bound of its own, so that one overloaded pool does not
-    shed the requests of others. While stages wait longer than they should
-    the bound falls to what the pool carries without that wait; while it
-    is used up with less it grows.
+
+class Limit:
+    """The limit of one endpoint over all hosts.
+
+    Parameters
+    ----------
+    cold : int
+        Attempts at once that a cold endpoint bears.
+    most : int
+        Attempts at once that the endpoint is given at most.
+    now : float
+        The time in milliseconds.
     """
 
-    def __init__(self) -> None:
-        self._gates: dict[ids.PoolName, _Gate] = {}
-
-    def admit(self, pools: shedding.Pools, priority: int, now: float) -> float:
-        """Admit while all pools have room; see `Shedding.admit`."""
-        gates = [self._gate(pool, now) for pool in pools]
-        for gate in gates:
-            gate.offer(priority)
-        waits = [
-            gate.refuse(now) for gate in gates if not gate.has_room(priority)
+    def __init__(self, cold: int, most: int, now: float) -> None:
+        self.cold = max(1, cold)
+        self.most = max(self.cold, most)
+        self._instances: list[ids.InstanceId] = []
+        self.latency = Latency()
+        self._value = float(self.cold)
+        # Growth is by steps up to here, and slow beyond.
+        self._target = float(self.most)
+        self._healthy = 0
+        self._slow = 0
+        self._busy = 0
+        self._episodes = 0
+        self._still_until = now
+        self._fallen = now
+        self._used = now
+        self._is_warm = False
+
+    @property
+    def value(self) -> int:
+        """Attempts at once over all hosts."""
+        return int(self._value)
+
+    @property
+    def warmth(self) -> records.Warmth:
+        """What the endpoint is thought to bear."""
+        if self._is_warm:
+            return records.Warmth.WARM
+        if self.value > self.cold:
+            return records.Warmth.WARMING
+        return records.Warmth.COLD
+
+    def bound(self, cold: int, most: int) -> None:
+        """Take new bounds from the rules."""
+        self.cold = max(1, cold)
+        self.most = max(self.cold, most)
+        self._value = min(max(self._value, self.cold), self.most)
+        self._target = min(self._target, self.most)
+
+    def chill(self, now: float, flapped: bool = False) -> None:
+        """Fall to the cold bound and stay there for a while.
+
+        Parameters
+        ----------
+        now : float
+            The time in milliseconds.
+        flapped : bool
+            Whether it counts towards a longer cold period.
+        """
+        self._forgive(now)
+        if flapped and self.warmth is not records.Warmth.COLD:
+            self._episodes += 1
+        still = min(COLD_MS * 2.0 ** max(0, self._episodes - 1), MOST_COLD_MS)
+        self._still_until = max(self._still_until, now + still)
+        self._fall(now)
+        self._target = float(self.most)
+
+    def resume(self, running: int, limit: int, now: float) -> None:
+        """Go on where an earlier keeper of a warm endpoint stopped.
+
+        Parameters
+        ----------
+        running : int
+            Attempts that run there now; it bears at least these.
+        limit : int
+            The limit of the earlier keeper, which is reached in steps.
+        now : float
+            The time in milliseconds.
+        """
+        self._value = float(min(max(self.cold, running), self.most))
+        self._target = float(min(max(limit, self.cold), self.most))
+        self._is_warm = self.value >= self._target
+        self._used = now
+
+    def note(self, sample: Sample, in_use: int, now: float) -> bool:
+        """Learn how attempts ended.
+
+        Parameters
+        ----------
+        sample : Sample
+            What a holder has told.
+        in_use : int
+            Slots given out over all hosts.
+        now : float
+            The time in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether this was a sign that the endpoint is cold.
+        """
+        self._decay(now)
+        restarted = self._see_instance(sample.instance)
+        if sample.cold or restarted:
+            self.latency = Latency() if restarted else self.latency
+            self.chill(now, flapped=True)
+            return True
+        signs = [
+            self._note_one(outcome, millis, in_use, now)
+            for outcome, millis in sample.outcomes
         ]
-        if waits:
-            return max(waits)
-        for gate in gates:
-            gate.enter(priority)
-        return 0.0
-
-    def release(
-        self, pools: shedding.Pools, priority: int, millis: float, now: float
-    ) -> None:
-        """Make room in all pools; see `Shedding.release`."""
-        for pool in pools:
-            gate = self._gate(pool, now)
-            gate.leave(priority, millis)
-
-    def note_ask(self, pool: ids.PoolName, now: float) -> None:
-        """Count a waiting stage; see `Shedding.note_ask`."""
-        self._gate(pool, now).note_ask()
-
-    def note_wait(self, pool: ids.PoolName, millis: float, now: float) -> None:
-        """Count it as served; see `Shedding.note_wait`."""
-        self._gate(pool, now).note_wait()
-
-    def note_drop(self, pool: ids.PoolName, now: float) -> None:
-        """Count it as gone; see `Shedding.note_drop`."""
-        self._gate(pool, now).note_drop()
-
-    def describe(self) -> dict[str, dict[str, float]]:
-        """Tell the bounds by pool; see `Shedding.describe`."""
-        return {pool: gate.describe() for pool, gate in self._gates.items()}
-
-    def _gate(self, pool: ids.PoolName, now: float) -> _Gate:
-        gate = self._gates.get(pool)
-        if gate is None:
-            gate = self._gates[pool] = _Gate(now)
-        gate.roll(now)
-        return gate
+        return any(signs)
+
+    def _see_instance(self, instance: ids.InstanceId) -> bool:
+        if not instance:
+            return False
+        if instance in self._instances:
+            # A holder that has not been there of late may name a former one.
+            return False
+        restarted = bool(self._instances)
+        self._instances = (self._instances + [instance])[-MOST_INSTANCES:]
+        return restarted
+
+    def _note_one(
+        self,
+        outcome: records.Outcome,
+        millis: float,
+        in_use: int,
+        now: float,
+    ) -> bool:
+        if outcome in (records.Outcome.UNREACHED, records.Outcome.BROKEN):
+            self._stumble(now)
+            return True
+        if outcome is records.Outcome.BUSY:
+            return self._note_busy(now)
+        if outcome is records.Outcome.OK:
+            return self._note_ok(millis, in_use, now)
+        return False
+
+    def _stumble(self, now: float) -> None:
+        # A lost connection may be a restart: nothing but the cold bound is
+        # safe.  The same process answering on shows that it was none, so
+        # the way back is by steps and without a period of rest.
+        target = max(self._value, float(self.cold))
+        if self.warmth is records.Warmth.COLD:
+            target = self._target
+        if not self._instances:
+            self.chill(now, flapped=True)
+            return
+        self._fall(now)
+        self._target = max(float(self.cold), target)
+
+    def _note_busy(self, now: float) -> bool:
+        self._busy += 1
+        if self._busy >= BUSY_SIGNS:
+            self.chill(now, flapped=True)
+            return True
+        self._value = max(float(self.cold), self._value / 2.0)
+        self._target = self._value
+        self._is_warm = self._is_warm and self.value > self.cold
+        return False
+
+    def _note_ok(self, millis: float, in_use: int, now: float) -> bool:
+        self._busy = 0
+        slow = self.latency.is_slow(millis)
+        self.latency.note(millis)
+        self._slow = self._slow + 1 if slow else 0
+        if self._slow >= SLOW_SIGNS:
+            self._slow = 0
+            self.chill(now, flapped=True)
+            return True
+        self._used = now
+        if self.latency.is_strained():
+            self._give_way()
+        elif now >= self._still_until and in_use >= USED_SHARE * self._value:
+            self._grow()
+        if self.value > self.cold and now >= self._fallen + PROVEN_MS:
+            self._is_warm = True
+        return False
+
+    def _give_way(self) -> None:
+        self._healthy += 1
+        if self._healthy < self._value:
+            return
+        self._healthy = 0
+        self._value = max(float(self.cold), self._value * GIVE_WAY)
+        self._target = self._value
+        self._is_warm = self.value > self.cold
+
+    def _grow(self) -> None:
+        self._healthy += 1
+        if self._healthy < self._value:
+            return
+        self._healthy = 0
+        if self._value < self._target:
+            self._value = min(
+                max(self._value * STEP, self._value + 1.0), self._target
+            )
+        else:
+            self._value = min(self._value + 1.0, float(self.most))
+        self._is_warm = self._value >= self._target
+
+    def _fall(self, now: float) -> None:
+        self._value = float(self.cold)
+        self._is_warm = False
+        self._healthy = 0
+        self._slow = 0
+        self._busy = 0
+        self._fallen = now
+
+    def _forgive(self, now: float) -> None:
+        forgiven = int((now - self._fallen) / FORGIVE_MS)
+        self._episodes = max(0, self._episodes - forgiven)
+
+    def _decay(self, now: float) -> None:
+        halvings = int((now - self._used) / IDLE_MS)
+        if halvings <= 0:
+            return
+        self._used = now
+        self._value = max(float(self.cold), self._value / 2.0**halvings)
+        self._is_warm = self._is_warm and self.value > self.cold
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -56,6 +56,11 @@
     HOST_LIST_READ = EventSpec(3008, _INFO, "host list can be read again")
 
     # Grants, routing and limits: 4000 to 4999.
+    TENURE_BEGUN = EventSpec(4001, _INFO, "host became keeper of endpoint")
+    ENDPOINT_COLD = EventSpec(4002, _WARNING, "endpoint has turned cold")
+    KEEPER_UNREACHED = EventSpec(
+        4003, _WARNING, "keeper of endpoint does not answer"
+    )
     ENDPOINT_EJECTED = EventSpec(4101, _WARNING, "endpoint left out")
     ENDPOINT_RETURNED = EventSpec(4102, _INFO, "endpoint used again")
     SHEDDING_BEGAN = EventSpec(4103, _WARNING, "shedding began")
@@ -73,6 +78,11 @@
     CLAIM_UNSTORED = EventSpec(5007, _ERROR, "outcome of claim given up")
 
     # Leases and orders: 6000 to 6999.
+    LEASE_TAKEN = EventSpec(6001, _INFO, "lease taken")
+    LEASE_LOST = EventSpec(6002, _INFO, "lease given back or lost")
+    ORDER_MOVED = EventSpec(6003, _INFO, "order went on at engine")
+    ORDER_UNSETTLED = EventSpec(6004, _WARNING, "order has no outcome yet")
+    ORDERS_BLOCKED = EventSpec(6005, _WARNING, "orders wait for platform")
 
     # Requests: 7000 to 7999.
     REQUEST_DONE = EventSpec(7001, _DEBUG, "request done")
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -1,10 +1,14 @@
 """The metrics that the daemon exposes."""
 
 import enum
+import heapq
 
 import aioprometheus
 import msgspec
 
+from chervilshore import ids
+from chervilshore.rules import model
+
 SECONDS_BUCKETS = (
     0.001,
     0.003,
@@ -21,6 +25,45 @@
 """Upper bounds in seconds of the histograms of times."""
 
 
+MOST_TEAM_LABELS = 20
+"""Teams that have a label of their own."""
+
+OTHER_TEAMS = "other"
+"""The label of all other teams."""
+
+
+class TeamLabels:
+    """Bounds the labels that stand for teams.
+
+    The teams with the highest limits keep their names; they hardly change,
+    while the busiest ones would change from one scrape to the next.
+    """
+
+    def __init__(self) -> None:
+        self._rules: model.Rules | None = None
+        self._named: frozenset[ids.TeamId] = frozenset()
+
+    def choose(self, team: ids.TeamId, rules: model.Rules) -> str:
+        """Choose the label of a team.
+
+        Parameters
+        ----------
+        team : TeamId
+            The team.
+        rules : Rules
+            The rules in force.
+        """
+        if rules is not self._rules:
+            self._rules = rules
+            largest = heapq.nlargest(
+                MOST_TEAM_LABELS,
+                rules.teams.values(),
+                key=lambda found: (found.rate, found.name),
+            )
+            self._named = frozenset(found.name for found in largest)
+        return team if team in self._named else OTHER_TEAMS
+
+
 class MetricKind(enum.Enum):
     """How a metric is collected."""
 
@@ -101,6 +144,26 @@
     )
 
     # Grants, routing and limits.
+    ENDPOINTS_KEPT = _gauge(
+        "chervilshore_endpoints_kept",
+        (),
+        "Endpoints of which this host is the keeper.",
+    )
+    COLD_STARTS = _counter(
+        "chervilshore_cold_starts_total",
+        (),
+        "Times that a kept endpoint has turned cold.",
+    )
+    GRANT_MESSAGES = _counter(
+        "chervilshore_grant_messages_total",
+        ("kind",),
+        "Messages about grants that were sent to other hosts.",
+    )
+    SLOTS_VOID = _counter(
+        "chervilshore_slots_void_total",
+        ("pool",),
+        "Slots that did not hold any more right before the send.",
+    )
     QUEUE_SECONDS = _histogram(
         "chervilshore_queue_seconds",
         ("class",),
@@ -187,6 +250,11 @@
     )
 
     # Leases and orders.
+    ORDERS = _counter(
+        "chervilshore_order_steps_total",
+        ("pool", "progress"),
+        "Steps of orders to engines.",
+    )
 
     # The platform.
     PLATFORM_CALLS = _counter(
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -19,6 +19,7 @@
 from chervilshore.controllers import claimstore
 from chervilshore.controllers import compaction
 from chervilshore.controllers import generations
+from chervilshore.controllers import grants
 from chervilshore.controllers import hosts
 from chervilshore.controllers import limits
 from chervilshore.controllers import membership
@@ -46,6 +47,11 @@
 """Seconds that the web server gives to answers that are being written."""
 
 
+MOST_FIELD_BYTES = 65_536
+"""Bytes of a header that are read at all. The chain of filters refuses much
+shorter ones with a number; beyond this the web server refuses without."""
+
+
 class Node(mode.Service):
     """An entry host.
 
@@ -168,8 +174,24 @@
         self._policies = policies.make(
             self._choice, options.domain, self._is_out, self._random
         )
-        self._slots = slots.UnboundedSlots(
-            self._directory, self._configuration, self._random
+        self._slots = self._make_slots()
+
+    def _make_slots(self) -> slots.Slots:
+        if self._choice is policies.Choice.BASELINE:
+            return slots.UnboundedSlots(
+                self._directory, self._configuration, self._random
+            )
+        return grants.Grants(
+            self._options.host,
+            self._clock,
+            self._peers,
+            self._directory,
+            self._configuration,
+            self._policies.make_router,
+            self._policies.make_queue,
+            self._random,
+            self._metrics,
+            self._options.deadline_ms + attempt.SETTLE_MS,
         )
 
     def _is_out(self, domain: ids.DomainId) -> bool:
@@ -304,6 +326,8 @@
         ]
         if self._limits is not None:
             services += [self._limits, self._reporter]
+        if isinstance(self._slots, mode.Service):
+            services.append(self._slots)
         return services
 
     async def _listen(self) -> None:
@@ -312,6 +336,8 @@
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=SHUTDOWN_SECONDS,
+            max_field_size=MOST_FIELD_BYTES,
+            max_line_size=MOST_FIELD_BYTES,
         )
         await self._runner.setup()
         host, _, port = self._options.http_address.rpartition(":")
