--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -52,6 +52,24 @@
     virtual.run(run())
 
 
+@pytest.mark.parametrize("step", [13, 15])
+@pytest.mark.parametrize("pause_ms", range(1500, 2000, 200))
+def test_a_former_holder_does_not_judge_what_is_on_its_way(step, pause_ms):
+    # The first one wakes while the second has stored its intent and is
+    # paused before it sends.
+    async def run():
+        crew = orders_helpers.Crew()
+        crew.pauses["host0", 4] = pause_ms
+        crew.pauses["host1", step] = 500
+        await crew.submit(KINDS[1])
+        await crew.start_all(apart_ms=20)
+        found = await crew.finish(20_000)
+        await crew.clock.sleep(PAUSE_MS)
+        _check(crew, found)
+
+    virtual.run(run())
+
+
 async def _run_schedule(seed):
     crew = orders_helpers.Crew(3, seed % 2 == 0, seed)
     rng = random.Random(seed)
