--- a/measure/claims.py
+++ b/measure/claims.py
@@ -1,4 +1,4 @@
-"""Claims a second and platform calls for each, for three ways to claim.
+"""Claims a second and platform calls for each, for the ways to claim.
 
 ``python -m measure.claims`` prints JSON. The platform is in memory and
 takes 3 ms for each call; three hosts stand one millisecond apart.
@@ -88,10 +88,24 @@
 
 
 class LogWay(Way):
-    """Sharded logs with group commit: the real way."""
+    """Sharded logs with group commit.
+
+    Parameters
+    ----------
+    clock : Clock
+        The clock.
+    platform : Platform
+        Where the logs are.
+    forwards : bool
+        Whether hosts hand claims to the owner of a shard, the real way,
+        or each writes for itself.
+    """
 
     def __init__(
-        self, clock: clocks.Clock, platform: platforms.Platform
+        self,
+        clock: clocks.Clock,
+        platform: platforms.Platform,
+        forwards: bool = True,
     ) -> None:
         network = memory.MemoryNetwork(clock)
         names = [f"host{number}" for number in range(HOSTS)]
@@ -111,7 +125,7 @@
                 directory,
                 random.Random(name),
                 claimstore.Terms(shards=SHARDS),
-                network.join(name),
+                network.join(name) if forwards else None,
             )
             for name in names
         ]
@@ -196,6 +210,8 @@
     """Make one of the ways by its name."""
     if name == "log":
         return LogWay(clock, platform)
+    if name == "log without owners":
+        return LogWay(clock, platform, forwards=False)
     if name == "object":
         return ObjectWay(platform)
     return SetWay(platform)
@@ -207,7 +223,7 @@
     Parameters
     ----------
     name : str
-        The way: log, object or set.
+        The way, as `make_way` knows it.
     level : int
         Requests in flight at once.
 
@@ -251,7 +267,7 @@
     """Measure all ways at all levels."""
     return [
         await measure(name, level)
-        for name in ("log", "object", "set")
+        for name in ("log", "log without owners", "object", "set")
         for level in LEVELS
     ]
 
