Let the keeper case see four kills, and await every call of the stand-in

Cause: the load of 20 s ended before the fourth kill, and calls that a cut kept away left coroutines that nobody awaited.

Change: the load lasts 30 s; the stand-in of the platform makes its calls only when they are let in.

--- a/measure/faults.py
+++ b/measure/faults.py
@@ -188,7 +188,7 @@
     async with benches.Bench(policies) as bench:
         await bench.warm_up()
         load = bench.make_load({benches.LOOKUP_KIND: rate})
-        running = asyncio.ensure_future(load.run(20.0))
+        running = asyncio.ensure_future(load.run(30.0))
         kills = 0
         while not running.done() and kills < 4:
             await asyncio.sleep(1.5)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -79,7 +79,7 @@
         await base.hold_if_cut(request, self.knobs.cut)
         await asyncio.sleep(self.knobs.slow_ms / 1000.0)
         try:
-            return await call
+            return await call()
         except exceptions.ObjectMissing as error:
             raise web.HTTPNotFound(text=str(error)) from error
         except exceptions.VersionConflict as error:
@@ -98,7 +98,7 @@
             headers = {VERSION_HEADER: str(stored.version)}
             return web.Response(body=stored.value, headers=headers)
 
-        return await self._run(request, "get", call())
+        return await self._run(request, "get", call)
 
     async def _list(self, request: web.Request) -> web.Response:
         async def call():
@@ -109,7 +109,7 @@
             )
             return web.Response(body=msgspec.msgpack.encode(found))
 
-        return await self._run(request, "list", call())
+        return await self._run(request, "list", call)
 
     async def _put(self, request: web.Request) -> web.Response:
         key = request.match_info["key"]
@@ -123,7 +123,7 @@
                 version = await self.store.update(key, value, int(expected))
             return web.Response(headers={VERSION_HEADER: str(version)})
 
-        return await self._run(request, "put", call())
+        return await self._run(request, "put", call)
 
     async def _delete(self, request: web.Request) -> web.Response:
         async def call():
@@ -132,7 +132,7 @@
             )
             return web.Response()
 
-        return await self._run(request, "delete", call())
+        return await self._run(request, "delete", call)
 
     async def _watch(self, request: web.Request) -> web.Response:
         async def call():
@@ -143,14 +143,14 @@
             )
             return web.Response(body=msgspec.msgpack.encode(found))
 
-        return await self._run(request, "watch", call())
+        return await self._run(request, "watch", call)
 
     async def _hosts(self, request: web.Request) -> web.Response:
         async def call():
             found = await self.store.hosts()
             return web.Response(body=msgspec.msgpack.encode(found))
 
-        return await self._run(request, "hosts", call())
+        return await self._run(request, "hosts", call)
 
     async def _set_hosts(self, request: web.Request) -> web.Response:
         found = msgspec.json.decode(
