--- a/tests/orders_helpers.py
+++ b/tests/orders_helpers.py
@@ -1,5 +1,6 @@
 """Hosts that give orders, and engines that note who had them run."""
 
+import asyncio
 import collections
 import random
 
@@ -59,6 +60,7 @@
         self.rng = rng
         self.pause = pause
         self.rates = {}
+        self.landing = set()
 
     async def read(self, record, timeout_ms):
         await self._travel("read")
@@ -69,6 +71,15 @@
         if not guard():
             raise exceptions.LeaseLost(call.order)
         clock = self.plant.clock
+        if self._happens("ahead"):
+            # The connection breaks, and what went out takes effect later.
+            await clock.sleep(1)
+            delay = self.rng.uniform(0, timeout_ms - 2)
+            task = asyncio.ensure_future(
+                self._land(delay, record.endpoint, call)
+            )
+            self.landing.add(task)
+            raise exceptions.EndpointBroken("broken before the effect")
         late = self._happens("late")
         await clock.sleep(self.rng.uniform(0, timeout_ms if late else 5))
         if self._happens("lost"):
@@ -78,6 +89,13 @@
         if self._happens("unheard"):
             raise exceptions.EndpointBroken("lost after the effect")
 
+    async def _land(self, delay, endpoint, call):
+        await self.plant.clock.sleep(delay)
+        try:
+            await self.plant.take(self.host, endpoint, call)
+        except exceptions.LeaseLost:
+            return
+
     async def _travel(self, what):
         await self.pause(what)
         await self.plant.clock.sleep(self.rng.uniform(1, 5))
@@ -92,13 +110,14 @@
 class Crew:
     """Hosts that may all take the lease of one pool."""
 
-    def __init__(self, hosts=2, checked=False, seed=0):
+    def __init__(self, hosts=2, checked=False, seed=0, terms=TERMS):
         self.clock = virtual.LoopClock()
         self.rng = random.Random(seed)
         self.memory = memory.MemoryPlatform(self.clock)
         self.plant = Plant(self.clock, checked)
         self.plant.platform = self.memory
         self.hosts = {}
+        self.terms = terms
         self.steps = collections.Counter()
         self.pauses = {}
         for number in range(hosts):
@@ -134,7 +153,7 @@
             configuration.StaticConfiguration(RULES),
             way,
             rng,
-            TERMS,
+            self.terms,
         )
         self.hosts[name] = (service, platform, way)
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 from aiohttp import web
+import msgspec
 import pytest
 from testtools import assertions
 from testtools import matchers
@@ -71,15 +72,26 @@
 
 
 async def _run_schedule(seed):
-    crew = orders_helpers.Crew(3, seed % 2 == 0, seed)
     rng = random.Random(seed)
+    # Short rounds come back to an order while it may still take effect.
+    terms = msgspec.structs.replace(
+        orders_helpers.TERMS, busy_ms=rng.choice([100.0, 350.0, 350.0])
+    )
+    crew = orders_helpers.Crew(3, seed % 2 == 0, seed, terms)
     for host in crew.hosts:
         for _ in range(rng.choice([0, 1, 3])):
             millis = rng.choice([500, PAUSE_MS])
             crew.pauses[host, rng.randint(1, 40)] = millis
     rates = {
         fault: rng.choice([0.0, 0.1, 0.3])
-        for fault in ("down", "lost", "unheard", "unreached", "late")
+        for fault in (
+            "down",
+            "lost",
+            "unheard",
+            "unreached",
+            "late",
+            "ahead",
+        )
     }
     for _, platform, way in crew.hosts.values():
         platform.rates = rates
