--- a/tests/test_claims_faults.py
+++ b/tests/test_claims_faults.py
@@ -1,6 +1,7 @@
 """At most one execution for each key, whatever fails."""
 
 import asyncio
+import logging
 import random
 
 import pytest
@@ -123,6 +124,12 @@
                 self.fleet.cuts.discard(self.fleet.hosts[cut].address)
 
 
+@pytest.fixture(autouse=True)
+def quiet(caplog):
+    # Thousands of expected warnings would be formatted for nothing.
+    caplog.set_level(logging.CRITICAL)
+
+
 def find_faults(fleet):
     """Name each promise that a schedule has broken."""
     faults = [
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,5 +1,6 @@
 """Orders run once, and only from the holder of the lease."""
 
+import logging
 import random
 
 import aiohttp
@@ -23,6 +24,12 @@
 PAUSE_MS = 2500.0
 
 
+@pytest.fixture(autouse=True)
+def quiet(caplog):
+    # Thousands of expected warnings would be formatted for nothing.
+    caplog.set_level(logging.CRITICAL)
+
+
 def _check(crew, found):
     assertions.assert_that(crew.find_faults(), matchers.Equals(([], [])))
     ends = {
