Work out what the target costs, from slopes that a command measures

Cause: the users ask what the design costs at 370 nodes, 600 workers, 26,000 teams and 1,800 requests a second.

A host takes a whole list from a peer without spreading it again, the list of living hosts and the reader of the host list are kept until something changes, and connections outlive a turn of probes over 370 hosts.

--- a/chervilshore/clients/zeromq.py
+++ b/chervilshore/clients/zeromq.py
@@ -40,7 +40,10 @@
 UNACKNOWLEDGED_MS = 3000
 """Milliseconds after which the kernel gives up a silent connection."""
 
-IDLE_MS = 60_000.0
+IDLE_MS = 180_000.0
+"""Longer than a host takes to probe 370 others in turn, so that a probe
+finds its connection open."""
+
 SWEEP_MS = 1000.0
 
 _HANDSHAKE_FAILURES = (
--- a/chervilshore/controllers/hosts.py
+++ b/chervilshore/controllers/hosts.py
@@ -89,6 +89,8 @@
         self._assigned: dict[ids.EndpointId, records.EndpointRecord] = {}
         self._confirmed = -math.inf
         self._readable = True
+        self._chosen_from: tuple[records.HostRecord, ...] = ()
+        self._chosen: ids.HostId | None = None
         self._polls = 0
         self._reads = 0
         self._pushing: set[asyncio.Future] = set()
@@ -161,11 +163,14 @@
                 await self._read()
 
     def _reader(self) -> ids.HostId | None:
-        return listings.choose_reader(
-            self._membership.hosts(),
-            self._membership.me.domain,
-            rendezvous.choose,
-        )
+        hosts = self._membership.hosts()
+        # The list is the same object until something has changed.
+        if hosts is not self._chosen_from:
+            self._chosen_from = hosts
+            self._chosen = listings.choose_reader(
+                hosts, self._membership.me.domain, rendezvous.choose
+            )
+        return self._chosen
 
     async def _read(self) -> bool:
         self._reads += 1
--- a/chervilshore/decisions/membership.py
+++ b/chervilshore/decisions/membership.py
@@ -51,6 +51,7 @@
         self._order: list[ids.HostId] = []
         self._doubtful: dict[ids.HostId, ids.Address] = {}
         self._changes: list[records.HostRecord] = []
+        self._listed: tuple[records.HostRecord, ...] | None = None
         self._periods = 0
         self._last_period: float | None = None
         self._resumed = -math.inf
@@ -64,11 +65,12 @@
 
     def hosts(self) -> tuple[records.HostRecord, ...]:
         """List the hosts that are not down, this one first."""
-        found = [self.me]
-        for member in self._members.values():
-            if member.record.state is not _State.DOWN:
-                found.append(member.record)
-        return tuple(found)
+        # Many ask for this many times a second; it changes rarely.
+        if self._listed is None:
+            others = (member.record for member in self._members.values())
+            living = (r for r in others if r.state is not _State.DOWN)
+            self._listed = (self.me, *living)
+        return self._listed
 
     def get(self, host: ids.HostId) -> records.HostRecord | None:
         """Find a host, whatever its state."""
@@ -85,14 +87,7 @@
     def set_address(self, address: ids.Address) -> None:
         """Note where peers reach this host."""
         self.me = msgspec.structs.replace(self.me, peer_address=address)
-
-    def begin_life(self, incarnation: ids.Incarnation) -> None:
-        """Begin a new life with an incarnation above the former ones."""
-        self._renew(self.me.state, incarnation)
-
-    def calm(self) -> None:
-        """Drop all news, for a fleet that has known itself for long."""
-        self._news = news.News()
+        self._listed = None
 
     def count_states(self) -> dict[str, int]:
         """Count the hosts by state, without this one."""
@@ -176,6 +171,19 @@
             else:
                 self._merge(update, now)
 
+    def learn(
+        self, members: abc.Iterable[records.HostRecord], now: float
+    ) -> None:
+        """Take a peer's list of hosts; the fleet knows them already.
+
+        Spreading the whole list again would keep a newcomer's messages
+        full for minutes.
+        """
+        known = self._news.copy()
+        self.merge(members, now)
+        self._news = known
+        self._news.add(self.me.host)
+
     def propose(self, record: records.HostRecord) -> None:
         """Note a host that the host list names, to be probed."""
         if record.host == self.me.host:
@@ -335,6 +343,7 @@
         self._digests.mix(self.me)
         self._news.add(self.me.host)
         self._changes.append(self.me)
+        self._listed = None
 
     def _merge(self, update: records.HostRecord, now: float) -> None:
         member = self._members.get(update.host)
@@ -387,3 +396,4 @@
             member.deadline = now + self._suspicion_ms()
         self._news.add(record.host)
         self._changes.append(member.record)
+        self._listed = None
--- a/chervilshore/decisions/news.py
+++ b/chervilshore/decisions/news.py
@@ -36,6 +36,12 @@
         """Count the hosts."""
         return len(self._sent)
 
+    def copy(self) -> "News":
+        """Make a copy that goes on by itself."""
+        made = News()
+        made._sent = dict(self._sent)
+        return made
+
     def add(self, host: ids.HostId) -> None:
         """Tell of a host from the start again."""
         self._sent[host] = 0
--- a/chervilshore/tables.py
+++ b/chervilshore/tables.py
@@ -24,6 +24,7 @@
     heads: collections_abc.Sequence[str],
     rows: collections_abc.Iterable[collections_abc.Sequence[str]],
 ) -> str:
+    """Write a table in Markdown."""
     """Write a table in Markdown.
 
     Parameters
@@ -154,11 +155,21 @@
 """The pages with a table, and what writes it."""
 
 
-def replace_table(page: str, table: str) -> str:
-    """Put a table in the place of the one that a page holds."""
-    before, _, rest = page.partition(BEGIN)
+def replace_table(page: str, table: str, begin: str = BEGIN) -> str:
+    """Put a table in the place of the one that a page holds.
+
+    Parameters
+    ----------
+    page : str
+        The page.
+    table : str
+        The new table.
+    begin : str
+        The mark before the table.
+    """
+    before, _, rest = page.partition(begin)
     _, _, after = rest.partition(END)
-    return f"{before}{BEGIN}\n\n{table}\n\n{END}{after}"
+    return f"{before}{begin}\n\n{table}\n\n{END}{after}"
 
 
 def main() -> None:
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -239,6 +239,10 @@
         """Let a frozen daemon go on."""
         host.process.send_signal(signal.SIGCONT)
 
+    def list_records(self) -> list[records.HostRecord]:
+        """List the hosts for the platform's list."""
+        return [host.make_record() for host in self.hosts]
+
     async def publish_hosts(
         self, leaving: frozenset[str] = frozenset()
     ) -> None:
@@ -250,7 +254,7 @@
             The endpoints that are marked as leaving.
         """
         host_list = records.HostList(
-            hosts=tuple(host.make_record() for host in self.hosts),
+            hosts=tuple(self.list_records()),
             endpoints=tuple(
                 msgspec.structs.replace(
                     record, state=records.EndpointState.LEAVING
--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -5,6 +5,8 @@
 import itertools
 import random
 
+import msgspec
+
 from chervilshore.decisions import membership
 from chervilshore.decisions import probes
 from chervilshore import ids
@@ -93,8 +95,10 @@
         all_records = [node.members.me for node in self.nodes]
         for node in self.nodes:
             if joined:
-                node.members.merge(all_records, 0.0)
-                node.members.calm()
+                node.members.learn(all_records, 0.0)
+                # All have told of themselves long ago.
+                while node.members.take_news():
+                    pass
                 node.members.take_changes()
             self._at(self.rng.random() * numbers.period_ms, self._tick, node)
 
@@ -108,11 +112,11 @@
 
     def restart(self, node: Node) -> None:
         """Begin a new life of a node that knows nobody but one host."""
-        record = make_record(int(node.host[-3:]))
-        life = node.members.me.incarnation + 1
-        numbers = self.numbers
-        node.members = membership.Members(record, numbers, node.rng)
-        node.members.begin_life(ids.Incarnation(life))
+        life = ids.Incarnation(node.members.me.incarnation + 1)
+        record = msgspec.structs.replace(
+            make_record(int(node.host[-3:])), incarnation=life
+        )
+        node.members = membership.Members(record, self.numbers, node.rng)
         node.alive = True
         living = [n for n in self.nodes if n.alive and n is not node]
         self._synchronize(node, self.rng.choice(living))
@@ -228,7 +232,7 @@
         request = messages.MembersRequest(node.members.digests)
 
         def receive_reply(receiver: Node, reply) -> None:
-            receiver.members.merge(reply.members, self.now)
+            receiver.members.learn(reply.members, self.now)
             self._tell(receiver)
 
         def receive_request(receiver: Node, message) -> None:
--- /dev/null
+++ b/measure/scaling.py
@@ -0,0 +1,367 @@
+"""Slopes of the pure decisions, driven in this process."""
+
+import asyncio
+import gc
+import random
+import time
+import tracemalloc
+
+import msgspec
+import psutil
+import zmq
+
+from chervilshore.clients import zeromq
+from chervilshore import clock as clocks
+from chervilshore.decisions import claims
+from chervilshore.decisions import ledger
+from chervilshore.decisions import listing
+from chervilshore.decisions import membership
+from chervilshore.decisions import probes
+from chervilshore.decisions import shares
+from chervilshore import messages
+from chervilshore import records
+from chervilshore.rules import checks
+from chervilshore.rules import generations
+from chervilshore.rules import lines
+from chervilshore.rules import model
+from measure import fits
+from measure import fleet
+
+FRAME_BYTES = 68
+"""Bytes of ZeroMQ, TCP, IP and Ethernet headers around one message."""
+
+QUIET_MS = 6000.0
+NEWS_MS = 20_000.0
+DEATH_MS = 15_000.0
+HOSTS = (9, 50, 120, 370)
+FAULTY_HOSTS = (12, 50, 120, 370)
+TEAMS = (1000, 5000, 13_000, 26_000)
+ENDPOINTS = (26, 100, 300, 600)
+BATCHES = (10, 100, 400, 1000)
+DEMANDS = (1, 10, 50, 200)
+QUESTIONS = (1000, 2000, 4000, 8000)
+CONNECTIONS = (50, 100, 200, 300)
+NUMBERS = probes.Numbers()
+
+
+def _count_wire(made: fleet.Fleet) -> float:
+    sent = sum(node.messages for node in made.nodes)
+    return sum(node.bytes for node in made.nodes) + FRAME_BYTES * sent
+
+
+def _measure_memory(make) -> int:
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def _time(function, repeats: int) -> float:
+    """Tell the microseconds of processor time of one call."""
+    start = time.process_time()
+    for _ in range(repeats):
+        function()
+    return 1e6 * (time.process_time() - start) / repeats
+
+
+def measure_members() -> list[fits.Series]:
+    """Measure a quiet fleet by its number of hosts."""
+    traffic, rates, work, memory = [], [], [], []
+    for size in HOSTS:
+        made = fleet.Fleet(size, NUMBERS, 1)
+        made.run(1500)
+        before = _count_wire(made)
+        sent = sum(node.messages for node in made.nodes)
+        start = time.process_time()
+        made.run(QUIET_MS)
+        seconds = time.process_time() - start
+        per = size * QUIET_MS / 1000
+        traffic.append((size, (_count_wire(made) - before) / per))
+        sent = sum(node.messages for node in made.nodes) - sent
+        rates.append((size, sent / per))
+        work.append((size, 1e6 * seconds / per))
+        everyone = [node.members.me for node in made.nodes]
+        memory.append((size, _measure_memory(lambda: _fill(everyone))))
+    hosts = "entry hosts"
+    return [
+        fits.fit("member_bytes", hosts, "wire bytes/s of a host", traffic),
+        fits.fit("member_messages", hosts, "messages/s of a host", rates),
+        fits.fit("member_cpu", hosts, "us/s of a host", work),
+        fits.fit("member_memory", hosts, "bytes in a host", memory),
+    ]
+
+
+def _fill(everyone) -> membership.Members:
+    copies = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(everyone), type=list[records.HostRecord]
+    )
+    made = membership.Members(copies[0], NUMBERS, random.Random(1))
+    made.merge(copies, 0.0)
+    return made
+
+
+def measure_faults() -> list[fits.Series]:
+    """Measure deaths, restarts and the loss of a domain."""
+    deaths, knows, cuts = [], [], []
+    for size in FAULTY_HOSTS:
+        quiet = _run_quiet(size, DEATH_MS)
+        extra, last = _run_restart(size)
+        deaths.append((size, max(0.0, extra - quiet) / size))
+        knows.append((size, last))
+        cuts.append((size, _run_cut(size) / size / (NEWS_MS / 1000)))
+    hosts = "entry hosts"
+    return [
+        fits.fit("restart_bytes", hosts, "bytes a host and restart", deaths),
+        fits.fit("death_known", hosts, "ms until the last host knows", knows),
+        fits.fit("domain_bytes", hosts, "wire bytes/s of a host", cuts),
+    ]
+
+
+def _run_quiet(size: int, millis: float) -> float:
+    made = fleet.Fleet(size, NUMBERS, 2)
+    made.run(1500)
+    before = _count_wire(made)
+    made.run(millis)
+    return _count_wire(made) - before
+
+
+def _run_restart(size: int) -> tuple[float, float]:
+    made = fleet.Fleet(size, NUMBERS, 2)
+    made.run(1500)
+    before = _count_wire(made)
+    victim = made.nodes[0]
+    known = {}
+
+    def note(node, record):
+        if record.host == victim.host:
+            if record.state is records.HostState.DOWN:
+                known[node.host] = made.now
+
+    made.on_change = note
+    start = made.now
+    victim.alive = False
+    made.run(DEATH_MS / 2)
+    made.restart(victim)
+    made.run(DEATH_MS / 2)
+    return _count_wire(made) - before, max(known.values()) - start
+
+
+def _run_cut(size: int) -> float:
+    made = fleet.Fleet(size, NUMBERS, 2)
+    made.run(1500)
+    gone = {n.host for n in made.nodes if n.members.me.domain == "domain-0"}
+    made.loses = lambda one, two: (one.host in gone) != (two.host in gone)
+    before = _count_wire(made)
+    made.run(NEWS_MS)
+    return _count_wire(made) - before
+
+
+def measure_listing() -> list[fits.Series]:
+    """Measure one reading of the platform's host list."""
+    sizes, work = [], []
+    for count in ENDPOINTS:
+        endpoints = tuple(_make_endpoint(number) for number in range(count))
+        hosts = tuple(
+            fleet.make_record(number) for number in range(count * 370 // 600)
+        )
+        data = msgspec.msgpack.encode(records.HostList(hosts, endpoints))
+        known = listing.Listing(endpoints)
+
+        def read(data=data, known=known):
+            found = msgspec.msgpack.decode(data, type=records.HostList)
+            newer = listing.Listing(found.endpoints)
+            return newer.digest == known.digest
+
+        sizes.append((count, len(data)))
+        work.append((count, _time(read, 30)))
+    return [
+        fits.fit("list_bytes", "endpoints", "bytes of a reading", sizes),
+        fits.fit("list_cpu", "endpoints", "us of a reading", work),
+    ]
+
+
+def _make_endpoint(number: int) -> records.EndpointRecord:
+    return records.EndpointRecord(
+        endpoint=f"language-model-{number:03d}",
+        pool="language-model",
+        domain=f"domain-{number % 6}",
+        address=f"10.30.{number // 250}.{number % 250 + 1}:9000",
+    )
+
+
+def write_teams(count: int, changed: int = -1) -> str:
+    """Write a rules file with teams only."""
+    rows = [
+        f"team member-{number:05d} rate={60 if number == changed else 50} "
+        "burst=100 concurrency=40  # Yasmine Idrissi, dealer of the month\n"
+        for number in range(count)
+    ]
+    return "".join(rows)
+
+
+def measure_rules() -> list[fits.Series]:
+    """Measure the rules by the number of teams."""
+    seconds, memory, moved = [], [], []
+    for count in TEAMS:
+        text = write_teams(count)
+        start = time.process_time()
+        document, _ = lines.parse(text, "teams.rules")
+        checks.check(document)
+        seconds.append((count, time.process_time() - start))
+        packed = generations.pack(document)
+        teams = [line.rule for line in document.lines]
+        data = msgspec.msgpack.encode(teams)
+
+        def keep(data=data):
+            rules = msgspec.msgpack.decode(data, type=list[model.Team])
+            return {team.name: team for team in rules}
+
+        memory.append((count, _measure_memory(keep)))
+        moved.append((count, _count_moved(packed, count)))
+    teams = "teams"
+    return [
+        fits.fit("check_seconds", teams, "s of CPU for a check", seconds),
+        fits.fit("rules_memory", teams, "bytes in force", memory),
+        fits.fit("change_bytes", teams, "bytes moved to a host", moved),
+    ]
+
+
+def _count_moved(packed: generations.Packed, count: int) -> int:
+    changed, _ = lines.parse(write_teams(count, count // 2), "teams.rules")
+    after = generations.pack(changed, len(packed.buckets))
+    head = 70 * (len(after.buckets) + 1)
+    new = after.chunks.keys() - packed.chunks.keys()
+    return head + sum(len(after.chunks[name]) for name in new)
+
+
+def _make_claims(count: int) -> claims.Batch:
+    entries = []
+    for number in range(count):
+        key = claims.digest_key("glasgow", "bill-visit", f"k{number}")
+        body = claims.digest_body(b"%d" % number)
+        claim = f"entry-001/{number}"
+        entries.append(claims.Claim(key, claim, body, 0, 7000.0))
+        answer = claims.Recorded(0, b'{"visit":%d,"billed":true}' % number)
+        entries.append(claims.Outcome(key, claim, answer))
+    return claims.Batch("entry-001", tuple(entries))
+
+
+def measure_claims() -> list[fits.Series]:
+    """Measure claims with their outcomes by their number."""
+    sizes, work, memory = [], [], []
+    for count in BATCHES:
+        batch = _make_claims(count)
+        data = claims.encode_batch(batch)
+
+        def fold(batch=batch):
+            made = ledger.Ledger()
+            made.apply(claims.decode_batch(claims.encode_batch(batch)))
+            return made
+
+        sizes.append((count, len(data)))
+        work.append((count, _time(fold, 20)))
+        memory.append((count, _measure_memory(fold)))
+    name = "claims with outcomes"
+    return [
+        fits.fit("claim_bytes", name, "bytes in the log", sizes),
+        fits.fit("claim_cpu", name, "us to write and fold", work),
+        fits.fit("claim_memory", name, "bytes in the owner", memory),
+    ]
+
+
+def measure_shares() -> list[fits.Series]:
+    """Measure one report to a keeper of team limits."""
+    work, sizes = [], []
+    for count in DEMANDS:
+        demands = {
+            f"member-{number:05d}": messages.Demand(5.0, 3, 4.0, 3)
+            for number in range(count)
+        }
+        keeper = shares.ShareKeeper(3000.0)
+        fleet_seen = shares.Fleet()
+        fleet_seen.observe([fleet.make_record(n) for n in range(9)], 0.0)
+        now = 0.0
+
+        def report(demands=demands, keeper=keeper, seen=fleet_seen):
+            nonlocal now
+            now += 10.0
+            for host in range(9):
+                keeper.report(
+                    f"entry-{host:03d}", demands, model.Team, seen, now
+                )
+
+        body = messages.DemandReport("entry-001", 1.0, demands)
+        envelope = messages.Envelope("10.20.0.1:7000", 1, False, body)
+        sizes.append((count, len(messages.encode(envelope))))
+        work.append((count, _time(report, 50) / 9))
+    teams = "teams in a report"
+    return [
+        fits.fit("share_cpu", teams, "us at the keeper", work),
+        fits.fit("share_bytes", teams, "bytes of a report", sizes),
+    ]
+
+
+def measure_peers() -> list[fits.Series]:
+    """Measure questions and connections over ZeroMQ on loopback."""
+    return asyncio.run(_measure_peers())
+
+
+async def _measure_peers() -> list[fits.Series]:
+    one, two = (
+        zeromq.ZeroPeers("127.0.0.1:0", clocks.SystemClock()) for _ in range(2)
+    )
+    await one.start()
+    await two.start()
+    two.handle(messages.Ping, lambda sender, ping: messages.Pong("b"))
+    work = []
+    for count in QUESTIONS:
+        start = time.process_time()
+        for _ in range(count // 20):
+            asks = [
+                one.ask(two.address, messages.Ping(), 5000) for _ in range(20)
+            ]
+            await asyncio.gather(*asks)
+        work.append((count, 1e3 * (time.process_time() - start)))
+    memory = await _measure_connections(one)
+    await one.stop()
+    await two.stop()
+    return [
+        fits.fit("ask_cpu", "questions", "ms of CPU, both ends", work),
+        fits.fit("link_memory", "connections", "bytes, both ends", memory),
+    ]
+
+
+async def _measure_connections(one: zeromq.ZeroPeers):
+    context = zmq.Context()
+    context.set(zmq.MAX_SOCKETS, 4096)
+    process = psutil.Process()
+    routers, memory = [], []
+    for count in CONNECTIONS:
+        while len(routers) < count:
+            router = context.socket(zmq.ROUTER)
+            router.linger = 0
+            port = router.bind_to_random_port("tcp://127.0.0.1")
+            routers.append(router)
+            one.send(f"127.0.0.1:{port}", messages.Ping())
+        await asyncio.sleep(0.5)
+        memory.append((count, process.memory_info().rss))
+    for router in routers:
+        router.close()
+    context.term()
+    return memory
+
+
+CASES = {
+    "members": measure_members,
+    "faults": measure_faults,
+    "listing": measure_listing,
+    "rules": measure_rules,
+    "claims": measure_claims,
+    "shares": measure_shares,
+    "peers": measure_peers,
+}
+"""Functions that each measure some series."""
--- /dev/null
+++ b/measure/slopes.py
@@ -0,0 +1,47 @@
+"""Measure how cost grows with size, and write docs/CAPACITY.md's tables."""
+
+import argparse
+import time
+
+from measure import capacity
+from measure import daemons
+from measure import fits
+from measure import keeping
+from measure import scaling
+
+CASES = {**scaling.CASES, **keeping.CASES, **daemons.CASES}
+
+
+def main() -> None:
+    """Measure the chosen series, keep them and write the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", nargs="*", choices=sorted(CASES))
+    parser.add_argument(
+        "--tables", action="store_true", help="write the tables only"
+    )
+    options = parser.parse_args()
+    found = fits.load()
+    names = [] if options.tables else options.only or list(CASES)
+    for name in names:
+        start = time.monotonic()
+        measured = CASES[name]()
+        # Another run may have kept other series meanwhile.
+        found = fits.load()
+        for series in measured:
+            found[series.name] = series
+            print(
+                f"{series.name}: {series.start:.4g} + {series.slope:.4g} "
+                f"a size, residual {series.residual:.3g}",
+                flush=True,
+            )
+        # What was measured is kept even when a later case fails.
+        fits.save(found)
+        capacity.write(found)
+        seconds = time.monotonic() - start
+        print(f"{name} took {seconds:.0f} s", flush=True)
+    if options.tables:
+        capacity.write(found)
+
+
+if __name__ == "__main__":
+    main()
