Ask for the next slot at once, and grow a bound while nothing is scarce

Cause: a holder believed that its keeper still knew of a stage which had its slot already, so that each further slot of a cold endpoint came only with the next renewal, up to 400 ms later; and a refusal while only the bound's growth was short told the caller to wait for an answer to end.

Change: what a reply grants is taken off what was asked for; a pause of 50 ms after eight messages without use keeps keeper and holder from handing a slot to and fro. A refusal tells the moment of the next growth where the queue is short.

--- a/chervilshore/decisions/admittance.py
+++ b/chervilshore/decisions/admittance.py
@@ -154,6 +154,10 @@
         gap = self._duration_ms / max(1, self.in_flight)
         if self._throughput > 0.0:
             gap = 1.0 / self._throughput
+        if self._waiting < self._may_wait:
+            # Nothing is scarce but knowledge: the bound goes on growing
+            # in the next interval, whether something ends or not.
+            gap = min(gap, INTERVAL_MS / self._count_growth())
         return self._promises.take(gap, gap, now)
 
     def describe(self) -> dict[str, float]:
@@ -172,13 +176,17 @@
 
     def _grow(self) -> bool:
         """Take on one more than the bound while the queue is short."""
-        most = max(LEAST_GROWTH, GROWTH_PART * self.limit)
-        if self._waiting >= self._may_wait or self._grown >= most:
+        if self._waiting >= self._may_wait:
+            return False
+        if self._grown >= self._count_growth():
             return False
         self._grown += 1
         self.limit += 1.0
         return True
 
+    def _count_growth(self) -> float:
+        return max(LEAST_GROWTH, GROWTH_PART * self.limit)
+
     def _adapt(self) -> None:
         """Bring the queue to the length at which its wait is as it may be.
 
--- a/chervilshore/decisions/grants.py
+++ b/chervilshore/decisions/grants.py
@@ -152,7 +152,7 @@
         self._horizons[endpoint] = ends
         if count:
             self._busy.add(endpoint)
-        is_due = holder.wants_more() or holder.has_unwanted(now)
+        is_due = holder.wants_more(now) or holder.has_unwanted(now)
         if is_due and holder.may_ask():
             self._ask(holder, now)
 
@@ -271,7 +271,7 @@
         if holder is None or not holder.take_reply(reply, now):
             return
         self.changed.add(reply.endpoint)
-        if holder.needs_message(now) or holder.wants_more():
+        if holder.needs_message(now) or holder.wants_more(now):
             self._ask(holder, now)
 
     def _take_recall(self, recall: messages.GrantRecall, now: float) -> None:
--- a/chervilshore/decisions/holders.py
+++ b/chervilshore/decisions/holders.py
@@ -16,6 +16,13 @@
 MOST_WANTED = 64
 """Slots that one message asks for at most."""
 
+MOST_UNUSED = 8
+"""Messages in a row that bring no slot into use, after which the next one
+waits."""
+
+UNUSED_PAUSE_MS = 50.0
+"""Milliseconds that it waits."""
+
 RENEW_MS = 400.0
 """Milliseconds after which a holder that waits asks again."""
 
@@ -78,6 +85,7 @@
         self._has_used = False
         self._is_new = False
         self._is_scarce = False
+        self._unused = 0
         self._seen = observations.Observations()
 
     def count_free(self, now: float) -> int:
@@ -116,6 +124,7 @@
         grant = ids.GrantId(self._grant)
         self.running[grant] = attempts.Running(ends, self._until)
         self._has_used = True
+        self._unused = 0
         return grant
 
     def confirm(self, grant: ids.GrantId, now: float) -> bool:
@@ -151,15 +160,25 @@
             return False
         return self._seen.note(sample)
 
-    def wants_more(self) -> bool:
+    def wants_more(self, now: float) -> bool:
         """Tell whether more is wanted than the keeper knows of."""
+        if self._is_fruitless(now):
+            return False
         return min(self.wanted, MOST_WANTED) > self.asked_wanted
 
     def has_unwanted(self, now: float) -> bool:
         """Tell whether there are free slots that nobody here can use."""
+        if self._is_fruitless(now):
+            return False
         is_kept = not self.wanted and not self.returns_at_once()
         return not is_kept and self.count_free(now) > 0
 
+    def _is_fruitless(self, now: float) -> bool:
+        # Keeper and holder would otherwise hand a slot that nobody can use
+        # to and fro without end.
+        is_early = now < self.asked_at + UNUSED_PAUSE_MS
+        return is_early and self._unused > MOST_UNUSED
+
     def returns_at_once(self) -> bool:
         """Tell whether a slot goes back when nobody here waits for it."""
         if self.warmth is not records.Warmth.WARM:
@@ -213,6 +232,7 @@
         self._asked_ends = now + longest
         self._ends = min(self._ends, self._asked_ends)
         self._number += 1
+        self._unused += 1
         self._serial = 0
         self.asked_at = now
         self.asked_wanted = min(self.wanted, MOST_WANTED)
@@ -298,6 +318,8 @@
         self.limit = reply.limit
         self.warmth = reply.warmth
         self._is_scarce = reply.scarce
+        granted = max(0, reply.slots - self._slots)
+        self.asked_wanted = max(0, self.asked_wanted - granted)
         self.heard_at = now
         self.heard_epoch = reply.epoch
         self._until = self.asked_at + reply.lifetime_ms
