--- /dev/null
+++ b/lab/grant_costs.py
@@ -0,0 +1,98 @@
+"""Measure what one message about grants costs, in bytes and in time.
+
+Run with ``python -m lab.grant_costs``.
+"""
+
+import time
+
+from chervilshore.decisions import census
+from chervilshore.decisions import concurrency
+from chervilshore.decisions import keepers
+from chervilshore.decisions import outlook
+from chervilshore.decisions import tenures
+from chervilshore import messages
+from chervilshore import records
+
+ROUNDS = 20_000
+EPOCH = 1 << 60
+LIFE = 1_796_000_000_000
+
+
+def make_ask(holder: str, number: int) -> messages.GrantAsk:
+    """Make a message that renews, wants and reports."""
+    outcomes = ((records.Outcome.OK, 200.5),) * 2
+    return messages.GrantAsk(
+        "language-model-07",
+        holder,
+        LIFE,
+        number,
+        EPOCH,
+        3,
+        1,
+        1,
+        longest_ms=6500.5,
+        outcomes=outcomes,
+        instance="language-model-07-1796",
+    )
+
+
+def measure_keeper(holders: int) -> tuple[int, int, float]:
+    """Measure the bytes of a message and its answer, and microseconds."""
+    account = census.Census((), 0.0, 0.0)
+    limit = concurrency.Limit(1, 24, 0.0)
+    keeper = keepers.Keeper("language-model-07", "k", EPOCH, limit, account)
+    names = [f"casa-centre-{number}" for number in range(holders)]
+    for name in names:
+        keeper.take_ask(make_ask(name, 1), 0.0)
+    begun = time.perf_counter()
+    for number in range(ROUNDS):
+        ask = make_ask(names[number % holders], 2 + number)
+        replies = keeper.take_ask(ask, float(number))
+    micros = (time.perf_counter() - begun) / ROUNDS * 1e6
+    reply = next(iter(replies.values()))
+    sizes = [
+        len(messages.encode(messages.Envelope("10.1.2.3:7000", 0, False, one)))
+        for one in (ask, reply)
+    ]
+    return sizes[0], sizes[1], micros
+
+
+def measure_view(hosts: int, endpoints: int) -> tuple[float, float]:
+    """Measure the milliseconds of a change of view, and of an idle tick."""
+    alive = records.HostState.ALIVE
+    known = {f"h{n}": (f"d{n % 6}", alive) for n in range(hosts)}
+    places = {
+        f"e{n}": outlook.Place(f"d{n % 6}", 1, 24) for n in range(endpoints)
+    }
+    seen = outlook.Outlook(60_000.0)
+    seen.change(outlook.View(known, places), 0.0)
+    begun = time.perf_counter()
+    del known["h6"]
+    seen.change(outlook.View(dict(known), places), 1.0)
+    change = (time.perf_counter() - begun) * 1e3
+    kept = tenures.Tenures(
+        "h0", LIFE, 60_000.0, 0.0, seen, lambda to, message: None, None
+    )
+    begun = time.perf_counter()
+    for number in range(100):
+        kept.list_due()
+        kept.tick(float(number))
+    return change, (time.perf_counter() - begun) * 10.0
+
+
+def main() -> None:
+    """Print the tables of docs/design/grants.md."""
+    print("| holders | ask, bytes | answer, bytes | keeper, us a message |")
+    print("| --- | --- | --- | --- |")
+    for holders in (3, 9, 62, 370):
+        ask, reply, micros = measure_keeper(holders)
+        print(f"| {holders} | {ask} | {reply} | {micros:.0f} |")
+    print("| hosts | endpoints | change of view, ms | idle tick, ms |")
+    print("| --- | --- | --- | --- |")
+    for hosts, endpoints in ((9, 17), (92, 150), (185, 300), (370, 600)):
+        change, tick = measure_view(hosts, endpoints)
+        print(f"| {hosts} | {endpoints} | {change:.2f} | {tick:.3f} |")
+
+
+if __name__ == "__main__":
+    main()
