Try a keeper again that did not answer

Cause: after a cut, a host that had lost two answers of a keeper and wanted nothing there never asked it again, so a warm endpoint of the domain stayed unused from the other domains.

Change: such a keeper is tried once a second. The test fails without it.

--- a/chervilshore/decisions/holders.py
+++ b/chervilshore/decisions/holders.py
@@ -16,6 +16,9 @@
 MOST_WANTED = 64
 """Slots that one message asks for at most."""
 
+PROBE_MS = 1000.0
+"""Milliseconds after which a keeper that did not answer is tried again."""
+
 RENEW_MS = 400.0
 """Milliseconds after which a holder that waits asks again."""
 
@@ -176,6 +179,8 @@
             return False
         if self.is_stale:
             return True
+        if self.misses and now >= self.asked_at + PROBE_MS:
+            return True
         if self.wanted and now >= self.asked_at + RENEW_MS:
             return True
         if self._is_new and self.returns_at_once():
@@ -377,7 +382,7 @@
 
     def is_idle(self, now: float) -> bool:
         """Tell whether there is nothing to tend."""
-        if self.is_asking or self.wanted or self.running:
+        if self.is_asking or self.wanted or self.running or self.misses:
             return False
         return not self.count_free(now) and not self.needs_message(now)
 
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -230,3 +230,13 @@
     done = fleet.done["e"] - before
     # Two of three hosts are left of 250 requests a second.
     assertions.assert_that(done, matchers.GreaterThan(150))
+
+
+def test_a_keeper_out_of_reach_is_tried_again(holder):
+    holder.take_reply(_reply(holder, warmth=WARM), 1.0)
+    holder.wanted = 0
+    for moment in (2000.0, 2300.0):
+        holder.ask("k", 0.0, moment)
+        holder.lose_reply()
+    assertions.assert_that(holder.is_idle(2600.0), matchers.Is(False))
+    assertions.assert_that(holder.needs_message(3300.0), matchers.Is(True))
