Prove the leases of team limits and the bound on prefix affinity

Breaking the code on purpose showed five rules that no test held: a lapsed share, an overtaken answer, a new keeper that lets shares grow too soon, an answer of a host that is not the keeper, and the load bound of an endpoint chosen for its prefix. Each now has a test that fails without it.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,6 +5,11 @@
 from testtools import matchers
 
 from chervilshore.decisions import rendezvous
+from chervilshore.decisions import shared_limits
+from chervilshore.decisions import shares
+from chervilshore import messages
+from chervilshore import records
+from chervilshore.rules import model
 from tests import limits_helpers
 
 
@@ -108,3 +113,67 @@
     before = fleet.network.messages
     await fleet.send(0.0, 20_000.0)
     assertions.assert_that(fleet.network.messages, matchers.Equals(before))
+
+
+TEAM = model.Team("vans", rate=90.0, burst=9.0, concurrency=90)
+
+
+def test_a_share_lapses_and_an_overtaken_answer_says_nothing():
+    held = shared_limits.SharedLimits(9)
+    held.admit(TEAM, 0.0)
+    held.collect(0.0)
+    held.put({"vans": messages.Share(80.0, 80)}, 20.0, 1000.0)
+    held.put({"vans": messages.Share(20.0, 20)}, 10.0, 5000.0)
+    during = held.allow(TEAM, 1000.0)
+    after = held.allow(TEAM, 1020.0)
+    assertions.assert_that(
+        (during.rate, during.concurrency), matchers.Equals((80.0, 80))
+    )
+    assertions.assert_that(
+        (after.rate, after.concurrency), matchers.Equals((10.0, 10))
+    )
+
+
+def test_a_new_keeper_lets_nothing_grow_until_all_shares_are_known():
+    hosts = [records.HostRecord(name, "d", name, "") for name in "abc"]
+    fleet = shares.Fleet()
+    fleet.observe(hosts, 0.0)
+    keeper = shares.ShareKeeper(2000.0)
+
+    def report(host, now, held):
+        demand = messages.Demand(100.0, 100, held, 0)
+        given = keeper.report(
+            host, {"vans": demand}, lambda name: TEAM, fleet, now
+        )
+        return given["vans"].rate
+
+    # An earlier keeper gave 80 of 90 to one host, which reports last.
+    rate = 0.0
+    for step in range(4):
+        rate = report("b", 100.0 * step, rate)
+        assertions.assert_that(rate, matchers.Equals(30.0))
+    # Both want all of it, so each comes to have a half.
+    assertions.assert_that(report("a", 450.0, 80.0), matchers.Equals(45.0))
+    assertions.assert_that(report("b", 2100.0, rate), matchers.Equals(45.0))
+
+
+async def test_only_the_keeper_of_a_team_gives_shares(fleet):
+    await fleet.send(0.0, 2_000.0)
+    replies = []
+    asking = fleet.network.join("asking")
+    asking.handle(
+        messages.ShareReply, lambda sender, reply: replies.append(sender)
+    )
+    demand = messages.Demand(5.0, 5)
+    for record in fleet.records:
+        asking.send(
+            record.peer_address,
+            messages.DemandReport("asking", 1.0, {"vans": demand}),
+        )
+    await fleet.clock.advance(10.0)
+    keeper = next(
+        one.peer_address
+        for one in fleet.records
+        if one.host == keeper_of(fleet)
+    )
+    assertions.assert_that(replies, matchers.Equals([keeper]))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -93,7 +93,7 @@
 def test_a_prefix_stays_at_one_endpoint_until_that_is_overloaded():
     router = make_router()
     names = [f"p{index}" for index in range(40)]
-    candidates = make_candidates(3)
+    candidates = make_candidates(3, limit=64)
     for one in candidates:
         one.record = flow_helpers.make_endpoint(one.record.endpoint)
     homes = {name: rank(router, candidates, prefix=name)[0] for name in names}
