--- a/chervilshore/decisions/claims.py
+++ b/chervilshore/decisions/claims.py
@@ -17,6 +17,9 @@
 CLAIM_BYTES = 400
 """Bytes that an entry without an answer takes at most in a batch."""
 
+DETAIL_LENGTH = 1000
+"""Characters that are kept of what a caller is told besides an answer."""
+
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag="c"):
     """Asks that a key be used for one request.
@@ -257,7 +260,9 @@
         The number to keep in place of an answer that is too large.
     """
     if len(recorded.body) <= most_bytes:
-        return recorded
+        return msgspec.structs.replace(
+            recorded, detail=recorded.detail[:DETAIL_LENGTH]
+        )
     digest = hashlib.sha256(recorded.body).hexdigest()
     detail = (
         f"it ran and ended with {recorded.number}; its answer of "
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -218,7 +218,7 @@
     ),
     Setting(
         "claim_retention_ms",
-        whole(60_000, 2_000_000_000),
+        whole(3_600_000, 2_000_000_000),
         "least time for which a used key is known, in milliseconds",
         "86400000",
     ),
