Carry out orders in the daemon, and give them with the tool

Cause: leases and orders were ready but no daemon ran them and no operator could give one.

The node's random numbers come from the system, as claims are named by them.

--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -17,8 +17,11 @@
 from chervilshore.clients import platform as platforms
 from chervilshore import clock as clocks
 from chervilshore import commands
+from chervilshore.decisions import orders
 from chervilshore import edits
 from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import instructions
 from chervilshore import operations
 from chervilshore import reports
 from chervilshore.rules import guards
@@ -87,6 +90,10 @@
         async with contextlib.AsyncExitStack() as stack:
             session = await stack.enter_async_context(aiohttp.ClientSession())
             platform = self._platform or _connect(arguments, stack)
+            if arguments.command in _ORDER_COMMANDS:
+                return await _ORDER_COMMANDS[arguments.command](
+                    platform, arguments
+                )
             admin = self._admin or admin_clients.RestAdmin(session)
             operator = operations.Operations(platform, admin, self._clock)
             run = commands.Commands(operator, self._choose_say(arguments))
@@ -166,6 +173,26 @@
         return await run.settle(arguments.generation, arguments.change)
 
 
+async def _order(platform, arguments) -> reports.Report:
+    order = orders.Order(
+        order=ids.OrderId(arguments.order),
+        pool=ids.PoolName(arguments.pool),
+        kind=orders.OrderKind(arguments.kind),
+        argument=arguments.argument,
+        endpoints=tuple(map(ids.EndpointId, arguments.endpoint)),
+        author=arguments.author or getpass.getuser(),
+        reason=arguments.reason,
+    )
+    return await instructions.submit(platform, order)
+
+
+async def _orders(platform, arguments) -> reports.Report:
+    return await instructions.show(platform, ids.PoolName(arguments.pool))
+
+
+_ORDER_COMMANDS = {"order": _order, "orders": _orders}
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Make the tool's command line."""
     common = argparse.ArgumentParser(add_help=False)
@@ -242,9 +269,30 @@
     one = add("settle", parents=[common], help="ask for a change's outcome")
     one.add_argument("generation", type=int)
     one.add_argument("change")
+    _add_order_commands(add, common)
     return parser
 
 
+def _add_order_commands(add, common: argparse.ArgumentParser) -> None:
+    one = add("order", parents=[common], help="give engines an order, once")
+    one.add_argument("pool")
+    one.add_argument("kind", choices=[kind.value for kind in orders.OrderKind])
+    one.add_argument("argument", help="the model, adapter, version or role")
+    one.add_argument(
+        "--endpoint",
+        action="append",
+        default=[],
+        help="an engine; may be given again; else all of the pool",
+    )
+    one.add_argument("--reason", required=True, help="why it is given")
+    one.add_argument("--author", help="who gives it; else the user's name")
+    one.add_argument(
+        "--order", default="", help="its id, to submit the same one again"
+    )
+    one = add("orders", parents=[common], help="what became of orders")
+    one.add_argument("pool")
+
+
 def _make_change_parser() -> argparse.ArgumentParser:
     change = argparse.ArgumentParser(add_help=False)
     change.add_argument("--reason", required=True, help="why it is changed")
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -1,15 +1,15 @@
 """All parts of an entry host, put together."""
 
 import asyncio
-import os
 import random
-import zlib
 
+import aiohttp
 from aiohttp import web
 import mode
 
 from chervilshore.clients import completions
 from chervilshore.clients import endpoints
+from chervilshore.clients import engines
 from chervilshore.clients import models
 from chervilshore.clients import rest
 from chervilshore.clients import zeromq
@@ -23,8 +23,10 @@
 from chervilshore.controllers import hosts
 from chervilshore.controllers import limits
 from chervilshore.controllers import membership
+from chervilshore.controllers import orders
 from chervilshore.controllers import reporter
 from chervilshore.controllers import slots
+from chervilshore.decisions import leases
 from chervilshore.decisions import shared_limits
 from chervilshore.filters import admission
 from chervilshore.filters import attempt
@@ -75,13 +77,13 @@
         self._options = options
         self._clock = clock
         self._metrics = metrics.Metrics()
-        # Hosts must not draw the same numbers, and a restart must not
-        # draw those of the life before.
-        seed = f"{options.host}/{os.getpid()}/{clock.wall()}"
-        self._random = random.Random(zlib.crc32(seed.encode()))
+        # Seeded by the system, as claims and chunks are named by it, and
+        # neither hosts nor lives of one host may draw the same numbers.
+        self._random = random.Random()
         self._runner: web.AppRunner | None = None
         self._make_clients()
         self._make_control()
+        self._orders = self._make_orders()
         self._make_policies()
         self._limits = self._make_limits()
         self._reporter = self._make_reporter()
@@ -159,6 +161,29 @@
             self._metrics,
         )
 
+    def _make_orders(self) -> orders.Orders:
+        options = self._options
+        source = (options.source_ip, 0) if options.source_ip else None
+        connector = aiohttp.TCPConnector(local_addr=source)
+        self._order_session = aiohttp.ClientSession(connector=connector)
+        terms = orders.Terms(
+            load_ms=options.load_interval_ms,
+            lease=leases.Terms(
+                lease_ms=options.lease_ms, work_ms=options.order_ms
+            ),
+        )
+        return orders.Orders(
+            options.host,
+            self._clock,
+            self._platform,
+            self._directory,
+            self._configuration,
+            engines.HttpEngines(self._order_session),
+            self._random,
+            terms,
+            self._metrics,
+        )
+
     def _make_claim_terms(self) -> claimstore.Terms:
         options = self._options
         return claimstore.Terms(
@@ -290,6 +315,7 @@
             "directory": self._directory.describe,
             "grants": self._slots.describe,
             "claims": self._claims.describe,
+            "orders": self._orders.describe,
             "shedding": self._policies.shed.describe,
         }
         if self._choice is policies.Choice.FULL:
@@ -323,6 +349,7 @@
             self._directory,
             self._configuration,
             self._claims,
+            self._orders,
         ]
         if self._limits is not None:
             services += [self._limits, self._reporter]
@@ -360,6 +387,7 @@
         if self._runner is not None:
             await self._runner.cleanup()
         await self._sessions.close()
+        await self._order_session.close()
 
     async def on_shutdown(self) -> None:
         """Close the platform's connections, which stopping parts use."""
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -237,7 +237,7 @@
     # Leases and orders.
     Setting(
         "lease_ms",
-        whole(1000, 600_000),
+        whole(5000, 600_000),
         "time for which a lease lasts, alike on all hosts, in milliseconds",
         "10000",
     ),
--- a/measure/demo.py
+++ b/measure/demo.py
@@ -16,6 +16,9 @@
 OUT_SECONDS = 2.0
 """Seconds after acceptance in which a domain must have got its last work."""
 
+ORDER_SECONDS = 20.0
+"""Seconds in which an order must have reached all engines of a pool."""
+
 RATE = 60.0
 """Requests a second of the traffic behind the checks."""
 
@@ -56,6 +59,7 @@
         await self.show_instruction()
         await self.show_late_request()
         await self.show_domain()
+        await self.show_order()
         await self.show_drain()
 
     async def show_configuration(self) -> None:
@@ -170,6 +174,28 @@
             f"{back - after} calls there since its return",
         )
 
+    async def show_order(self) -> None:
+        """An order reaches each engine of a pool once."""
+        pool = self._plan.pools[0]
+        status, output = await self._deployment.run_tool(
+            "order", pool.name, "version", "v2", "--reason", "demo"
+        )
+        async with asyncio.timeout(ORDER_SECONDS):
+            while True:
+                found = await self._deployment.read_orders(pool.name)
+                if all(len(orders) == 1 for orders in found.values()):
+                    break
+                await asyncio.sleep(0.2)
+        _, listed = await self._deployment.run_tool("orders", pool.name)
+        found = await self._deployment.read_orders(pool.name)
+        counted = sorted(len(orders) for orders in found.values())
+        self.report(
+            status == 0 and counted == [1] * pool.workers,
+            "an order reaches each engine once",
+            f"{counted} for {output.strip()}, done at "
+            f"{listed.count(' done')} so far",
+        )
+
     async def show_drain(self) -> None:
         """A host leaves under load and no request is cut."""
         host = self._deployment.hosts[0]
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -356,6 +356,16 @@
         """Read what an endpoint's stand-in has counted."""
         return await self._read_counts(self.endpoints[endpoint].address)
 
+    async def read_orders(self, pool: str) -> dict[str, list]:
+        """Read the orders that a pool's engines have taken, by name."""
+        found = {}
+        for name, record in self.endpoints.items():
+            if record.pool == pool:
+                url = f"http://{record.address}/standin/orders"
+                async with self._session.get(url) as response:
+                    found[name] = await response.json()
+        return found
+
     async def count_pool(self, pool: str) -> dict[str, dict]:
         """Read the counts of a pool's endpoints, by name."""
         return {
