Log when the keeper of an endpoint does not answer

Cause: event 4003 stood in the catalogue and nothing logged it.

Change: the second lost answer in a row is news to operators.

Conclusion: docs/EVENTS.md and the code agree.

--- a/chervilshore/decisions/grants.py
+++ b/chervilshore/decisions/grants.py
@@ -11,6 +11,7 @@
 from chervilshore.decisions import holders
 from chervilshore.decisions import outlook
 from chervilshore.decisions import tenures
+from chervilshore import events
 from chervilshore import ids
 from chervilshore import messages
 
@@ -318,6 +319,9 @@
         if holder.is_asking and now >= holder.asked_at + ASK_MS:
             holder.lose_reply()
             self.changed.add(endpoint)
+            if holder.misses == MOST_MISSES:
+                news = (events.Event.KEEPER_UNREACHED, endpoint)
+                self.tenures.news.append(news)
         if holder.needs_message(now):
             self._ask(holder, now)
         elif holder.is_idle(now):
