Measure a daemon among 369 peers once it has settled

Cause: the series of one real daemon among many peers was taken 22 s after its start, while the tenures of its endpoints still settled.

Change: it waits for a tenth of a second for each host before it measures; make slopes takes ARGS.

--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,8 @@
 measure: environment ## Measure the promises under load and faults; ARGS="--only NAME" picks one case.
 	$(BIN)/python -m measure.cases $(ARGS)
 
-slopes: environment ## Measure how cost grows with size and write the tables of docs/CAPACITY.md.
-	$(BIN)/python -m measure.slopes
+slopes: environment ## Measure how cost grows with size and write the tables of docs/CAPACITY.md; ARGS="--only NAME" picks.
+	$(BIN)/python -m measure.slopes $(ARGS)
 
 tables: environment ## Write the tables of result codes, events, metrics and settings into docs/.
 	$(BIN)/python -m chervilshore.tables
--- a/measure/daemons.py
+++ b/measure/daemons.py
@@ -22,7 +22,7 @@
 LOAD_SECONDS = 6.0
 HOSTS = (3, 6, 9, 12)
 CROWD_HOSTS = (9, 50, 120, 370)
-CROWD_SECONDS = 0.05
+CROWD_SECONDS = 0.1
 """Seconds that a daemon takes to get to know one more host."""
 
 TEAMS = (5, 6000, 13_000, 26_000)
--- a/measure/targets.py
+++ b/measure/targets.py
@@ -220,7 +220,7 @@
             "control: 1.7 % of a core",
             "constant cost for each host",
             f"{write(100 * idle)} % by the line of one real daemon among 9 "
-            "to 370 peers, without requests",
+            "to 370 peers, without requests and once settled",
             judge(idle, sizes.CORE_PART),
             "decisions of membership alone are "
             f"{write(found['member_cpu'].predict(TARGET.hosts) / 1e4)} %; "
