Give stand-ins ports that no outgoing connection takes

Cause: ports were drawn from the range of outgoing connections, and two deployments at once collided ("Address already in use").

Change: ports are drawn from below that range.

Conclusion: a start does not depend on what else connects.

--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -21,6 +22,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
+PORTS = (15_000, 32_000)
+"""The ports that servers are given."""
+
 START_SECONDS = 20.0
 """Seconds in which a deployment must be ready."""
 
@@ -29,13 +33,19 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Find ports on loopback that nothing uses now."""
+    """Find ports on loopback that nothing uses now.
+
+    They lie below those that the system gives to outgoing connections, as
+    one of these could take a port before its server does.
+    """
     with contextlib.ExitStack() as stack:
         ports = []
-        for _ in range(count):
+        while len(ports) < count:
             free = stack.enter_context(socket.socket())
-            free.bind(("127.0.0.1", 0))
-            ports.append(free.getsockname()[1])
+            port = random.SystemRandom().randrange(*PORTS)
+            with contextlib.suppress(OSError):
+                free.bind(("127.0.0.1", port))
+                ports.append(port)
         return ports
 
 
