--- a/lab/grant_bench.py
+++ b/lab/grant_bench.py
@@ -4,6 +4,7 @@
 in one process; messages take about a millisecond.
 """
 
+import abc
 import heapq
 import itertools
 import random
@@ -51,7 +52,7 @@
     messages: int = 0
 
 
-class Simulation:
+class Simulation(abc.ABC):
     """Hosts that send to endpoints by some rule, without grants.
 
     Parameters
@@ -110,9 +111,9 @@
         if self.now + POLL_MS < deadline:
             self.after(POLL_MS, self.attempt, host, deadline)
 
+    @abc.abstractmethod
     def attempt(self, host: int, deadline: float) -> None:
         """Try once; each way does it differently."""
-        raise NotImplementedError
 
 
 class Shares(Simulation):
