Give up bodies that do not come and callers that do not read

Cause: a half-open connection, or a caller that did not read the end of its answer, kept its request in flight for ever, and so a drain until its limit. And a caller that left in mid-stream raised the same error as a lost endpoint, which was then tried again elsewhere.

Change: both waits are bounded; a caller that has left raises an error of its own. Tests and two scenarios: a lookup whose caller leaves is cancelled at the endpoint, an instruction goes on and a repeat gets its answer.

--- a/chervilshore/exceptions.py
+++ b/chervilshore/exceptions.py
@@ -134,6 +134,10 @@
     """The answer belongs to another request, stage or attempt."""
 
 
+class CallerGone(ChervilshoreError):
+    """The caller's connection has closed before the end of its answer."""
+
+
 class RefusalError(ChervilshoreError):
     """A request ends with a numbered result code.
 
--- a/chervilshore/filters/outcome.py
+++ b/chervilshore/filters/outcome.py
@@ -27,6 +27,8 @@
             return await proceed(exchange)
         except asyncio.CancelledError:
             raise
+        except exceptions.CallerGone:
+            return base.Answer(results.Code.CALLER_GONE)
         except exceptions.RefusalError as error:
             return self._refuse(exchange, error)
         except Exception:
--- a/chervilshore/results.py
+++ b/chervilshore/results.py
@@ -72,6 +72,7 @@
     DEADLINE_PASSED = Result(
         1011, _NOT_RUN, 504, "The deadline passed before it was run."
     )
+    BODY_LATE = Result(1012, _NOT_RUN, 408, "The body did not come in time.")
     TEAM_LIMIT = Result(1020, _NOT_RUN, 429, "The team is over its limit.")
     OVERLOADED = Result(
         1021, _NOT_RUN, 503, "There is more work than can be carried."
@@ -102,6 +103,9 @@
     STAGE_UNSERVED = Result(
         2005, _FAILED, 503, "A stage ran; a later one could not be run."
     )
+    CALLER_GONE = Result(
+        2006, _FAILED, 499, "The caller left before the end of the answer."
+    )
     INTERNAL = Result(2090, _FAILED, 500, "The daemon failed.")
 
     OUTCOME_UNKNOWN = Result(
--- a/chervilshore/server.py
+++ b/chervilshore/server.py
@@ -12,6 +12,7 @@
 
 from chervilshore import clock as clocks
 from chervilshore import events
+from chervilshore import exceptions
 from chervilshore.filters import base
 from chervilshore import ids
 from chervilshore import metrics
@@ -23,6 +24,12 @@
 MOST_REQUEST_ID = 100
 """Characters that a caller's request id may have."""
 
+READ_SECONDS = 10.0
+"""Seconds in which the body of a request must have come."""
+
+END_SECONDS = 5.0
+"""Seconds in which a caller must have taken the end of its answer."""
+
 UNKNOWN_LABEL = "unknown"
 """The label of pipelines that no rule names."""
 
@@ -110,6 +117,10 @@
         Tells whether the host can serve.
     sections : dict of str to Section
         The parts of the admin view.
+    read_seconds : float
+        Seconds in which a body must have come.
+    end_seconds : float
+        Seconds in which a caller must have taken the end of its answer.
     """
 
     def __init__(
@@ -122,6 +133,8 @@
         self.draining = False
         self.ready: collections_abc.Callable[[], bool] = lambda: True
         self.sections: dict[str, Section] = {}
+        self.read_seconds = READ_SECONDS
+        self.end_seconds = END_SECONDS
         self._tallies = tallies.Tallies()
         self._clock = clock
         self._handle = handle
@@ -147,7 +160,9 @@
         await self._idle.wait()
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
-        writer = _Writer(request, self._read_request_id(request))
+        writer = _Writer(
+            request, self._read_request_id(request), self.end_seconds
+        )
         begun = self._clock.now()
         exchange: base.Exchange | None = None
         self._enter()
@@ -171,7 +186,10 @@
         self, request: web.Request, writer: "_Writer", begun: float
     ) -> tuple[base.Exchange | None, base.Answer | None]:
         try:
-            raw = await request.read()
+            async with asyncio.timeout(self.read_seconds):
+                raw = await request.read()
+        except TimeoutError:
+            return None, base.Answer(results.Code.BODY_LATE)
         except web.HTTPRequestEntityTooLarge:
             detail = f"at most {self._body_bytes} bytes"
             return None, base.Answer(
@@ -267,18 +285,33 @@
     """
 
     def __init__(
-        self, request: web.Request, request_id: ids.RequestId
+        self,
+        request: web.Request,
+        request_id: ids.RequestId,
+        end_seconds: float,
     ) -> None:
         self.request_id = request_id
+        self._end_seconds = end_seconds
         self._request = request
         self._stream: web.StreamResponse | None = None
 
     async def write_text(self, text: str) -> None:
-        """Pass on a piece of text."""
-        if self._stream is None:
-            self._stream = await self._begin()
+        """Pass on a piece of text.
+
+        Raises
+        ------
+        exceptions.CallerGone
+            The caller's connection has closed.
+        """
         data = msgspec.json.encode({"text": text})
-        await self._stream.write(b"event: text\ndata: " + data + b"\n\n")
+        try:
+            if self._stream is None:
+                self._stream = await self._begin()
+            await self._stream.write(b"event: text\ndata: " + data + b"\n\n")
+        except ConnectionError as error:
+            # It must not pass for an error of the endpoint, whose client
+            # library raises the same one.
+            raise exceptions.CallerGone(self.request_id) from error
 
     async def _begin(self) -> web.StreamResponse:
         response = web.StreamResponse(
@@ -297,9 +330,15 @@
         if self._stream is None:
             return self._make_response(answer, body)
         try:
-            await self._stream.write(b"event: end\ndata: " + body + b"\n\n")
-            await self._stream.write_eof()
-        except ConnectionError:
+            # A caller that does not read must not keep the request open.
+            async with asyncio.timeout(self._end_seconds):
+                await self._stream.write(
+                    b"event: end\ndata: " + body + b"\n\n"
+                )
+                await self._stream.write_eof()
+        except (ConnectionError, TimeoutError):
+            if self._request.transport is not None:
+                self._request.transport.abort()
             events.log_event(
                 _LOGGER, events.Event.CALLER_GONE, request=self.request_id
             )
--- a/tests/node_helpers.py
+++ b/tests/node_helpers.py
@@ -114,6 +114,14 @@
         for desk in self.desks:
             desk.faults = msgspec.structs.replace(desk.faults, **faults)
 
+    async def leave(self):
+        self.first.cancel()
+        await asyncio.wait({self.first})
+
+    async def wait_cancelled(self):
+        while not any(desk.counts.cancelled for desk in self.desks):
+            await asyncio.sleep(POLL_SECONDS)
+
     def count_runs(self, key):
         return sum(desk.counts.runs.get(key, 0) for desk in self.desks)
 
@@ -128,9 +136,9 @@
             headers=headers,
         )
 
-    async def begin(self, service):
+    async def begin(self, service, key=None):
         self.first = asyncio.ensure_future(
-            self.client.request(service, {"n": 0}, resend=False)
+            self.client.request(service, {"n": 1}, key=key, resend=False)
         )
         while not any(desk.counts.in_flight for desk in self.desks):
             await asyncio.sleep(POLL_SECONDS)
--- a/tests/scenarios/requests.feature
+++ b/tests/scenarios/requests.feature
@@ -77,3 +77,19 @@
     When the desks let their answers go
     Then the first caller's answer is DONE
     And the host has drained
+
+  Scenario: A caller leaves before its lookup is answered
+    Given the desks hold their answers
+    When a caller begins to send "look"
+    And the caller leaves
+    Then the call at the desk is cancelled
+
+  Scenario: A caller leaves before its instruction is answered
+    Given the desks hold their answers
+    When a caller begins to send "bill" under the key "k1"
+    And the caller leaves
+    And the desks let their answers go
+    And a caller sends "bill" under the key "k1"
+    Then the answer is DONE
+    And it is a replay
+    And the key "k1" has run 1 time
--- a/tests/test_requests_scenarios.py
+++ b/tests/test_requests_scenarios.py
@@ -93,11 +93,28 @@
     )
 
 
-@when(parsers.parse('a caller begins to send "{service}"'))
+@when(parsers.re(r'a caller begins to send "(?P<service>\w+)"$'))
 def begin(world, loop, service):
     loop.run_until_complete(world.begin(service))
 
 
+@when(
+    parsers.parse('a caller begins to send "{service}" under the key "{key}"')
+)
+def begin_under_key(world, loop, service, key):
+    loop.run_until_complete(world.begin(service, key))
+
+
+@when("the caller leaves")
+def leave(world, loop):
+    loop.run_until_complete(world.leave())
+
+
+@then("the call at the desk is cancelled")
+def check_cancelled(world, loop):
+    loop.run_until_complete(world.wait_cancelled())
+
+
 @when("the host begins to drain")
 def drain(world, loop):
     async def begin_to_drain():
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,12 +1,17 @@
 """The callers' interface: bad input, end marks, streams, the client."""
 
+import asyncio
+
+import aiohttp
 from aiohttp import test_utils
+from aiohttp import web
 import pytest
 from testtools import assertions
 from testtools import matchers
 
 from chervilshore import client as clients
 from chervilshore.controllers import configuration
+from chervilshore import exceptions
 from chervilshore.filters import base
 from chervilshore.filters import decode
 from chervilshore.filters import outcome
@@ -110,6 +115,73 @@
     assertions.assert_that(body["family"], matchers.Equals("UNKNOWN"))
 
 
+async def test_a_body_that_does_not_come_is_given_up(caller):
+    """A half-open connection must not keep a request in flight."""
+    caller.served.read_seconds = 0.05
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", caller.server.port
+    )
+    writer.write(
+        b"POST /v1/pipelines/work HTTP/1.1\r\nHost: x\r\n"
+        b"Content-Length: 10\r\n\r\n{"
+    )
+    line = await reader.readline()
+    assertions.assert_that(line, matchers.Contains(b" 408 "))
+    await caller.served.wait_idle()
+    writer.close()
+
+
+async def test_a_caller_that_does_not_read_is_given_up(caller):
+    caller.served.end_seconds = 0.05
+
+    async def flood(exchange):
+        await exchange.sink("x" * 100)
+        return base.Answer(results.Code.OK, b'"' + b"y" * 30_000_000 + b'"')
+
+    caller.last[0] = flood
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", caller.server.port, limit=1000
+    )
+    writer.write(
+        b"POST /v1/pipelines/work HTTP/1.1\r\nHost: x\r\n"
+        b"X-Team: team\r\nIdempotency-Key: k\r\n"
+        b"Accept: text/event-stream\r\n"
+        b'Content-Length: 14\r\n\r\n{"input": "x"}'
+    )
+    await reader.readline()
+    await caller.served.wait_idle()
+    writer.close()
+
+
+async def test_a_caller_that_leaves_is_not_an_error_of_the_endpoint(
+    caller, monkeypatch
+):
+    """The library that calls endpoints raises the same error as a write."""
+    raised = []
+
+    async def fail(response, data):
+        raise aiohttp.ClientConnectionResetError("closing transport")
+
+    async def stream(exchange):
+        try:
+            await exchange.sink("x")
+        except Exception as error:
+            raised.append(type(error))
+            raise
+
+    monkeypatch.setattr(web.StreamResponse, "write", fail)
+    caller.last[0] = stream
+    with pytest.raises(aiohttp.ClientError):
+        response = await caller.post(
+            "/v1/pipelines/work",
+            data=b'{"input": "x"}',
+            headers=KEYED | {"Accept": "text/event-stream"},
+        )
+        await response.read()
+    await caller.served.wait_idle()
+    assertions.assert_that(raised, matchers.Equals([exceptions.CallerGone]))
+
+
 def make_client(caller):
     address = f"127.0.0.1:{caller.server.port}"
     return clients.Client([address], "team")
