Split the messages by what they are about

Change: the messages of grants and the envelope stand in modules of their own; nothing else is changed.

--- a/chervilshore/clients/memory.py
+++ b/chervilshore/clients/memory.py
@@ -16,6 +16,7 @@
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import records
+from chervilshore import wire
 
 
 class Fault(enum.Enum):
@@ -218,7 +219,7 @@
 
     async def _deliver(self, to: ids.Address, data: bytes) -> None:
         await self.clock.sleep(self.delay_ms)
-        envelope = messages.decode(data)
+        envelope = wire.decode(data)
         receiver = self._peers.get(to)
         if receiver is None or self.loses(envelope.sender, to):
             return
@@ -257,7 +258,7 @@
             timeout_ms,
         )
 
-    async def receive(self, envelope: messages.Envelope) -> None:
+    async def receive(self, envelope: wire.Envelope) -> None:
         """Take a message that has arrived."""
         if envelope.reply:
             self._questions.answer(envelope)
@@ -278,5 +279,5 @@
         reply: bool,
         message: messages.Message,
     ) -> None:
-        envelope = messages.Envelope(self._address, number, reply, message)
-        self._network.carry(to, messages.encode(envelope))
+        envelope = wire.Envelope(self._address, number, reply, message)
+        self._network.carry(to, wire.encode(envelope))
--- a/chervilshore/clients/peers.py
+++ b/chervilshore/clients/peers.py
@@ -9,6 +9,7 @@
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import messages
+from chervilshore import wire
 
 Handler = collections_abc.Callable[
     [ids.Address, typing.Any],
@@ -102,7 +103,7 @@
         finally:
             del self._waiting[number]
 
-    def answer(self, envelope: messages.Envelope) -> None:
+    def answer(self, envelope: wire.Envelope) -> None:
         """Hand a reply to its question, if that still waits."""
         future = self._waiting.get(envelope.number)
         if future is not None and not future.done():
--- a/chervilshore/clients/zeromq.py
+++ b/chervilshore/clients/zeromq.py
@@ -22,6 +22,7 @@
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import metrics as metric_types
+from chervilshore import wire
 
 logger = logging.getLogger(__name__)
 
@@ -264,9 +265,9 @@
         if self._context is None:
             self.counts.dropped += 1
             return
-        envelope = messages.Envelope(self._address, number, False, message)
+        envelope = wire.Envelope(self._address, number, False, message)
         socket = self._link(to)
-        self._put(socket, [messages.encode(envelope)])
+        self._put(socket, [wire.encode(envelope)])
         asyncio.get_running_loop().call_soon(self._drain_dealer, socket)
 
     def _put(self, socket: zmq.Socket, frames: list[bytes]) -> None:
@@ -313,9 +314,9 @@
             yield frames
         asyncio.get_running_loop().call_soon(drain, socket)
 
-    def _decode(self, data: bytes) -> messages.Envelope | None:
+    def _decode(self, data: bytes) -> wire.Envelope | None:
         try:
-            envelope = messages.decode(data)
+            envelope = wire.decode(data)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             self._count_garbage("message")
             return None
@@ -335,7 +336,7 @@
                 count=self.counts.garbage,
             )
 
-    def _receive(self, identity: bytes, envelope: messages.Envelope) -> None:
+    def _receive(self, identity: bytes, envelope: wire.Envelope) -> None:
         handler = self._handlers.get(type(envelope.body))
         if handler is None or envelope.reply:
             return
@@ -359,7 +360,7 @@
     async def _finish(
         self,
         identity: bytes,
-        envelope: messages.Envelope,
+        envelope: wire.Envelope,
         awaitable: collections_abc.Awaitable[messages.Message | None],
     ) -> None:
         try:
@@ -372,20 +373,16 @@
     def _reply(
         self,
         identity: bytes,
-        question: messages.Envelope,
+        question: wire.Envelope,
         reply: messages.Message | None,
     ) -> None:
         if reply is None or not question.number or self._context is None:
             return
-        envelope = messages.Envelope(
-            self._address, question.number, True, reply
-        )
-        self._put(self._router, [identity, messages.encode(envelope)])
+        envelope = wire.Envelope(self._address, question.number, True, reply)
+        self._put(self._router, [identity, wire.encode(envelope)])
         asyncio.get_running_loop().call_soon(self._drain_router, self._router)
 
-    def _log_failure(
-        self, envelope: messages.Envelope, error: Exception
-    ) -> None:
+    def _log_failure(self, envelope: wire.Envelope, error: Exception) -> None:
         with contextlib.suppress(Exception):
             events.log_event(
                 logger,
--- a/chervilshore/controllers/grants.py
+++ b/chervilshore/controllers/grants.py
@@ -19,6 +19,7 @@
 from chervilshore.decisions import queues
 from chervilshore.decisions import routing
 from chervilshore import events
+from chervilshore import grantmessages
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import metrics as metrics_module
@@ -33,11 +34,11 @@
 """Milliseconds that an attempt may take at most, unless told otherwise."""
 
 KINDS = (
-    messages.GrantAsk,
-    messages.GrantReply,
-    messages.GrantRecall,
-    messages.GrantReport,
-    messages.GrantRetire,
+    grantmessages.GrantAsk,
+    grantmessages.GrantReply,
+    grantmessages.GrantRecall,
+    grantmessages.GrantReport,
+    grantmessages.GrantRetire,
 )
 """The messages about grants."""
 
@@ -326,6 +327,8 @@
 
 
 def _name_sender(message: messages.Message) -> ids.HostId:
-    if isinstance(message, (messages.GrantAsk, messages.GrantReport)):
+    if isinstance(
+        message, (grantmessages.GrantAsk, grantmessages.GrantReport)
+    ):
         return message.holder
     return message.keeper
--- a/chervilshore/decisions/census.py
+++ b/chervilshore/decisions/census.py
@@ -2,8 +2,8 @@
 
 from collections import abc as collections_abc
 
+from chervilshore import grantmessages
 from chervilshore import ids
-from chervilshore import messages
 from chervilshore import records
 
 FRESH_MS = 5000.0
@@ -90,7 +90,7 @@
         self.unheard |= hosts - self._heard - {NOBODY}
 
     def hear(
-        self, host: ids.HostId, holding: messages.Holding, now: float
+        self, host: ids.HostId, holding: grantmessages.Holding, now: float
     ) -> None:
         """Take what a host reported.
 
@@ -111,7 +111,7 @@
             self._not_before = max(self._not_before, inherited)
         self._weigh(holding, now)
 
-    def _weigh(self, holding: messages.Holding, now: float) -> None:
+    def _weigh(self, holding: grantmessages.Holding, now: float) -> None:
         if holding.age_ms > FRESH_MS:
             return
         is_cold = holding.warmth is records.Warmth.COLD
--- a/chervilshore/decisions/grants.py
+++ b/chervilshore/decisions/grants.py
@@ -12,6 +12,7 @@
 from chervilshore.decisions import outlook
 from chervilshore.decisions import tenures
 from chervilshore import events
+from chervilshore import grantmessages
 from chervilshore import ids
 from chervilshore import messages
 
@@ -245,20 +246,20 @@
     def _handle(
         self, sender: ids.HostId, message: messages.Message, now: float
     ) -> None:
-        if isinstance(message, messages.GrantAsk):
+        if isinstance(message, grantmessages.GrantAsk):
             self._note_follower(message, now)
             self.tenures.take_ask(message, now)
-        elif isinstance(message, messages.GrantReply):
+        elif isinstance(message, grantmessages.GrantReply):
             self._take_reply(message, now)
-        elif isinstance(message, messages.GrantRecall):
+        elif isinstance(message, grantmessages.GrantRecall):
             self._take_recall(message, now)
-        elif isinstance(message, messages.GrantReport):
+        elif isinstance(message, grantmessages.GrantReport):
             self.tenures.take_report(message, now)
-        elif isinstance(message, messages.GrantRetire):
+        elif isinstance(message, grantmessages.GrantRetire):
             for holder in self.holders.values():
                 holder.forget_keeper(message.keeper)
 
-    def _note_follower(self, ask: messages.GrantAsk, now: float) -> None:
+    def _note_follower(self, ask: grantmessages.GrantAsk, now: float) -> None:
         """Begin a tenure when the keeper that this host follows asks it."""
         holder = self.holders.get(ask.endpoint)
         if holder is None or holder.keeper != ask.holder:
@@ -267,7 +268,7 @@
             holder.promised_at = float("-inf")
             self._begin_tenures(now)
 
-    def _take_reply(self, reply: messages.GrantReply, now: float) -> None:
+    def _take_reply(self, reply: grantmessages.GrantReply, now: float) -> None:
         holder = self.holders.get(reply.endpoint)
         if holder is None or not holder.take_reply(reply, now):
             return
@@ -275,7 +276,9 @@
         if holder.needs_message(now) or holder.wants_more(now):
             self._ask(holder, now)
 
-    def _take_recall(self, recall: messages.GrantRecall, now: float) -> None:
+    def _take_recall(
+        self, recall: grantmessages.GrantRecall, now: float
+    ) -> None:
         holdings = tuple(
             self._report(endpoint, recall, now)
             for endpoint in recall.endpoints
@@ -283,7 +286,7 @@
         others = set(self.outlook.lost)
         if recall.known != self.outlook.known:
             others.update(self.outlook.view.hosts)
-        report = messages.GrantReport(
+        report = grantmessages.GrantReport(
             self.host,
             self.life,
             recall.epoch,
@@ -295,9 +298,9 @@
     def _report(
         self,
         endpoint: ids.EndpointId,
-        recall: messages.GrantRecall,
+        recall: grantmessages.GrantRecall,
         now: float,
-    ) -> messages.Holding:
+    ) -> grantmessages.Holding:
         self.tenures.give_way(endpoint, recall.epoch, now)
         holder = self._find_holder(endpoint)
         self._busy.add(endpoint)
--- a/chervilshore/decisions/holders.py
+++ b/chervilshore/decisions/holders.py
@@ -9,8 +9,8 @@
 from chervilshore.decisions import concurrency
 from chervilshore.decisions import observations
 from chervilshore.decisions import sessions
+from chervilshore import grantmessages
 from chervilshore import ids
-from chervilshore import messages
 from chervilshore import records
 
 MOST_WANTED = 64
@@ -214,7 +214,7 @@
         keeper: ids.HostId,
         horizon_ms: float,
         now: float,
-    ) -> messages.GrantAsk:
+    ) -> grantmessages.GrantAsk:
         """Write the next message to the keeper.
 
         Parameters
@@ -246,7 +246,7 @@
         self._is_new = False
         self._has_used = False
         sample = self._seen.send()
-        return messages.GrantAsk(
+        return grantmessages.GrantAsk(
             self.endpoint,
             self._host,
             self._life,
@@ -298,7 +298,7 @@
         self._horizon_ms *= 0.9
         return max(0.0, longest)
 
-    def take_reply(self, reply: messages.GrantReply, now: float) -> bool:
+    def take_reply(self, reply: grantmessages.GrantReply, now: float) -> bool:
         """Take what a keeper allows.
 
         Returns
@@ -357,7 +357,7 @@
 
     def take_recall(
         self, keeper: ids.HostId, epoch: ids.Epoch, now: float
-    ) -> messages.Holding:
+    ) -> grantmessages.Holding:
         """Turn to a new keeper, and report to it.
 
         Parameters
@@ -378,7 +378,7 @@
             self.is_asking = False
             self.is_stale = bool(self.wanted) or self._seen.is_any()
         longest = self._count_longest(0, 0.0, now)
-        return messages.Holding(
+        return grantmessages.Holding(
             self.endpoint,
             self.promised,
             former,
--- a/chervilshore/decisions/keepers.py
+++ b/chervilshore/decisions/keepers.py
@@ -9,8 +9,8 @@
 from chervilshore.decisions import census
 from chervilshore.decisions import concurrency
 from chervilshore.decisions import sessions
+from chervilshore import grantmessages
 from chervilshore import ids
-from chervilshore import messages
 from chervilshore import records
 
 NUDGE_MS = 100.0
@@ -20,7 +20,7 @@
 """Share of the limit up to which slots are given out in advance."""
 
 
-Replies = dict[ids.HostId, messages.GrantReply]
+Replies = dict[ids.HostId, grantmessages.GrantReply]
 """Answers by the host that they go to."""
 
 
@@ -84,7 +84,7 @@
         self,
         holder: ids.HostId,
         life: int,
-        holding: messages.Holding,
+        holding: grantmessages.Holding,
         others: collections_abc.Iterable[ids.HostId],
         now: float,
     ) -> None:
@@ -121,7 +121,7 @@
         self.limit.resume(self.sessions.count(now), limit, now)
         self.census.settle()
 
-    def take_ask(self, ask: messages.GrantAsk, now: float) -> Replies:
+    def take_ask(self, ask: grantmessages.GrantAsk, now: float) -> Replies:
         """Answer a holder, and whoever else gains or loses by it."""
         self.floor = max(self.floor, ask.epoch)
         if ask.epoch != self.epoch:
@@ -162,7 +162,7 @@
     def _add_spare(
         self,
         session: sessions.Session,
-        ask: messages.GrantAsk,
+        ask: grantmessages.GrantAsk,
         replies: Replies,
         now: float,
     ) -> None:
@@ -188,7 +188,7 @@
 
     def _answer(
         self, session: sessions.Session, now: float
-    ) -> messages.GrantReply:
+    ) -> grantmessages.GrantReply:
         return self._reply(session, self._choose_slots(session, now), now)
 
     def _choose_slots(self, session: sessions.Session, now: float) -> int:
@@ -202,9 +202,9 @@
 
     def _reply(
         self, session: sessions.Session, slots: int, now: float
-    ) -> messages.GrantReply:
+    ) -> grantmessages.GrantReply:
         session.serial += 1
-        return messages.GrantReply(
+        return grantmessages.GrantReply(
             self.endpoint,
             self._host,
             self.epoch,
--- a/chervilshore/decisions/sessions.py
+++ b/chervilshore/decisions/sessions.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from chervilshore import grantmessages
 from chervilshore import ids
-from chervilshore import messages
 
 LIFETIME_MS = 1000.0
 """Milliseconds in which attempts may begin under a grant."""
@@ -54,7 +54,7 @@
     nudged: float = float("-inf")
 
 
-def renew(session: Session, ask: messages.GrantAsk, now: float) -> None:
+def renew(session: Session, ask: grantmessages.GrantAsk, now: float) -> None:
     """Put what a holder says in the place of what was known of it."""
     if not session.wanted:
         session.since = now
@@ -117,7 +117,7 @@
         """Tell whether any stage waits for a slot."""
         return any(session.wanted for session in self.values())
 
-    def find(self, ask: messages.GrantAsk) -> Session | None:
+    def find(self, ask: grantmessages.GrantAsk) -> Session | None:
         """Find whom a message speaks for; nothing when it is outdated."""
         session = self.get(ask.holder)
         if session is not None:
@@ -134,7 +134,7 @@
         self,
         holder: ids.HostId,
         life: int,
-        holding: messages.Holding,
+        holding: grantmessages.Holding,
         now: float,
     ) -> bool:
         """Take over what a host has from before.
--- a/chervilshore/decisions/tenures.py
+++ b/chervilshore/decisions/tenures.py
@@ -10,6 +10,7 @@
 from chervilshore.decisions import outlook
 from chervilshore.decisions import sessions
 from chervilshore import events
+from chervilshore import grantmessages
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import records
@@ -30,7 +31,7 @@
 """Sends a message to a host, maybe this one."""
 
 Report = collections_abc.Callable[
-    [ids.EndpointId, messages.GrantRecall, float], messages.Holding
+    [ids.EndpointId, grantmessages.GrantRecall, float], grantmessages.Holding
 ]
 """Turns this host, as a holder, to a keeper, and tells what it has."""
 
@@ -161,7 +162,7 @@
         )
 
     def _report_to_self(self, keeper: keepers.Keeper, now: float) -> None:
-        recall = messages.GrantRecall(
+        recall = grantmessages.GrantRecall(
             self._host, keeper.epoch, (keeper.endpoint,)
         )
         holding = self._report(keeper.endpoint, recall, now)
@@ -190,8 +191,8 @@
             self.drop(endpoint, now)
 
     def add_unsettled(
-        self, holding: messages.Holding, now: float
-    ) -> messages.Holding:
+        self, holding: grantmessages.Holding, now: float
+    ) -> grantmessages.Holding:
         """Tell what a former tenure had yet to wait for.
 
         The hosts that it waited for are named, so that the next keeper
@@ -224,7 +225,7 @@
         self._outlook.chosen = {}
         for host in self._outlook.view.hosts:
             if host != self._host:
-                self._send(host, messages.GrantRetire(self._host))
+                self._send(host, grantmessages.GrantRetire(self._host))
 
     def begin_anew(self, now: float) -> None:
         """Begin all tenures again, as others may have taken over."""
@@ -233,7 +234,7 @@
 
     # Messages.
 
-    def take_ask(self, ask: messages.GrantAsk, now: float) -> None:
+    def take_ask(self, ask: grantmessages.GrantAsk, now: float) -> None:
         """Answer a holder."""
         keeper = self.keepers.get(ask.endpoint)
         if keeper is None:
@@ -244,7 +245,9 @@
             self.news.append((events.Event.ENDPOINT_COLD, ask.endpoint))
         self._rise(keeper, now)
 
-    def take_report(self, report: messages.GrantReport, now: float) -> None:
+    def take_report(
+        self, report: grantmessages.GrantReport, now: float
+    ) -> None:
         """Learn what a host still has."""
         for holding in report.holdings:
             keeper = self.keepers.get(holding.endpoint)
@@ -283,7 +286,7 @@
         for (host, epoch), endpoints in wanted.items():
             if host in due:
                 self._recalled[host] = now
-                recall = messages.GrantRecall(
+                recall = grantmessages.GrantRecall(
                     self._host, epoch, tuple(endpoints), self._outlook.known
                 )
                 self._send(host, recall)
--- /dev/null
+++ b/chervilshore/wire.py
@@ -0,0 +1,81 @@
+"""The envelope in which messages travel, and its encoding."""
+
+import typing
+
+import msgspec
+
+from chervilshore import grantmessages
+from chervilshore import ids
+from chervilshore import messages
+
+Body = typing.Union[
+    messages.Ping,
+    messages.Pong,
+    messages.PingRequest,
+    messages.Leave,
+    messages.MembersRequest,
+    messages.MembersReply,
+    messages.ListingRequest,
+    messages.ListingReply,
+    messages.ListingNotice,
+    messages.ListingTaken,
+    messages.GenerationNotice,
+    messages.WatchRequest,
+    messages.HeadRequest,
+    messages.HeadReply,
+    messages.ChunkRequest,
+    messages.ChunkReply,
+    grantmessages.GrantAsk,
+    grantmessages.GrantReply,
+    grantmessages.GrantRecall,
+    grantmessages.GrantReport,
+    grantmessages.GrantRetire,
+    messages.DemandReport,
+    messages.ShareReply,
+    messages.ClaimAsk,
+    messages.ClaimReply,
+    messages.EntryAsk,
+    messages.EntryReply,
+]
+"""Any message."""
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with its sender.
+
+    Parameters
+    ----------
+    sender : Address
+        The peer address of the sender.
+    number : int
+        The sender's number for a question; 0 for a message without one.
+    reply : bool
+        Whether this answers the question of that number.
+    body : Body
+        The message.
+    """
+
+    sender: ids.Address
+    number: int
+    reply: bool
+    body: Body
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Encode a message for the wire."""
+    return _ENCODER.encode(envelope)
+
+
+def decode(data: bytes) -> Envelope:
+    """Decode a message from the wire.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        The bytes are not a known message.
+    """
+    return _DECODER.decode(data)
--- a/lab/grant_costs.py
+++ b/lab/grant_costs.py
@@ -10,18 +10,19 @@
 from chervilshore.decisions import keepers
 from chervilshore.decisions import outlook
 from chervilshore.decisions import tenures
-from chervilshore import messages
+from chervilshore import grantmessages
 from chervilshore import records
+from chervilshore import wire
 
 ROUNDS = 20_000
 EPOCH = 1 << 60
 LIFE = 1_796_000_000_000
 
 
-def make_ask(holder: str, number: int) -> messages.GrantAsk:
+def make_ask(holder: str, number: int) -> grantmessages.GrantAsk:
     """Make a message that renews, wants and reports."""
     outcomes = ((records.Outcome.OK, 200.5),) * 2
-    return messages.GrantAsk(
+    return grantmessages.GrantAsk(
         "language-model-07",
         holder,
         LIFE,
@@ -51,7 +52,7 @@
     micros = (time.perf_counter() - begun) / ROUNDS * 1e6
     reply = next(iter(replies.values()))
     sizes = [
-        len(messages.encode(messages.Envelope("10.1.2.3:7000", 0, False, one)))
+        len(wire.encode(wire.Envelope("10.1.2.3:7000", 0, False, one)))
         for one in (ask, reply)
     ]
     return sizes[0], sizes[1], micros
--- a/lab/membership_bench.py
+++ b/lab/membership_bench.py
@@ -15,6 +15,7 @@
 from chervilshore.decisions import probes
 from chervilshore import messages
 from chervilshore import records
+from chervilshore import wire
 from measure import fleet
 
 SIZES = (9, 50, 120, 370)
@@ -109,11 +110,11 @@
 def count_mesh(size, seed, loss):
     """The baseline: every host sends a heartbeat to every other."""
     ping = messages.Ping((), 7, 1 << 60)
-    envelope = messages.Envelope("10.20.0.1:7000", 0, False, ping)
-    length = len(messages.encode(envelope))
+    envelope = wire.Envelope("10.20.0.1:7000", 0, False, ping)
+    length = len(wire.encode(envelope))
     start = time.process_time()
     for _ in range(20_000):
-        messages.decode(messages.encode(envelope))
+        wire.decode(wire.encode(envelope))
     micros = 1e6 * (time.process_time() - start) / 20_000
     others = size - 1
     rate = others * 1000 / HEARTBEAT_MS
--- a/measure/configuration.py
+++ b/measure/configuration.py
@@ -26,6 +26,7 @@
 from chervilshore import messages
 from chervilshore import operations
 from chervilshore.rules import generations
+from chervilshore import wire
 from measure import deployment as deployments
 from measure import plans
 from measure import races
@@ -142,8 +143,8 @@
 
 
 def _count_bytes(message: messages.Message) -> int:
-    envelope = messages.Envelope(ids.Address("127.0.0.1:1"), 1, True, message)
-    return len(messages.encode(envelope))
+    envelope = wire.Envelope(ids.Address("127.0.0.1:1"), 1, True, message)
+    return len(wire.encode(envelope))
 
 
 def _measure_apart() -> tuple[int, float]:
--- a/measure/crowd.py
+++ b/measure/crowd.py
@@ -10,9 +10,11 @@
 import msgspec
 import zmq
 
+from chervilshore import grantmessages
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import records
+from chervilshore import wire
 
 PERIOD_SECONDS = 0.25
 FIRST_PORT = 20_000
@@ -81,18 +83,16 @@
 
     def _answer(self, router: zmq.Socket) -> None:
         identity, data = router.recv_multipart()
-        envelope = messages.decode(data)
+        envelope = wire.decode(data)
         record = self._peers[router]
-        if isinstance(envelope.body, messages.GrantRecall):
+        if isinstance(envelope.body, grantmessages.GrantRecall):
             self._send(record, self._report(record, envelope.body))
             return
         body = self._reply(record, envelope.body)
         if body is None:
             return
-        reply = messages.Envelope(
-            record.peer_address, envelope.number, True, body
-        )
-        router.send_multipart([identity, messages.encode(reply)])
+        reply = wire.Envelope(record.peer_address, envelope.number, True, body)
+        router.send_multipart([identity, wire.encode(reply)])
 
     def _reply(
         self, record: records.HostRecord, body: messages.Message
@@ -107,13 +107,15 @@
         return messages.Pong(record.host, (), body.generation, digest)
 
     def _report(
-        self, record: records.HostRecord, recall: messages.GrantRecall
-    ) -> messages.GrantReport:
+        self, record: records.HostRecord, recall: grantmessages.GrantRecall
+    ) -> grantmessages.GrantReport:
         holdings = tuple(
-            messages.Holding(endpoint, recall.epoch)
+            grantmessages.Holding(endpoint, recall.epoch)
             for endpoint in recall.endpoints
         )
-        return messages.GrantReport(record.host, 1, recall.epoch, holdings)
+        return grantmessages.GrantReport(
+            record.host, 1, recall.epoch, holdings
+        )
 
     def _send(
         self, record: records.HostRecord, body: messages.Message
@@ -124,8 +126,8 @@
             sender.linger = 0
             sender.connect(self._daemon)
             self._senders[record.host] = sender
-        envelope = messages.Envelope(record.peer_address, 1, False, body)
-        sender.send(messages.encode(envelope), zmq.DONTWAIT)
+        envelope = wire.Envelope(record.peer_address, 1, False, body)
+        sender.send(wire.encode(envelope), zmq.DONTWAIT)
         while sender.poll(0):
             sender.recv()
 
--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -12,6 +12,7 @@
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import records
+from chervilshore import wire
 
 DELAY_MS = 1.0
 HELP_MS = 150.0
@@ -134,8 +135,8 @@
     ) -> None:
         if not sender.alive:
             return
-        envelope = messages.Envelope(sender.address, 1, False, message)
-        data = messages.encode(envelope)
+        envelope = wire.Envelope(sender.address, 1, False, message)
+        data = wire.encode(envelope)
         sender.messages += 1
         sender.bytes += len(data)
         receiver = self._places[to]
@@ -150,7 +151,7 @@
             moment = receiver.paused_until
             self._at(moment, self._deliver, receiver, data, receive)
             return
-        receive(receiver, messages.decode(data).body)
+        receive(receiver, wire.decode(data).body)
 
     def _tick(self, node: Node) -> None:
         jitter = 1 + JITTER * (2 * self.rng.random() - 1)
--- a/measure/keeping.py
+++ b/measure/keeping.py
@@ -5,8 +5,10 @@
 from chervilshore.decisions import census
 from chervilshore.decisions import concurrency
 from chervilshore.decisions import keepers
+from chervilshore import grantmessages
 from chervilshore import messages
 from chervilshore import records
+from chervilshore import wire
 from measure import fits
 
 HOLDERS = (3, 9, 20, 62)
@@ -44,8 +46,8 @@
     ]
 
 
-def _make_ask(holder: int, turn: int) -> messages.GrantAsk:
-    return messages.GrantAsk(
+def _make_ask(holder: int, turn: int) -> grantmessages.GrantAsk:
+    return grantmessages.GrantAsk(
         "endpoint-1",
         f"entry-{holder:03d}",
         1,
@@ -60,8 +62,8 @@
 
 
 def _measure(body: messages.Message) -> int:
-    envelope = messages.Envelope("10.20.0.1:7000", 0, False, body)
-    return len(messages.encode(envelope))
+    envelope = wire.Envelope("10.20.0.1:7000", 0, False, body)
+    return len(wire.encode(envelope))
 
 
 CASES = {"keeper": measure_keeper}
--- a/measure/scaling.py
+++ b/measure/scaling.py
@@ -21,6 +21,7 @@
 from chervilshore.rules import generations
 from chervilshore.rules import lines
 from chervilshore.rules import model
+from chervilshore import wire
 from measure import fits
 from measure import fleet
 
@@ -187,8 +188,8 @@
                 )
 
         body = messages.DemandReport("entry-001", 1.0, demands)
-        envelope = messages.Envelope("10.20.0.1:7000", 1, False, body)
-        sizes.append((count, len(messages.encode(envelope))))
+        envelope = wire.Envelope("10.20.0.1:7000", 1, False, body)
+        sizes.append((count, len(wire.encode(envelope))))
         work.append((count, _time(report, 50) / 9))
     teams = "teams in a report"
     return [
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -11,7 +11,7 @@
 from chervilshore.decisions import holders
 from chervilshore.decisions import keepers
 from chervilshore.decisions import outlook
-from chervilshore import messages
+from chervilshore import grantmessages
 from chervilshore import records
 from tests import grants_helpers
 
@@ -26,13 +26,13 @@
 
 
 def _ask(holder, number, running=0, wanted=0, epoch=7, **more):
-    return messages.GrantAsk(
+    return grantmessages.GrantAsk(
         "e", holder, 1, number, epoch, running, wanted=wanted, **more
     )
 
 
 def _report(running=0, warmth=COLD, limit=2, age_ms=0.0, **more):
-    return messages.Holding(
+    return grantmessages.Holding(
         "e",
         7,
         running=running,
@@ -56,7 +56,7 @@
 def _reply(holder, slots=1, number=None, **more):
     fields = {"life": 3, "epoch": 7, "serial": 1, "warmth": COLD} | more
     number = holder._number if number is None else number
-    return messages.GrantReply(
+    return grantmessages.GrantReply(
         "e",
         "k",
         number=number,
