--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -25,6 +25,9 @@
 PORTS = (15_000, 32_000)
 """The ports that servers are given."""
 
+_GIVEN: set[int] = set()
+"""Ports given out before, as their servers may not have begun to listen."""
+
 START_SECONDS = 20.0
 """Seconds in which a deployment must be ready."""
 
@@ -43,6 +46,9 @@
         while len(ports) < count:
             free = stack.enter_context(socket.socket())
             port = random.SystemRandom().randrange(*PORTS)
+            if port in _GIVEN:
+                continue
+            _GIVEN.add(port)
             with contextlib.suppress(OSError):
                 free.bind(("127.0.0.1", port))
                 ports.append(port)
