Test the two mends of grants on their own

Cause: the wait for a slot already granted and the inherited wait of a former keeper were shown by whole daemons only.

Change: a test of each.

--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -240,3 +240,19 @@
         holder.lose_reply()
     assertions.assert_that(holder.is_idle(2600.0), matchers.Is(False))
     assertions.assert_that(holder.needs_message(3300.0), matchers.Is(True))
+
+
+def test_a_stage_that_has_its_slot_is_not_taken_for_the_next_one(holder):
+    holder.take_reply(_reply(holder), 1.0)
+    holder.take(400.0, 1.0)
+    # Another stage waits, as many as the keeper was told of before.
+    holder.wanted = 1
+    assertions.assert_that(holder.wants_more(2.0), matchers.Is(True))
+
+
+def test_a_former_keeper_hands_on_names_and_not_its_whole_wait():
+    account = census.Census({"h2"}, not_before=2000.0, ends=72_000.0)
+    assertions.assert_that(
+        account.count_unsettled_ms(500.0), matchers.Equals(1500.0)
+    )
+    assertions.assert_that(account.unheard, matchers.Equals({"h2"}))
