--- a/measure/overhead.py
+++ b/measure/overhead.py
@@ -58,7 +58,6 @@
     instruction="",
     instruction_pool="",
     lookup="look",
-    lookup_pool="desk",
     teams=("one",),
 )
 
--- a/measure/plans.py
+++ b/measure/plans.py
@@ -44,7 +44,7 @@
     instruction : str
         The service that may not be repeated, in `instruction_pool`.
     lookup : str
-        A service that may be repeated, in `lookup_pool`.
+        A service that may be repeated.
     teams : tuple of str
         Its teams, the largest first.
     """
@@ -57,7 +57,6 @@
     instruction: str
     instruction_pool: str
     lookup: str
-    lookup_pool: str
     teams: tuple[str, ...]
 
 
@@ -90,7 +89,6 @@
     instruction="bill-visit",
     instruction_pool="ledger",
     lookup="visit-status",
-    lookup_pool="ledger",
     teams=("glasgow", "edinburgh", "islands", "highlands", "borders"),
 )
 
@@ -107,7 +105,6 @@
     instruction="disburse-loan",
     instruction_pool="loan-ledger",
     lookup="loan-status",
-    lookup_pool="loan-ledger",
     teams=("members", "dealers", "reviewers", "branches", "auditors"),
 )
 
