Forward requests on the users' platform, through the same chain of filters

Cause: the users' platform speaks HTTP of its own, keeps configuration and lists in a store of objects, and puts preparing stages of batched pieces before a model's run; nothing of the product spoke it.

Change: chervilshore/platform/ translates; RouteFilter and ForwardFilter join the chain; one keeper for each preparing pool fills calls with the pieces of all hosts; hosts follow the store by watches and learn from peers without it. Results are given up after their last reader, and their room counts as taken until the endpoint has answered.

--- a/chervilshore/clients/endpoints.py
+++ b/chervilshore/clients/endpoints.py
@@ -11,6 +11,7 @@
 
 from chervilshore import exceptions
 from chervilshore import ids
+from chervilshore import passages
 from chervilshore import records
 
 BINDING_HEADER = "X-Request-Id"
@@ -52,6 +53,12 @@
         Tokens that the stream has brought already, to resume after them.
     text_sink : TextSink or None
         Takes each piece of generated text.
+    passage : Passage or None
+        The request to pass on, for forwarded requests.
+    delivery : Delivery
+        What the endpoint is told besides.
+    relay : Relay or None
+        Takes a stream of events on its way to the caller.
     """
 
     binding: records.Binding
@@ -64,6 +71,9 @@
     priority: int = 5
     skip: int = 0
     text_sink: TextSink | None = None
+    passage: passages.Passage | None = None
+    delivery: passages.Delivery = passages.Delivery()
+    relay: passages.Relay | None = None
 
 
 class Reply(msgspec.Struct):
--- /dev/null
+++ b/chervilshore/controllers/catalog.py
@@ -0,0 +1,455 @@
+"""Configuration, endpoints and hosts from the store, and from peers."""
+
+from collections import abc as collections_abc
+import logging
+import random
+
+import mode
+import msgspec
+
+from chervilshore import catalogmessages
+from chervilshore.clients import peers as peer_types
+from chervilshore import clock as clocks
+from chervilshore.controllers import configuration as configurations
+from chervilshore.controllers import directory as directories
+from chervilshore.controllers import membership as memberships
+from chervilshore.decisions import kinds
+from chervilshore import events
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import objects
+from chervilshore import records
+from chervilshore.rules import model
+
+WATCH_MS = 10_000.0
+"""Milliseconds for which one watch waits: long, as each call is paid for,
+and short enough to be answered on links that drop quiet connections."""
+
+RETRY_MS = 250.0
+"""Milliseconds between two calls to a store that does not answer."""
+
+MOST_RETRY_MS = 1000.0
+"""Milliseconds up to which that grows."""
+
+RELAY_MS = 500.0
+"""Milliseconds between two questions to peers while the store is away."""
+
+RELAY_LIMIT_MS = 400.0
+"""Milliseconds that a peer has to answer."""
+
+LAPSE_MS = 1600.0
+"""Milliseconds for which an entry that vanished during an outage of the
+store counts still: its endpoint writes it anew within two seconds."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Decoders(msgspec.Struct, frozen=True):
+    """How the objects of each kind are read.
+
+    Parameters
+    ----------
+    rules, domains, endpoints, hosts : str
+        The kinds of objects.
+    rules_name : str
+        The object that holds the configuration.
+    read_rules, read_endpoint, read_host : callable
+        Decode an object's content.
+    write_host : callable
+        Encodes what this host tells of itself.
+    """
+
+    rules: str
+    domains: str
+    endpoints: str
+    hosts: str
+    rules_name: str
+    read_rules: collections_abc.Callable[[bytes], model.Rules]
+    read_endpoint: collections_abc.Callable[
+        [str, bytes], records.EndpointRecord | None
+    ]
+    read_host: collections_abc.Callable[
+        [str, bytes], records.HostRecord | None
+    ]
+    write_host: collections_abc.Callable[[records.HostRecord], bytes]
+
+
+class Catalog(
+    mode.Service, configurations.Configuration, directories.Directory
+):
+    """What this host believes of configuration, endpoints and hosts.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform's store.
+    decoders : Decoders
+        Read its objects.
+    membership : Membership
+        Which entry hosts are alive.
+    peers : Peers
+        Carries the messages.
+    clock : Clock
+        The time.
+    generator : random.Random
+        Chooses peers.
+    """
+
+    def __init__(
+        self,
+        store: objects.ObjectStore,
+        decoders: Decoders,
+        membership: memberships.Membership,
+        peers: peer_types.Peers,
+        clock: clocks.Clock,
+        generator: random.Random,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._decoders = decoders
+        self._membership = membership
+        self._peers = peers
+        self._clock = clock
+        self._random = generator
+        self._rules = model.Rules()
+        self._listeners: list[configurations.Listener] = []
+        self._kinds = {
+            decoders.rules: kinds.KindState(),
+            decoders.domains: kinds.KindState(),
+            decoders.endpoints: kinds.KindState(LAPSE_MS),
+            decoders.hosts: kinds.KindState(),
+        }
+        self._endpoints: dict[ids.EndpointId, records.EndpointRecord] = {}
+        self._pools: dict[
+            ids.PoolName, tuple[records.EndpointRecord, ...]
+        ] = {}
+        self._cold_until: dict[ids.EndpointId, float] = {}
+        self._bare_rules = model.Rules()
+        self._written = False
+
+    # What others ask.
+
+    @property
+    def rules(self) -> model.Rules:
+        """The rules in force; see `Configuration.rules`."""
+        return self._rules
+
+    def listen(self, listener: configurations.Listener) -> None:
+        """Call a function on change; see `Configuration.listen`."""
+        self._listeners.append(listener)
+
+    def hosts(self) -> tuple[records.HostRecord, ...]:
+        """List the entry hosts; see `Directory.hosts`."""
+        return self._membership.hosts()
+
+    def endpoints(
+        self, pool: ids.PoolName
+    ) -> tuple[records.EndpointRecord, ...]:
+        """List a pool's endpoints; see `Directory.endpoints`."""
+        self._expire()
+        return self._pools.get(pool, ())
+
+    def endpoint(
+        self, endpoint: ids.EndpointId
+    ) -> records.EndpointRecord | None:
+        """Find an endpoint; see `Directory.endpoint`."""
+        self._expire()
+        return self._endpoints.get(endpoint)
+
+    def cold_until(self, endpoint: ids.EndpointId) -> float:
+        """Tell the moment until which an endpoint is cold."""
+        return self._cold_until.get(endpoint, 0.0)
+
+    @property
+    def ready(self) -> bool:
+        """Whether every kind has been read, by this host or by a peer."""
+        known = all(state.revision for state in self._kinds.values())
+        return known and bool(self._rules.generation)
+
+    def describe(self) -> dict[str, object]:
+        """Write a summary for operators."""
+        return {
+            "generation": self._rules.generation,
+            "revisions": {
+                kind: state.revision for kind, state in self._kinds.items()
+            },
+            "lost": [
+                kind
+                for kind, state in self._kinds.items()
+                if state.lost_since is not None
+            ],
+            "endpoints": len(self._endpoints),
+        }
+
+    # Following the store.
+
+    async def on_start(self) -> None:
+        """Answer peers and follow every kind."""
+        self._peers.handle(catalogmessages.CatalogAsk, self._answer)
+        for kind in self._kinds:
+            self.add_future(self._follow(kind))
+        self.add_future(self._register())
+        self.add_future(self._relay())
+
+    async def unregister(self) -> None:
+        """Take this host's own entry from the store."""
+        if not self._written:
+            return
+        try:
+            await self._store.delete(
+                self._decoders.hosts, self._membership.me.host
+            )
+        except exceptions.PlatformError as error:
+            # Others find out by their probes.
+            events.log_event(
+                _LOGGER, events.Event.STORE_UNREAD, kind="host", error=error
+            )
+
+    async def _register(self) -> None:
+        """Tell the others where this host is."""
+        me = self._membership.me
+        content = self._decoders.write_host(me)
+        wait = RETRY_MS
+        while not self.should_stop:
+            try:
+                await self._store.put(self._decoders.hosts, me.host, content)
+            except exceptions.PlatformError:
+                await self._clock.sleep(wait)
+                wait = min(MOST_RETRY_MS, wait * 2.0)
+            else:
+                self._written = True
+                return
+
+    async def _follow(self, kind: str) -> None:
+        state = self._kinds[kind]
+        wait = RETRY_MS
+        listed = False
+        while not self.should_stop:
+            try:
+                if listed:
+                    changes = await self._store.watch(
+                        kind, state.revision, WATCH_MS
+                    )
+                    self._note_regained(kind)
+                    state.merge(changes, self._clock.now())
+                else:
+                    listing = await self._store.list(kind)
+                    self._note_regained(kind)
+                    state.replace(listing, self._clock.now())
+                    listed = True
+            except exceptions.HistoryGone:
+                listed = False
+                continue
+            except exceptions.PlatformError as error:
+                self._note_lost(kind, error)
+                await self._clock.sleep(wait)
+                wait = min(MOST_RETRY_MS, wait * 2.0)
+                continue
+            wait = RETRY_MS
+            self._apply(kind)
+
+    def _note_lost(self, kind: str, error: exceptions.PlatformError) -> None:
+        state = self._kinds[kind]
+        if state.lost_since is None:
+            state.lost_since = self._clock.now()
+            events.log_event(
+                _LOGGER,
+                events.Event.STORE_UNREAD,
+                kind=kind,
+                revision=state.revision,
+                error=error,
+            )
+
+    def _note_regained(self, kind: str) -> None:
+        state = self._kinds[kind]
+        if state.lost_since is not None:
+            now = self._clock.now()
+            events.log_event(
+                _LOGGER,
+                events.Event.STORE_READ,
+                kind=kind,
+                away_ms=round(now - state.lost_since),
+            )
+            state.lost_since = None
+            state.returned = now
+
+    # Peers.
+
+    def _answer(
+        self, sender: ids.Address, ask: catalogmessages.CatalogAsk
+    ) -> catalogmessages.CatalogReply:
+        found = []
+        for kind, revision in ask.revisions.items():
+            state = self._kinds.get(kind)
+            if state is not None and state.revision > revision:
+                stored = tuple(
+                    (one.name, one.revision, one.content)
+                    for one in state.objects.values()
+                )
+                found.append(
+                    catalogmessages.KindSnapshot(kind, state.revision, stored)
+                )
+        return catalogmessages.CatalogReply(tuple(found))
+
+    async def _relay(self) -> None:
+        """Learn from peers while the store does not answer this host."""
+        while not self.should_stop:
+            await self._clock.sleep(RELAY_MS)
+            lost = {
+                kind: state.revision
+                for kind, state in self._kinds.items()
+                if state.lost_since is not None
+            }
+            others = [
+                host
+                for host in self._membership.hosts()[1:]
+                if host.state is records.HostState.ALIVE
+            ]
+            if not lost or not others:
+                continue
+            peer = self._random.choice(others)
+            try:
+                reply = await self._peers.ask(
+                    peer.peer_address,
+                    catalogmessages.CatalogAsk(lost),
+                    RELAY_LIMIT_MS,
+                )
+            except exceptions.PeerError:
+                # Another one is asked in the next round.
+                continue
+            if isinstance(reply, catalogmessages.CatalogReply):
+                self._learn(peer, reply)
+
+    def _learn(
+        self,
+        peer: records.HostRecord,
+        reply: catalogmessages.CatalogReply,
+    ) -> None:
+        for snapshot in reply.snapshots:
+            state = self._kinds.get(snapshot.kind)
+            if state is None or snapshot.revision <= state.revision:
+                continue
+            listing = objects.Listing(
+                tuple(
+                    objects.StoredObject(*stored)
+                    for stored in snapshot.objects
+                ),
+                snapshot.revision,
+            )
+            state.replace(listing, self._clock.now())
+            events.log_event(
+                _LOGGER,
+                events.Event.KIND_RELAYED,
+                kind=snapshot.kind,
+                revision=snapshot.revision,
+                peer=peer.host,
+            )
+            self._apply(snapshot.kind)
+
+    # Putting in force.
+
+    def _expire(self) -> None:
+        kind = self._decoders.endpoints
+        if self._kinds[kind].expire(self._clock.now()):
+            self._apply(kind)
+
+    def _apply(self, kind: str) -> None:
+        if kind == self._decoders.rules:
+            self._apply_rules()
+        elif kind == self._decoders.domains:
+            self._join_rules()
+        elif kind == self._decoders.endpoints:
+            self._apply_endpoints()
+        else:
+            self._apply_hosts()
+
+    def _apply_rules(self) -> None:
+        state = self._kinds[self._decoders.rules]
+        stored = state.objects.get(self._decoders.rules_name)
+        if stored is None:
+            return
+        try:
+            rules = self._decoders.read_rules(stored.content)
+        except exceptions.RulesError as error:
+            events.log_event(
+                _LOGGER,
+                events.Event.GENERATION_REFUSED,
+                revision=stored.revision,
+                error=error,
+            )
+            return
+        if rules.generation <= self._bare_rules.generation:
+            return
+        self._bare_rules = rules
+        events.log_event(
+            _LOGGER,
+            events.Event.GENERATION_IN_FORCE,
+            generation=rules.generation,
+            revision=stored.revision,
+        )
+        self._join_rules()
+
+    def _join_rules(self) -> None:
+        """Join the configuration and the domains that are taken out."""
+        names = self._kinds[self._decoders.domains].objects
+        out = {
+            ids.DomainId(name): model.Domain(
+                ids.DomainId(name), state=records.DomainState.OUT
+            )
+            for name in names
+        }
+        if out.keys() != self._rules.domains.keys():
+            events.log_event(
+                _LOGGER, events.Event.DOMAINS_OUT, domains=sorted(out)
+            )
+        self._rules = msgspec.structs.replace(self._bare_rules, domains=out)
+        for listener in self._listeners:
+            listener(self._rules)
+
+    def _apply_endpoints(self) -> None:
+        state = self._kinds[self._decoders.endpoints]
+        now = self._clock.now()
+        found = {}
+        for stored in state.objects.values():
+            record = self._decoders.read_endpoint(stored.name, stored.content)
+            if record is not None:
+                found[record.endpoint] = record
+        for endpoint, record in found.items():
+            if record == self._endpoints.get(endpoint):
+                continue
+            self._cold_until[endpoint] = now + record.cold_ms
+            events.log_event(
+                _LOGGER,
+                events.Event.ENDPOINT_LISTED,
+                endpoint=endpoint,
+                pool=record.pool,
+                state=record.state.value,
+                cold_ms=record.cold_ms,
+                revision=state.revision,
+            )
+        for endpoint in self._endpoints.keys() - found.keys():
+            self._cold_until.pop(endpoint, None)
+            events.log_event(
+                _LOGGER,
+                events.Event.ENDPOINT_GONE,
+                endpoint=endpoint,
+                revision=state.revision,
+            )
+        self._endpoints = found
+        pools: dict[ids.PoolName, list[records.EndpointRecord]] = {}
+        for record in found.values():
+            pools.setdefault(record.pool, []).append(record)
+        self._pools = {name: tuple(some) for name, some in pools.items()}
+
+    def _apply_hosts(self) -> None:
+        state = self._kinds[self._decoders.hosts]
+        found = [
+            self._decoders.read_host(stored.name, stored.content)
+            for stored in state.objects.values()
+        ]
+        me = self._membership.me.host
+        self._membership.propose(
+            record
+            for record in found
+            if record is not None and record.host != me
+        )
--- /dev/null
+++ b/chervilshore/controllers/pacing.py
@@ -0,0 +1,141 @@
+"""Slots without agreement: each host keeps to its share of every bound."""
+
+from collections import abc as collections_abc
+import logging
+
+from chervilshore import clock as clocks
+from chervilshore.controllers import configuration as configurations
+from chervilshore.controllers import directory as directories
+from chervilshore.controllers import slots
+from chervilshore.decisions import pace
+from chervilshore.decisions import routing
+from chervilshore import events
+from chervilshore import exceptions
+from chervilshore import ids
+from chervilshore import records
+from chervilshore import results
+from chervilshore.rules import model
+
+RETRY_AFTER_MS = 300.0
+"""Milliseconds in which an endpoint that is cold takes another request, or
+one that has just gone is replaced."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class PacedSlots(slots.Slots):
+    """Gives out slots at once or not at all.
+
+    Parameters
+    ----------
+    host : HostId
+        This host.
+    clock : Clock
+        The time.
+    directory : Directory
+        The endpoints and hosts.
+    configuration : Configuration
+        The rules in force.
+    make_router : callable
+        Makes the router of one pool.
+    """
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        clock: clocks.Clock,
+        directory: directories.Directory,
+        configuration: configurations.Configuration,
+        make_router: collections_abc.Callable[[], routing.Router],
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._directory = directory
+        self._configuration = configuration
+        self._make_router = make_router
+        self._routers: dict[ids.PoolName, routing.Router] = {}
+        self._in_flight: dict[ids.EndpointId, int] = {}
+        self._cold = pace.ColdPace(host)
+
+    async def acquire(self, need: routing.Need) -> slots.Slot:
+        """Choose an endpoint at once; see `Slots.acquire`."""
+        now = self._clock.now()
+        pool = self._configuration.rules.pools.get(need.pool)
+        if pool is None:
+            raise exceptions.RefusalError(results.Code.NO_ENDPOINT)
+        usable = [
+            routing.Candidate(
+                record,
+                in_flight=self._in_flight.get(record.endpoint, 0),
+            )
+            for record in self._directory.endpoints(need.pool)
+            if self._is_open(record)
+        ]
+        ranked = self._find_router(need.pool).rank(need, usable, now)
+        for candidate in ranked:
+            if self._may_begin(pool, candidate.record, now):
+                return self._take(need, candidate.record)
+        raise exceptions.RefusalError(
+            results.Code.NO_ENDPOINT,
+            f"{len(usable)} endpoints of pool {need.pool} may be used",
+            RETRY_AFTER_MS,
+        )
+
+    def _may_begin(
+        self, pool: model.Pool, record: records.EndpointRecord, now: float
+    ) -> bool:
+        if not pool.cold_rate:
+            return True
+        cold_until = self._directory.cold_until(record.endpoint)
+        if now >= cold_until:
+            return True
+        hosts = [one.host for one in self._directory.hosts()]
+        return self._cold.admit(record.endpoint, pool.cold_rate, hosts, now)
+
+    def _take(
+        self, need: routing.Need, record: records.EndpointRecord
+    ) -> slots.Slot:
+        endpoint = record.endpoint
+        self._in_flight[endpoint] = self._in_flight.get(endpoint, 0) + 1
+        events.log_event(
+            _LOGGER,
+            events.Event.ENDPOINT_CHOSEN,
+            request=need.request,
+            endpoint=endpoint,
+            pool=need.pool,
+            in_flight=self._in_flight[endpoint],
+        )
+        return slots.Slot(record)
+
+    def confirm(self, slot: slots.Slot) -> bool:
+        """Check the endpoint once more; see `Slots.confirm`."""
+        record = self._directory.endpoint(slot.record.endpoint)
+        return record is not None and self._is_open(record)
+
+    def release(self, slot: slots.Slot, attempt: slots.Attempt) -> None:
+        """Count the end of an attempt; see `Slots.release`."""
+        endpoint = slot.record.endpoint
+        self._in_flight[endpoint] -= 1
+        if not self._in_flight[endpoint]:
+            del self._in_flight[endpoint]
+        pool = self._configuration.rules.pools.get(slot.record.pool)
+        millis = attempt.millis
+        if pool is not None and pool.kind is records.EndpointKind.ENGINE:
+            # A stream lasts as long as its text; that says nothing.
+            millis = 0.0
+        router = self._find_router(slot.record.pool)
+        router.note(endpoint, attempt.outcome, millis, self._clock.now())
+
+    def describe(self) -> dict[str, object]:
+        """Write a summary for operators."""
+        return {"in_flight": dict(self._in_flight)}
+
+    def _is_open(self, record: records.EndpointRecord) -> bool:
+        if record.state is not records.EndpointState.LIVE:
+            return False
+        return not self._configuration.rules.is_out(record.domain)
+
+    def _find_router(self, pool: ids.PoolName) -> routing.Router:
+        if pool not in self._routers:
+            self._routers[pool] = self._make_router()
+        return self._routers[pool]
--- a/chervilshore/daemon.py
+++ b/chervilshore/daemon.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import faulthandler
+import importlib
 import logging
 import os
 import signal
 import sys
+import typing
 
 from chervilshore import clock as clocks
 from chervilshore import events
 from chervilshore import exceptions
-from chervilshore import node
 from chervilshore import settings
 
 EXIT_SETTINGS = 2
@@ -21,6 +22,28 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class Host(typing.Protocol):
+    """What the daemon runs."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def drain(self) -> None:
+        """Finish what runs."""
+
+    async def stop(self) -> None:
+        """End at once."""
+
+
+def _make_host(options: settings.Settings) -> Host:
+    # Each kind of host imports much that the other one does not need.
+    if options.interface == "forward":
+        gateway = importlib.import_module("chervilshore.gateway")
+        return gateway.Gateway(options, clocks.SystemClock())
+    node = importlib.import_module("chervilshore.node")
+    return node.Node(options, clocks.SystemClock())
+
+
 class Daemon:
     """Runs a node until a signal ends it.
 
@@ -44,7 +67,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._take_signal)
-        served = node.Node(self._options, clocks.SystemClock())
+        served = _make_host(self._options)
         self._log(events.Event.STARTED)
         await served.start()
         await self._asked.wait()
@@ -59,7 +82,7 @@
         if self._signals > 1:
             self._pressed.set()
 
-    async def _drain(self, served: node.Node) -> None:
+    async def _drain(self, served: Host) -> None:
         draining = asyncio.ensure_future(served.drain())
         pressing = asyncio.ensure_future(self._pressed.wait())
         await asyncio.wait(
@@ -82,8 +105,10 @@
     """
     parsed = vars(settings.make_parser().parse_args(arguments))
     check = parsed.pop("check")
+    path = parsed.pop("file") or os.environ.get(settings.FILE_VARIABLE)
     try:
-        options = settings.load(parsed, os.environ)
+        file = settings.read_file(path) if path else None
+        options = settings.load(parsed, os.environ, file)
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
--- a/chervilshore/decisions/routing.py
+++ b/chervilshore/decisions/routing.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chervilshore import ids
+from chervilshore import passages
 from chervilshore import records
 
 
@@ -62,6 +63,8 @@
     settle_ms : float
         Milliseconds after the deadline in which a call that cannot be
         repeated may go on.
+    parts : tuple of PromptPart
+        The prompt's parts that an endpoint may have cached, in order.
     """
 
     request: ids.RequestId
@@ -74,6 +77,7 @@
     prefix: str = ""
     excluded: frozenset[ids.EndpointId] = frozenset()
     settle_ms: float = 0.0
+    parts: tuple[passages.PromptPart, ...] = ()
 
     @property
     def ends(self) -> float:
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -55,6 +55,13 @@
     HOST_LIST_UNREAD = EventSpec(3007, _WARNING, "host list cannot be read")
     HOST_LIST_READ = EventSpec(3008, _INFO, "host list can be read again")
 
+    STORE_UNREAD = EventSpec(3009, _WARNING, "store cannot be read")
+    STORE_READ = EventSpec(3010, _INFO, "store can be read again")
+    KIND_RELAYED = EventSpec(3011, _INFO, "objects learnt from a peer")
+    DOMAINS_OUT = EventSpec(3012, _INFO, "domains that are out have changed")
+    ENDPOINT_LISTED = EventSpec(3013, _INFO, "endpoint listed or changed")
+    ENDPOINT_GONE = EventSpec(3014, _INFO, "endpoint no longer listed")
+
     # Grants, routing and limits: 4000 to 4999.
     TENURE_BEGUN = EventSpec(4001, _INFO, "host became keeper of endpoint")
     ENDPOINT_COLD = EventSpec(4002, _WARNING, "endpoint has turned cold")
@@ -66,6 +73,14 @@
     SHEDDING_BEGAN = EventSpec(4103, _WARNING, "shedding began")
     SHEDDING_ENDED = EventSpec(4104, _INFO, "shedding ended")
 
+    ENDPOINT_CHOSEN = EventSpec(4105, _INFO, "endpoint chosen")
+    PIECES_CALLED = EventSpec(4106, _INFO, "pieces called for")
+    PIECES_MADE = EventSpec(4107, _INFO, "pieces of a request ended")
+    RESULTS_NOT_FREED = EventSpec(4108, _WARNING, "results not given up")
+    BATCH_KEEPER_SILENT = EventSpec(
+        4109, _WARNING, "keeper of pieces does not answer"
+    )
+
     # Claims: 5000 to 5999.
     CLAIMS_LOADED = EventSpec(5001, _INFO, "log of claims loaded")
     CLAIMS_BLOCKED = EventSpec(5002, _WARNING, "log of claims not writable")
@@ -90,6 +105,7 @@
     ANSWER_DROPPED = EventSpec(7003, _WARNING, "answer dropped")
     REQUEST_CRASHED = EventSpec(7004, _ERROR, "request crashed")
     CALLER_GONE = EventSpec(7005, _INFO, "caller gone")
+    REQUEST_FORWARDED = EventSpec(7006, _INFO, "forwarded request ended")
 
 
 def log_event(logger: logging.Logger, event: Event, **fields) -> None:
--- a/chervilshore/exceptions.py
+++ b/chervilshore/exceptions.py
@@ -122,8 +122,24 @@
     """The endpoint refused the call without running it."""
 
 
+class InputsGone(EndpointBusy):
+    """The call was not run, as a result that it needs is gone."""
+
+
 class EndpointRejected(EndpointError):
-    """The endpoint ran the call and answered that it failed."""
+    """The endpoint ran the call and answered that it failed.
+
+    Parameters
+    ----------
+    text : str
+        What it said.
+    response : passages.Response or None
+        Its answer, when that can be passed on.
+    """
+
+    def __init__(self, text="", response=None) -> None:
+        super().__init__(text)
+        self.response = response
 
 
 class EndpointBroken(EndpointError):
@@ -160,3 +176,7 @@
 
 class LeaseLost(ChervilshoreError):
     """The lease is not, or no longer, held by this host."""
+
+
+class HistoryGone(PlatformError):
+    """The store no longer keeps the changes since a revision."""
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -36,12 +36,17 @@
 
 _OUTCOMES = (
     (exceptions.EndpointUnreached, records.Outcome.UNREACHED),
+    (exceptions.InputsGone, records.Outcome.STALE),
     (exceptions.EndpointBusy, records.Outcome.BUSY),
     (exceptions.EndpointRejected, records.Outcome.REJECTED),
     (exceptions.EndpointBroken, records.Outcome.BROKEN),
 )
 
-_NOT_RUN = (records.Outcome.UNREACHED, records.Outcome.BUSY)
+_NOT_RUN = (
+    records.Outcome.UNREACHED,
+    records.Outcome.BUSY,
+    records.Outcome.STALE,
+)
 
 
 class AttemptError(exceptions.ChervilshoreError):
@@ -57,6 +62,11 @@
         The generated text that came before it broke.
     cause : EndpointError
         What happened.
+
+    Attributes
+    ----------
+    response : Response or None
+        The endpoint's own failure, when that can be passed on.
     """
 
     def __init__(
@@ -70,6 +80,7 @@
         self.endpoint = endpoint
         self.outcome = outcome
         self.pieces = pieces
+        self.response = getattr(cause, "response", None)
 
 
 class Work:
@@ -88,6 +99,8 @@
     ----------
     attempts : int
         Attempts begun.
+    runs : int
+        Attempts that may have run.
     asked : frozenset of EndpointId
         Endpoints that were asked so far.
     excluded : frozenset of EndpointId
@@ -106,6 +119,7 @@
         self.pools_left = names
         self.value = value
         self.attempts = 0
+        self.runs = 0
         self.asked: frozenset[ids.EndpointId] = frozenset()
         self.excluded: frozenset[ids.EndpointId] = frozenset()
         self.pieces: list[str] = []
@@ -235,6 +249,7 @@
             prefix=self._read_prefix(work),
             excluded=work.excluded | avoided,
             settle_ms=self._choose_settle(work),
+            parts=exchange.passage.parts if exchange.passage else (),
         )
 
     def _choose_deadline(self, work: Work) -> float:
@@ -243,7 +258,7 @@
         )
 
     def _choose_settle(self, work: Work) -> float:
-        if work.exchange.pipeline.repeatable:
+        if not work.exchange.outlives:
             return 0.0
         later = work.exchange.deadline - self._choose_deadline(work)
         return max(0.0, later) + SETTLE_MS
@@ -268,6 +283,8 @@
             outcome = self._classify(error)
             if outcome in _NOT_RUN:
                 work.exchange.withdraw_send()
+            else:
+                work.runs += 1
             self._report(work.exchange, error)
             raise AttemptError(
                 slot.record.endpoint, outcome, pieces, error
@@ -284,7 +301,7 @@
         exchange = work.exchange
         pipeline = exchange.pipeline
         millis = self._choose_deadline(work) - self._clock.now()
-        if not pipeline.repeatable:
+        if exchange.outlives:
             millis = exchange.deadline - self._clock.now() + SETTLE_MS
         return endpoints.Call(
             binding=records.Binding(
@@ -302,6 +319,9 @@
             priority=exchange.rules.class_of(pipeline).priority,
             skip=len(pieces),
             text_sink=self._make_sink(work, pieces),
+            passage=exchange.passage,
+            delivery=exchange.delivery,
+            relay=exchange.relay,
         )
 
     def _make_sink(self, work: Work, pieces: list[str]) -> endpoints.TextSink:
--- a/chervilshore/filters/base.py
+++ b/chervilshore/filters/base.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from chervilshore import ids
+from chervilshore import passages
 from chervilshore import results
 from chervilshore.rules import model
 
@@ -26,6 +27,8 @@
         Milliseconds after which the caller may come back.
     replayed : bool
         Whether this is the recorded answer of an earlier request.
+    response : Response or None
+        An endpoint's answer that is passed on.
     """
 
     code: results.Code
@@ -33,6 +36,7 @@
     detail: str = ""
     retry_after_ms: float | None = None
     replayed: bool = False
+    response: passages.Response | None = None
 
 
 Sink = collections_abc.Callable[[str], collections_abc.Awaitable[None]]
@@ -56,6 +60,10 @@
         The moment in milliseconds at which it came.
     sink : Sink or None
         Takes generated text; nothing when the caller does not stream.
+    passage : Passage or None
+        The request as it came, when it is forwarded.
+    relay : Relay or None
+        Carries a forwarded stream to the caller.
 
     Attributes
     ----------
@@ -80,6 +88,10 @@
     vouched : bool
         Whether a refusal that says NOT RUN holds for every earlier send
         of the same key too.
+    delivery : Delivery
+        What the endpoint of a forwarded request is told besides.
+    priority : int
+        The priority of a forwarded request; lower goes first.
     """
 
     def __init__(
@@ -90,6 +102,8 @@
         raw: bytes,
         arrived: float,
         sink: Sink | None = None,
+        passage: passages.Passage | None = None,
+        relay: passages.Relay | None = None,
     ) -> None:
         self.request = request
         self.pipeline_name = pipeline_name
@@ -97,6 +111,10 @@
         self.raw = raw
         self.arrived = arrived
         self.sink = sink
+        self.passage = passage
+        self.relay = relay
+        self.delivery = passages.Delivery()
+        self.priority = 5
         self.body: dict[str, typing.Any] = {}
         self.rules = model.Rules()
         self.pipeline = model.Pipeline(pipeline_name, ())
@@ -108,6 +126,14 @@
         self.abandoned = False
         self._sends = 0
 
+    @property
+    def outlives(self) -> bool:
+        """Whether its work goes on for its outcome when the caller left.
+
+        Nobody could ask for the outcome of a forwarded request later.
+        """
+        return self.passage is None and not self.pipeline.repeatable
+
     def begin_send(self) -> None:
         """Note that a byte may go to an endpoint from here on."""
         self._sends += 1
--- a/chervilshore/filters/cutoff.py
+++ b/chervilshore/filters/cutoff.py
@@ -12,7 +12,8 @@
     """Ends a request at its deadline, or when its caller has gone.
 
     Work that may be repeated is cancelled then. Work that may not be
-    repeated goes on without its caller, so that its outcome is recorded.
+    repeated goes on without its caller, so that its outcome is recorded,
+    unless nobody could ask for that.
 
     Parameters
     ----------
@@ -54,7 +55,7 @@
         exchange.abandoned = True
         if task.done():
             return
-        if exchange.pipeline.repeatable:
+        if not exchange.outlives:
             task.cancel()
         self._left_behind.add(task)
         task.add_done_callback(self._forget)
--- /dev/null
+++ b/chervilshore/filters/route.py
@@ -0,0 +1,122 @@
+"""Finds the pipeline and the team of a forwarded request."""
+
+from collections import abc as collections_abc
+import random
+
+from chervilshore.controllers import configuration as configurations
+from chervilshore import exceptions
+from chervilshore.filters import base
+from chervilshore import ids
+from chervilshore import passages
+from chervilshore import results
+from chervilshore.rules import model
+
+NOT_READY_RETRY_MS = 500.0
+"""Milliseconds in which a starting host mostly has its configuration."""
+
+
+class RouteTable:
+    """The pipelines and keys of one generation, ready for lookups.
+
+    Parameters
+    ----------
+    rules : Rules
+        The generation.
+    """
+
+    def __init__(self, rules: model.Rules) -> None:
+        self.rules = rules
+        self._by_host: dict[str, list[model.Pipeline]] = {}
+        for pipeline in rules.pipelines.values():
+            if pipeline.stages:
+                self._by_host.setdefault(pipeline.host, []).append(pipeline)
+        for found in self._by_host.values():
+            # The longest prefix decides.
+            found.sort(key=lambda one: len(one.prefix), reverse=True)
+        self._teams = {
+            key: team for team in rules.teams.values() for key in team.keys
+        }
+
+    def find_pipeline(self, host: str, path: str) -> model.Pipeline | None:
+        """Find the pipeline whose prefix is the longest that fits."""
+        for pipeline in self._by_host.get(host, ()):
+            if path.startswith(pipeline.prefix):
+                return pipeline
+        return None
+
+    def find_team(self, key: str) -> model.Team | None:
+        """Find the team that holds a key."""
+        return self._teams.get(key) if key else None
+
+
+class RouteFilter(base.Filter):
+    """Pins the rules that decide, and finds pipeline, pool and team.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Holds the rules in force.
+    generator : random.Random
+        Divides requests among the pools of a pipeline.
+    """
+
+    def __init__(
+        self,
+        configuration: configurations.Configuration,
+        generator: random.Random,
+    ) -> None:
+        self._configuration = configuration
+        self._random = generator
+        self._table = RouteTable(configuration.rules)
+
+    async def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Find where a request goes; see `Filter.handle`."""
+        rules = self._configuration.rules
+        if not rules.generation:
+            raise exceptions.RefusalError(
+                results.Code.NOT_READY, retry_after_ms=NOT_READY_RETRY_MS
+            )
+        if rules is not self._table.rules:
+            self._table = RouteTable(rules)
+        passage = exchange.passage
+        found = self._table.find_pipeline(passage.host, passage.path)
+        if found is None:
+            raise exceptions.RefusalError(results.Code.UNKNOWN_PIPELINE)
+        exchange.rules = rules
+        exchange.pipeline = self._choose_target(found)
+        priority = rules.class_of(found).priority
+        team = self._find_team(passage, found)
+        if team is not None:
+            exchange.team = team.name
+            if team.priority is not None:
+                priority = team.priority
+        exchange.priority = priority
+        exchange.delivery = passages.Delivery(
+            team=exchange.team, urgency=min(9, max(0, priority))
+        )
+        return await proceed(exchange)
+
+    def _find_team(
+        self, passage: passages.Passage, pipeline: model.Pipeline
+    ) -> model.Team | None:
+        team = self._table.find_team(passage.access_key)
+        if team is None and not pipeline.public and self._table.rules.teams:
+            raise exceptions.RefusalError(results.Code.UNKNOWN_KEY)
+        return team
+
+    def _choose_target(self, pipeline: model.Pipeline) -> model.Pipeline:
+        """Pick one of the pipeline's pools by weight."""
+        if len(pipeline.targets) < 2:
+            return pipeline
+        pool = _choose_pool(pipeline.targets, self._random)
+        return model.retarget(pipeline, pool)
+
+
+def _choose_pool(
+    targets: collections_abc.Sequence[model.Target],
+    generator: random.Random,
+) -> ids.PoolName:
+    weights = [target.weight for target in targets]
+    return generator.choices(targets, weights)[0].pool
--- a/chervilshore/filters/stage.py
+++ b/chervilshore/filters/stage.py
@@ -127,8 +127,11 @@
         """Decide whether another attempt follows; raise if none does."""
         repeatable = work.exchange.pipeline.repeatable
         ran = error.outcome is records.Outcome.BROKEN
+        if error.outcome is records.Outcome.STALE:
+            raise exceptions.InputsGone(str(error)) from error
         if error.outcome is records.Outcome.REJECTED:
-            self._end(results.Code.STAGE_FAILED, error)
+            if error.response is None or not repeatable:
+                self._end(results.Code.STAGE_FAILED, error)
         if ran and not repeatable:
             self._end(results.Code.OUTCOME_UNKNOWN, error)
         if ran:
@@ -136,7 +139,8 @@
         now = self._clock.now()
         if now >= work.exchange.deadline:
             self._end(results.Code.DEADLINE_PASSED, error)
-        tries_left = work.attempts < MOST_ATTEMPTS
+        runs_left = work.runs < work.exchange.pipeline.attempts
+        tries_left = work.attempts < MOST_ATTEMPTS and runs_left
         if not tries_left or not self._budget.may_retry(now):
             broken = results.Code.STAGE_BROKEN
             self._end(broken if ran else results.Code.NO_ENDPOINT, error)
@@ -146,6 +150,9 @@
         self, work: attempt.Work, error: attempt.AttemptError
     ) -> None:
         """Keep text that the next attempt can go on from."""
+        relay = work.exchange.relay
+        if relay is not None and relay.begun and relay.last_event is None:
+            self._end(results.Code.STREAM_BROKEN, error)
         if work.pool.resume:
             work.pieces = max(work.pieces, error.pieces, key=len)
             return
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -227,6 +227,17 @@
         "Changes of the listing of endpoints, by where they came from.",
     )
 
+    BATCHES = _counter(
+        "chervilshore_piece_calls_total",
+        ("pool", "outcome"),
+        "Calls for pieces of work.",
+    )
+    PIECES = _counter(
+        "chervilshore_pieces_total",
+        ("pool", "outcome"),
+        "Pieces of work in those calls.",
+    )
+
     # Claims.
     CLAIMS = _counter(
         "chervilshore_claims_total",
--- /dev/null
+++ b/chervilshore/platform/pieces.py
@@ -0,0 +1,121 @@
+"""Calls for pieces of work that go before a request."""
+
+import msgspec
+
+from chervilshore.clients import connections
+from chervilshore.clients import pieces
+from chervilshore import exceptions
+from chervilshore.platform import names
+from chervilshore import records
+
+
+class _Item(msgspec.Struct, omit_defaults=True):
+    id: str
+    """The attempt of the caller to which the piece belongs."""
+    stage: int
+    piece: int
+    left_ms: int
+    key: str | None = None
+    """What a piece without inputs works on."""
+    inputs: tuple[str, ...] | None = None
+
+
+class _Run(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Made(msgspec.Struct):
+    handle: str = ""
+    reason: str = ""
+
+
+class _Results(msgspec.Struct):
+    items: list[_Made]
+
+
+_RESULTS = msgspec.json.Decoder(_Results)
+
+_REASONS = {
+    "late": pieces.Failure.LATE,
+    "gone": pieces.Failure.INPUT_GONE,
+    "room": pieces.Failure.NO_ROOM,
+}
+
+
+class PieceClient(pieces.PieceClient):
+    """Makes the calls.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        The connections.
+    """
+
+    def __init__(self, pool: connections.ConnectionPool) -> None:
+        self._pool = pool
+
+    async def run(
+        self,
+        record: records.EndpointRecord,
+        asked: list[pieces.PieceCall],
+        limit_ms: float,
+    ) -> list[pieces.PieceResult]:
+        """Have pieces made; see `PieceClient.run`."""
+        items = [
+            _Item(
+                id=one.request,
+                stage=one.stage,
+                piece=one.piece,
+                left_ms=max(1, int(one.left_ms)),
+                key=None if one.inputs else one.key,
+                inputs=one.inputs or None,
+            )
+            for one in asked
+        ]
+        body = msgspec.json.encode(_Run(items))
+        status, content = await self._pool.fetch(
+            record.address,
+            _make_request(record, names.STAGE_RUN, body),
+            limit_ms,
+        )
+        if status in (421, 429, 503):
+            raise exceptions.EndpointBusy(f"status {status}")
+        if status != 200:
+            raise exceptions.EndpointBroken(f"status {status}")
+        try:
+            found = _RESULTS.decode(content).items
+        except msgspec.DecodeError as error:
+            raise exceptions.EndpointBroken(str(error)) from error
+        if len(found) != len(asked):
+            raise exceptions.EndpointBroken("not as many results as pieces")
+        return [_convert(one) for one in found]
+
+    async def free(
+        self,
+        record: records.EndpointRecord,
+        handles: list[str],
+        limit_ms: float,
+    ) -> None:
+        """Give results up; see `PieceClient.free`."""
+        body = msgspec.json.encode({"handles": handles})
+        request = _make_request(record, names.STAGE_FREE, body)
+        await self._pool.fetch(record.address, request, limit_ms)
+
+
+def _convert(made: _Made) -> pieces.PieceResult:
+    if made.handle:
+        return pieces.PieceResult(made.handle)
+    failure = _REASONS.get(made.reason, pieces.Failure.ERROR)
+    return pieces.PieceResult("", failure)
+
+
+def _make_request(
+    record: records.EndpointRecord, path: str, body: bytes
+) -> connections.Request:
+    headers = [
+        ("Host", record.address),
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        (names.INSTANCE_EXPECTED, record.endpoint),
+    ]
+    return connections.Request("POST", path, headers, body)
--- a/chervilshore/records.py
+++ b/chervilshore/records.py
@@ -54,6 +54,7 @@
     OK = "ok"
     REJECTED = "rejected"
     BUSY = "busy"
+    STALE = "stale"
     UNREACHED = "unreached"
     BROKEN = "broken"
     CANCELLED = "cancelled"
@@ -101,6 +102,10 @@
         Where it takes calls.
     state : EndpointState
         Whether it is leaving.
+    cold_ms : float
+        Milliseconds for which it said that it stays cold.
+    instance : InstanceId
+        The run of its process; empty when the list does not tell.
     """
 
     endpoint: ids.EndpointId
@@ -108,6 +113,8 @@
     domain: ids.DomainId
     address: ids.Address
     state: EndpointState = EndpointState.LIVE
+    cold_ms: float = 0.0
+    instance: ids.InstanceId = ids.InstanceId("")
 
 
 class HostList(msgspec.Struct, frozen=True):
--- a/chervilshore/rules/model.py
+++ b/chervilshore/rules/model.py
@@ -23,6 +23,74 @@
     state: records.DomainState = records.DomainState.IN
 
 
+class Batching(msgspec.Struct, frozen=True):
+    """How the endpoints of a preparing pool take pieces of work.
+
+    Parameters
+    ----------
+    most : int
+        Pieces that one call may carry.
+    call_ms : float
+        Milliseconds that a call takes before its first piece.
+    piece_ms : float
+        Milliseconds that a piece takes, as a rule.
+    room_bytes : float
+        Bytes of results that an endpoint keeps at once.
+    keep_ms : float
+        Milliseconds for which an endpoint keeps a result.
+    """
+
+    most: int = 1
+    call_ms: float = 0.0
+    piece_ms: float = 0.0
+    room_bytes: float = 0.0
+    keep_ms: float = 0.0
+
+
+class Preparation(msgspec.Struct, frozen=True):
+    """Pieces of work that must be done before a request can run.
+
+    Parameters
+    ----------
+    pool : PoolName
+        The pool that does them.
+    after : tuple of int
+        The positions of the preparations whose results it needs.
+    result_bytes : int
+        Bytes of one piece's result, about.
+    """
+
+    pool: ids.PoolName
+    after: tuple[int, ...] = ()
+    result_bytes: int = 0
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A pool that takes a part of a pipeline's requests."""
+
+    pool: ids.PoolName
+    weight: float = 1.0
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What callers of forwarded requests may send.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Bytes of a body.
+    header_bytes : int
+        Bytes of a head.
+    header_ms, idle_ms : float
+        Milliseconds for a head to come, and between two requests.
+    """
+
+    body_bytes: int = 1_000_000
+    header_bytes: int = 16_384
+    header_ms: float = 5000.0
+    idle_ms: float = 15_000.0
+
+
 class Pool(msgspec.Struct, frozen=True):
     """A set of endpoints that can stand in for each other.
 
@@ -42,6 +110,14 @@
         Whether its engines resume a stream at a token offset.
     model : str
         The model that its engines serve.
+    batching : Batching or None
+        How its endpoints take pieces; nothing for other pools.
+    connections : int
+        Connections that one endpoint takes from all hosts; 0 for no bound.
+    cold_rate : float
+        Requests a second that a cold endpoint bears; 0 for no bound.
+    cold_ms : float
+        Milliseconds for which an endpoint is cold after its start.
     """
 
     name: ids.PoolName
@@ -51,6 +127,10 @@
     fencing: Fencing = Fencing.IGNORED
     resume: bool = False
     model: str = ""
+    batching: Batching | None = None
+    connections: int = 0
+    cold_rate: float = 0.0
+    cold_ms: float = 0.0
 
 
 class Stage(msgspec.Struct, frozen=True):
@@ -77,6 +157,25 @@
         Milliseconds for a request that brings no deadline.
     path : str
         For a plain service, the path at its endpoints.
+    host, prefix : str
+        Which forwarded requests it takes: their host and the beginning of
+        their path.
+    targets : tuple of Target
+        The pools among which forwarded requests are divided.
+    preparations : tuple of Preparation
+        The pieces that go before the last stage.
+    attempts : int
+        Endpoints that may run a stage of one request, one after another.
+    objective_ms : float
+        Milliseconds within which callers want the answer to begin; 0 when
+        nothing is said.
+    gap_ms : float
+        Milliseconds that callers want a pause between events to last at
+        most.
+    streams : bool
+        Whether the answer is a stream of events.
+    public : bool
+        Whether callers need no access key.
     """
 
     name: ids.PipelineName
@@ -85,6 +184,15 @@
     repeatable: bool = True
     deadline_ms: int = 7000
     path: str = ""
+    host: str = ""
+    prefix: str = ""
+    targets: tuple[Target, ...] = ()
+    preparations: tuple[Preparation, ...] = ()
+    attempts: int = 4
+    objective_ms: float = 0.0
+    gap_ms: float = 0.0
+    streams: bool = False
+    public: bool = False
 
 
 class RequestClass(msgspec.Struct, frozen=True):
@@ -118,12 +226,18 @@
         Requests that may come at once.
     concurrency : int
         Requests in flight.
+    keys : tuple of str
+        The access keys of its callers.
+    priority : int or None
+        Goes before the priority of a request's class; nothing for none.
     """
 
     name: ids.TeamId
     rate: float = 100.0
     burst: float = 100.0
     concurrency: int = 100
+    keys: tuple[str, ...] = ()
+    priority: int | None = None
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -166,6 +280,8 @@
     ----------
     generation : Generation
         The number under which they were accepted; 0 before that.
+    limits : CallerLimits
+        What callers of forwarded requests may send.
     """
 
     generation: ids.Generation = ids.Generation(0)
@@ -176,6 +292,7 @@
     teams: dict[ids.TeamId, Team] = {}
     routes: tuple[Route, ...] = ()
     assignments: dict[str, Assignment] = {}
+    limits: CallerLimits = CallerLimits()
 
     def is_out(self, domain: ids.DomainId) -> bool:
         """Tell whether operators have taken a failure domain out."""
@@ -209,3 +326,10 @@
             if route.stage in ("", stage):
                 return route
         return None
+
+
+def retarget(pipeline: Pipeline, pool: ids.PoolName) -> Pipeline:
+    """Send a pipeline's last stage to another of its pools."""
+    last = msgspec.structs.replace(pipeline.stages[-1], pool=pool)
+    stages = (*pipeline.stages[:-1], last)
+    return msgspec.structs.replace(pipeline, stages=stages)
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -12,6 +12,9 @@
 
 VARIABLE_PREFIX = "CHERVILSHORE_"
 
+FILE_VARIABLE = VARIABLE_PREFIX + "SETTINGS"
+"""The variable that holds the path of a settings file."""
+
 
 class Kind(msgspec.Struct, frozen=True):
     """A kind of value.
@@ -161,6 +164,39 @@
         "decisions to use; the baselines are there to compare with",
         "full",
     ),
+    # Forwarding.
+    Setting(
+        "interface",
+        choice("pipelines", "forward"),
+        "what callers speak: the project's own interface for pipelines, or "
+        "requests that are forwarded on the users' platform",
+        "pipelines",
+    ),
+    Setting(
+        "ready_address",
+        OPTIONAL_ADDRESS,
+        "where a forwarding host tells balancers whether it is ready, and "
+        "its metrics",
+        "",
+    ),
+    Setting(
+        "retry_ratio",
+        real(0.0, 10.0),
+        "retries for each forwarded request that all hosts may make",
+        "0.1",
+    ),
+    Setting(
+        "retry_slack",
+        real(0.0, 100_000.0),
+        "retries in a window that all hosts may make besides",
+        "10",
+    ),
+    Setting(
+        "retry_window_ms",
+        whole(100, 600_000),
+        "window in which retries are counted, in milliseconds",
+        "10000",
+    ),
     # Requests.
     Setting(
         "body_bytes",
@@ -294,6 +330,11 @@
         action="store_true",
         help="check the settings and exit",
     )
+    parser.add_argument(
+        "--file",
+        metavar="PATH",
+        help=f"a JSON file of settings by name ({FILE_VARIABLE})",
+    )
     for setting in SETTINGS:
         default = "required"
         if setting.default is not None:
@@ -308,9 +349,25 @@
     return parser
 
 
+def read_file(path: str) -> dict[str, str]:
+    """Read a settings file: a JSON object of names and texts.
+
+    Raises
+    ------
+    exceptions.SettingsError
+        The file cannot be read, or has another form.
+    """
+    try:
+        with open(path, "rb") as source:
+            return msgspec.json.decode(source.read(), type=dict[str, str])
+    except (OSError, msgspec.DecodeError) as error:
+        raise exceptions.SettingsError(f"{path}: {error}") from error
+
+
 def load(
     flags: collections_abc.Mapping[str, str | None],
     environment: collections_abc.Mapping[str, str],
+    file: collections_abc.Mapping[str, str] | None = None,
 ) -> Settings:
     """Check all settings.
 
@@ -320,6 +377,8 @@
         The values given as flags, by the setting's name.
     environment : mapping
         The environment variables.
+    file : mapping or None
+        The values of a settings file; flags and variables go before them.
 
     Raises
     ------
@@ -331,7 +390,9 @@
     for setting in SETTINGS:
         text = flags.get(setting.name)
         if text is None:
-            text = environment.get(setting.variable, setting.default)
+            text = environment.get(setting.variable)
+        if text is None:
+            text = (file or {}).get(setting.name, setting.default)
         where = f"{setting.flag} ({setting.variable})"
         if text is None:
             problems.append(f"{where} is required: {setting.kind.allowed}")
--- a/chervilshore/wire.py
+++ b/chervilshore/wire.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
+from chervilshore import catalogmessages
 from chervilshore import grantmessages
 from chervilshore import ids
 from chervilshore import messages
+from chervilshore import piecemessages
 
 Body = typing.Union[
     messages.Ping,
@@ -36,6 +38,13 @@
     messages.ClaimReply,
     messages.EntryAsk,
     messages.EntryReply,
+    piecemessages.PiecesAsk,
+    piecemessages.PiecesTaken,
+    piecemessages.PiecesMade,
+    piecemessages.PiecesDrop,
+    piecemessages.PiecesFree,
+    catalogmessages.CatalogAsk,
+    catalogmessages.CatalogReply,
 ]
 """Any message."""
 
