Hold late requests back, and make large results near their reader

Change: a step's path counts the waits at later steps, as keepers tell them in their replies; a request that cannot reach its objective waits before its first step while queues are long, or is refused at once when it cannot begin in time. Large results wait for an endpoint in the domain of the engine that will read them while that costs no time.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -1,6 +1,7 @@
 """Keeps the pieces of all hosts for the pools that this host looks after."""
 
 import asyncio
+import collections
 from collections import abc as collections_abc
 import logging
 
@@ -11,6 +12,7 @@
 from chervilshore import clock as clocks
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
+from chervilshore.decisions import backlog
 from chervilshore.decisions import batches
 from chervilshore import events
 from chervilshore import exceptions
@@ -131,17 +133,17 @@
         ended = self._ended.get(ask.job)
         if ended is not None:
             report(ended[1])
-            return piecemessages.PiecesTaken(0.0)
+            return piecemessages.PiecesTaken(backlog.Waits())
         keep = self._find_keep(ask.pool)
         if keep is None:
             return None
         keep.reports[ask.job] = report
-        wait = keep.planner.estimate_wait(now)
+        waits = keep.planner.estimate_waits(now)
         if ask.job not in keep.planner.jobs:
             self._pool_of[ask.job] = ask.pool
             keep.planner.add(_make_job(ask, now))
             keep.wake.set()
-        return piecemessages.PiecesTaken(wait)
+        return piecemessages.PiecesTaken(waits)
 
     def drop(self, job: str) -> None:
         """Forget a job that is not needed any more."""
@@ -268,6 +270,7 @@
         ]
         limit = CALL_FACTOR * call.expected_ms + CALL_SLACK_MS
         outcome = "made"
+        failures: collections.Counter[str] = collections.Counter()
         try:
             found = await self._client.run(call.record, asked, limit)
         except exceptions.EndpointError as error:
@@ -275,6 +278,7 @@
             outcome = "busy" if busy else "lost"
             self._fail(keep, call, busy)
         else:
+            failures.update(one.failure.value for one in found if one.failure)
             self._finish(keep, call, found)
         millis = self._clock.now() - now
         self._metrics.count(
@@ -293,6 +297,8 @@
             endpoint=call.record.endpoint,
             outcome=outcome,
             pieces=len(asked),
+            failures=dict(failures),
+            room_bytes=keep.planner.count_room(call.record.endpoint, now),
             requests=[part.job.request for part in call.parts],
             expected_ms=round(call.expected_ms),
             millis=round(millis),
@@ -327,7 +333,8 @@
             for failure in (pieces.Failure.INPUT_GONE, pieces.Failure.LATE):
                 if failure in failures and keep.planner.drop(part.job.name):
                     self._end(keep, part.job, failure)
-        for job in keep.planner.retry_missing(call, handles, now):
+        crowded = sum(one.failure is pieces.Failure.NO_ROOM for one in found)
+        for job in keep.planner.retry_missing(call, crowded, now):
             self._end(keep, job, pieces.Failure.ERROR)
 
     def _end(
--- a/chervilshore/controllers/preparing.py
+++ b/chervilshore/controllers/preparing.py
@@ -12,12 +12,15 @@
 from chervilshore import clock as clocks
 from chervilshore.controllers import batching
 from chervilshore.controllers import directory as directories
+from chervilshore.decisions import backlog
+from chervilshore.decisions import placing
 from chervilshore.decisions import rendezvous
 from chervilshore.decisions import schedule
 from chervilshore import events
 from chervilshore import exceptions
 from chervilshore.filters import base
 from chervilshore import ids
+from chervilshore import messages
 from chervilshore import piecemessages
 from chervilshore import records
 from chervilshore import results
@@ -31,8 +34,12 @@
 RETRY_MS = 500.0
 """Least milliseconds after which a refused caller may come back."""
 
-MOST_REDOS = 2
-"""Times that a step is done again because its inputs are gone."""
+GATE_MS = 900.0
+"""Milliseconds that a late request may wait for the calls of a pool before
+it is held back; results lapse after a few seconds of waiting."""
+
+GATE_CHECK_MS = 250.0
+"""Milliseconds after which a request that is held back is looked at again."""
 
 SUBMIT_TRIES = 4
 """Keepers that are tried for one job."""
@@ -106,6 +113,7 @@
         self._numbers = itertools.count()
         self._life = f"{clock.wall():.0f}"
         self._waiting: dict[str, asyncio.Future] = {}
+        self._backlog = backlog.Backlog()
 
     async def on_start(self) -> None:
         """Take messages."""
@@ -126,18 +134,17 @@
         exceptions.RefusalError
             They cannot be had in time.
         """
-        passage = exchange.passage
-        steps = schedule.plan_steps(
-            exchange.pipeline,
-            exchange.rules.pools,
-            passage.piece_counts,
-            passage.tokens_in,
-        )
+        steps = self._plan(exchange)
         prepared = Prepared()
         if not steps:
             return prepared
+        await self._pass_gate(exchange)
+        home = placing.choose_home(
+            exchange.passage.parts,
+            self._directory.endpoints(exchange.pipeline.stages[-1].pool),
+        )
         try:
-            await self._run_steps(exchange, steps, prepared)
+            await self._run_steps(exchange, steps, prepared, home)
         except StepFailed as error:
             self.release(prepared)
             raise exceptions.RefusalError(
@@ -150,11 +157,51 @@
             raise
         return prepared
 
+    def _plan(self, exchange: base.Exchange) -> list[schedule.Step]:
+        now = self._clock.now()
+        passage = exchange.passage
+        return schedule.plan_steps(
+            exchange.pipeline,
+            exchange.rules.pools,
+            passage.piece_counts,
+            passage.tokens_in,
+            lambda pool: self._backlog.find(pool, now).timely_ms,
+        )
+
+    async def _pass_gate(self, exchange: base.Exchange) -> None:
+        """Hold a late request back before its first step.
+
+        What is made for it would lapse in the queue of a later step, and
+        take places from requests that can still reach their objective.
+        """
+        limit = exchange.arrived + schedule.find_start_limit(
+            exchange.pipeline, exchange.deadline - exchange.arrived
+        )
+        objective = exchange.arrived + exchange.pipeline.objective_ms
+        while True:
+            now = self._clock.now()
+            steps = self._plan(exchange)
+            if now + schedule.expect_start(steps) <= objective:
+                return
+            wait = max(
+                self._backlog.find(step.pool, now).late_ms for step in steps
+            )
+            if now + wait + schedule.expect_start(steps) > limit:
+                raise exceptions.RefusalError(
+                    results.Code.OVERLOADED,
+                    f"pieces wait for {wait:.0f} ms",
+                    max(RETRY_MS, wait),
+                )
+            if wait <= GATE_MS:
+                return
+            await self._clock.sleep(min(GATE_CHECK_MS, wait - GATE_MS + 1.0))
+
     async def _run_steps(
         self,
         exchange: base.Exchange,
         steps: list[schedule.Step],
         prepared: Prepared,
+        home: ids.DomainId,
     ) -> None:
         tasks: dict[int, asyncio.Task] = {}
         readers = schedule.count_readers(steps)
@@ -162,7 +209,7 @@
             prepared.pools[step.stage] = step.pool
             needed = [tasks[other] for other in step.after]
             tasks[step.stage] = asyncio.ensure_future(
-                self._run_step(exchange, step, needed, prepared, readers)
+                self._run_step(exchange, step, needed, prepared, readers, home)
             )
         try:
             found = await asyncio.gather(*tasks.values())
@@ -183,11 +230,12 @@
         needed: list[asyncio.Task],
         prepared: Prepared,
         readers: dict[int, int],
+        home: ids.DomainId,
     ) -> tuple[str, ...]:
         inputs: list[str] = []
         for task in needed:
             inputs += await asyncio.shield(task)
-        ask = self._make_ask(exchange, step, tuple(inputs))
+        ask = self._make_ask(exchange, step, tuple(inputs), home)
         made = await self._submit(ask)
         events.log_event(
             _LOGGER,
@@ -213,6 +261,7 @@
         exchange: base.Exchange,
         step: schedule.Step,
         inputs: tuple[str, ...],
+        home: ids.DomainId,
     ) -> piecemessages.PiecesAsk:
         now = self._clock.now()
         objective = exchange.arrived + exchange.pipeline.objective_ms
@@ -231,7 +280,7 @@
             due_ms=objective - now - step.path_ms,
             left_ms=exchange.arrived + limit - now - step.path_ms,
             result_bytes=step.result_bytes,
-            domain=ids.DomainId(""),
+            domain=home,
         )
 
     async def _submit(
@@ -278,7 +327,8 @@
         self, keeper: records.HostRecord, ask: piecemessages.PiecesAsk
     ) -> bool:
         if keeper.host == self._host:
-            return self._keeper.take(ask, self._hear_made) is not None
+            taken = self._keeper.take(ask, self._hear_made)
+            return self._note_taken(ask.pool, taken)
         try:
             taken = await self._peers.ask(keeper.peer_address, ask, ACCEPT_MS)
         except exceptions.PeerError as error:
@@ -291,7 +341,15 @@
                 error=error,
             )
             return False
-        return isinstance(taken, piecemessages.PiecesTaken)
+        return self._note_taken(ask.pool, taken)
+
+    def _note_taken(
+        self, pool: ids.PoolName, taken: messages.Message | None
+    ) -> bool:
+        if not isinstance(taken, piecemessages.PiecesTaken):
+            return False
+        self._backlog.note(pool, taken.waits, self._clock.now())
+        return True
 
     def _drop(self, keeper: records.HostRecord, job: str) -> None:
         if keeper.host == self._host:
--- a/chervilshore/decisions/batches.py
+++ b/chervilshore/decisions/batches.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from chervilshore.decisions import backlog
 from chervilshore import ids
 from chervilshore import records
 from chervilshore.rules import model
@@ -33,12 +34,25 @@
 BACKOFF_MS = 60.0
 """Milliseconds for which a full endpoint is not asked again."""
 
+CROWDED_MS = 600.0
+"""Milliseconds for which an endpoint counts as fuller than it seemed."""
+
 FAILED_MS = 700.0
 """Milliseconds for which an endpoint rests after a first lost call."""
 
 MOST_FAILED_MS = 5000.0
 """Milliseconds for which an endpoint rests at most."""
 
+NEAR_BYTES = 200_000
+"""Bytes of a result from which it should be made near its reader."""
+
+NEAR_SLACK_MS = 80.0
+"""Milliseconds that must be left besides to wait for an endpoint there."""
+
+ROOM_PART = 0.97
+"""The part of the room for results that is planned with, as their sizes are
+known only about."""
+
 SLOW_SPEED = 2.0
 """Times the usual duration from which an endpoint is left while others
 are free soon."""
@@ -217,19 +231,27 @@
         batching = self.batching
         return speed * (batching.call_ms + batching.piece_ms * pieces)
 
-    def estimate_wait(self, now: float) -> float:
-        """Tell for how long a new job waits for its call, about."""
+    def estimate_waits(self, now: float) -> backlog.Waits:
+        """Tell for how long new jobs wait for their call, about."""
         usable = [
             worker
             for worker in self._workers.values()
             if worker.rests_until <= now and worker.speed < SLOW_SPEED
         ]
+        whole = self.expect_ms(self.batching.most)
         if not usable:
-            return self.expect_ms(self.batching.most)
-        waiting = sum(len(job.waiting) for job in self.jobs.values())
+            return backlog.Waits(whole, whole)
+        timely = late = 0
+        for job in self.jobs.values():
+            if now <= job.due:
+                timely += len(job.waiting)
+            else:
+                late += len(job.waiting)
         free = min(self._left_ms(worker, now) for worker in usable)
-        calls = waiting // self.batching.most
-        return free + calls * self.expect_ms(self.batching.most) / len(usable)
+        each = whole / self.batching.most / len(usable)
+        return backlog.Waits(
+            free + timely * each, free + (timely + late) * each
+        )
 
     def _left_ms(self, worker: _Worker, now: float) -> float:
         call = worker.call
@@ -286,9 +308,11 @@
             if now >= call.began + self._late_ms(call):
                 call.released = True
                 worker.speed = max(worker.speed, SLOW_SPEED)
-                self._return_pieces(call, now)
+                self._return_pieces(call)
 
-    def _return_pieces(self, call: BatchCall, now: float) -> list[Job]:
+    def _return_pieces(
+        self, call: BatchCall, counts: bool = True
+    ) -> list[Job]:
         """Let a call's pieces wait again; tell which jobs have failed."""
         failed = []
         for part in call.parts:
@@ -298,7 +322,8 @@
             missing = {one for one in part.pieces if not job.handles[one]}
             if not missing:
                 continue
-            job.tries += 1
+            if counts:
+                job.tries += 1
             if job.tries >= MOST_TRIES:
                 del self.jobs[job.name]
                 failed.append(job)
@@ -331,12 +356,14 @@
         self, worker: _Worker, waiting: list[Job], now: float
     ) -> BatchCall | None:
         batching = self.batching
-        room = batching.room_bytes - worker.used_bytes(now)
+        room = ROOM_PART * batching.room_bytes - worker.used_bytes(now)
         left = batching.most
         parts = []
         for job in waiting:
             if left <= 0:
                 break
+            if self._waits_for_near(worker, job, now):
+                continue
             fits = left
             if job.result_bytes:
                 fits = min(left, int(room // job.result_bytes))
@@ -360,6 +387,23 @@
                 self._reserve(worker, part.job, piece, call, now)
         return call
 
+    def _waits_for_near(self, worker: _Worker, job: Job, now: float) -> bool:
+        """Tell whether a job should wait for an endpoint near its reader.
+
+        Large results are made where they will be read while that costs
+        the request nothing.
+        """
+        domain = worker.record.domain
+        if job.result_bytes < NEAR_BYTES or domain == job.domain:
+            return False
+        return any(
+            other.record.domain == job.domain
+            and other.rests_until <= now
+            and other.speed < SLOW_SPEED
+            and now + self._left_ms(other, now) + NEAR_SLACK_MS <= job.due
+            for other in self._workers.values()
+        )
+
     def _reserve(
         self,
         worker: _Worker,
@@ -439,16 +483,32 @@
             worker.results[handle] = (ends, job.result_bytes)
 
     def retry_missing(
-        self, call: BatchCall, handles: list[str], now: float
+        self, call: BatchCall, crowded: int, now: float
     ) -> list[Job]:
         """Let pieces without a result wait again.
 
+        Parameters
+        ----------
+        call : BatchCall
+            The call.
+        crowded : int
+            Pieces for whose results there was no room.
+        now : float
+            The time in milliseconds.
+
         Returns
         -------
         list of Job
             The jobs that have failed too often.
         """
-        return self._return_pieces(call, now)
+        worker = self._workers.get(call.record.endpoint)
+        if worker is not None and crowded:
+            # Less room is left there than it seemed.
+            size = max(part.job.result_bytes for part in call.parts)
+            worker.results["crowded"] = (now + CROWDED_MS, crowded * size)
+            if crowded == call.size:
+                worker.rests_until = now + BACKOFF_MS
+        return self._return_pieces(call, counts=not crowded)
 
     def fail(self, call: BatchCall, full: bool, now: float) -> list[Job]:
         """Take a call that brought nothing.
@@ -481,10 +541,14 @@
                 worker.rests_until = now + min(MOST_FAILED_MS, rest)
         if call.released:
             return []
-        if full:
-            for part in call.parts:
-                part.job.tries -= 1
-        return self._return_pieces(call, now)
+        return self._return_pieces(call, counts=not full)
+
+    def count_room(self, endpoint: ids.EndpointId, now: float) -> float:
+        """Tell the bytes of results that an endpoint can still keep."""
+        worker = self._workers.get(endpoint)
+        if worker is None:
+            return 0.0
+        return self.batching.room_bytes - worker.used_bytes(now)
 
     def find_maker(self, handle: str) -> records.EndpointRecord | None:
         """Tell which endpoint has a result."""
--- a/chervilshore/decisions/placing.py
+++ b/chervilshore/decisions/placing.py
@@ -7,6 +7,7 @@
 from chervilshore.decisions import rendezvous
 from chervilshore.decisions import routing
 from chervilshore import ids
+from chervilshore import passages
 from chervilshore import records
 
 AFFINITY_LOAD = 2.0
@@ -122,4 +123,38 @@
 
     The last part belongs to the request alone.
     """
-    return need.parts[-2 if len(need.parts) > 1 else -1].name
+    return _name_session(need.parts)
+
+
+def _name_session(
+    parts: collections_abc.Sequence[passages.PromptPart],
+) -> str:
+    return parts[-2 if len(parts) > 1 else -1].name
+
+
+def choose_home(
+    parts: collections_abc.Sequence[passages.PromptPart],
+    endpoints: collections_abc.Iterable[records.EndpointRecord],
+) -> ids.DomainId:
+    """Tell the domain in which a prompt will be read, most likely.
+
+    Parameters
+    ----------
+    parts : sequence of PromptPart
+        The prompt.
+    endpoints : iterable of EndpointRecord
+        The endpoints that may read it.
+
+    Returns
+    -------
+    DomainId
+        The domain; empty when nothing can be said.
+    """
+    live = {
+        record.endpoint: record
+        for record in endpoints
+        if record.state is records.EndpointState.LIVE
+    }
+    if not parts or not live:
+        return ids.DomainId("")
+    return live[rendezvous.choose(live, _name_session(parts))].domain
--- a/chervilshore/decisions/schedule.py
+++ b/chervilshore/decisions/schedule.py
@@ -45,6 +45,8 @@
         Bytes of one result, about.
     path_ms : float
         Milliseconds from the beginning of its call to the first event.
+    wait_ms : float
+        Milliseconds for which its call is waited for, about.
     """
 
     stage: int
@@ -53,6 +55,7 @@
     after: tuple[int, ...]
     result_bytes: int
     path_ms: float
+    wait_ms: float = 0.0
 
 
 def find_start_limit(pipeline: model.Pipeline, deadline_ms: float) -> float:
@@ -80,6 +83,7 @@
     pools: collections_abc.Mapping[ids.PoolName, model.Pool],
     counts: collections_abc.Sequence[int],
     tokens: int,
+    find_wait: collections_abc.Callable[[ids.PoolName], float],
 ) -> list[Step]:
     """Plan the preparations that a request needs.
 
@@ -93,6 +97,8 @@
         The request's pieces for each preparation; 0 leaves it out.
     tokens : int
         Tokens of the prompt.
+    find_wait : callable
+        Tells the milliseconds for which a pool's calls are waited for.
 
     Returns
     -------
@@ -106,14 +112,16 @@
     ]
     first_ms = FIRST_EVENT_MS + tokens / TOKENS_PER_MS
     paths: dict[int, float] = {}
+    waits: dict[int, float] = {}
     for index in reversed(needed):
         preparation = pipeline.preparations[index]
         later = [
-            paths[other]
+            paths[other] + waits[other]
             for other in needed
             if other in paths and index in pipeline.preparations[other].after
         ]
         own = _expect_call(pools.get(preparation.pool), counts[index])
+        waits[index] = find_wait(preparation.pool)
         paths[index] = own + max(later, default=first_ms)
     return [
         Step(
@@ -127,11 +135,17 @@
             ),
             result_bytes=pipeline.preparations[index].result_bytes,
             path_ms=paths[index],
+            wait_ms=waits[index],
         )
         for index in needed
     ]
 
 
+def expect_start(steps: collections_abc.Sequence[Step]) -> float:
+    """Tell the milliseconds until the first event, with all waiting."""
+    return max((step.wait_ms + step.path_ms for step in steps), default=0.0)
+
+
 def count_readers(steps: collections_abc.Sequence[Step]) -> dict[int, int]:
     """Count for each stage the steps that need its results."""
     counts = dict.fromkeys((step.stage for step in steps), 0)
--- a/chervilshore/piecemessages.py
+++ b/chervilshore/piecemessages.py
@@ -1,6 +1,7 @@
 """Messages about pieces of work, between hosts and a pool's keeper."""
 
 from chervilshore.clients import pieces
+from chervilshore.decisions import backlog
 from chervilshore import ids
 from chervilshore import messages
 
@@ -54,11 +55,11 @@
 
     Parameters
     ----------
-    wait_ms : float
-        Milliseconds for which a new job waits, about.
+    waits : Waits
+        How long new pieces wait.
     """
 
-    wait_ms: float
+    waits: backlog.Waits
 
 
 class PiecesMade(messages.Message, frozen=True, tag="wm"):
--- a/chervilshore/platform/pieces.py
+++ b/chervilshore/platform/pieces.py
@@ -99,7 +99,11 @@
         """Give results up; see `PieceClient.free`."""
         body = msgspec.json.encode({"handles": handles})
         request = _make_request(record, names.STAGE_FREE, body)
-        await self._pool.fetch(record.address, request, limit_ms)
+        status, content = await self._pool.fetch(
+            record.address, request, limit_ms
+        )
+        if status != 200:
+            raise exceptions.EndpointBroken(f"status {status}: {content!r}")
 
 
 def _convert(made: _Made) -> pieces.PieceResult:
