Refuse what a stopping host cannot finish; log as JSON without blocking

A body over the limit crashed its request, as the web server's plain request cannot close its connection (found by a test). A hang-up ended the process, since nothing took the signal. Late work was counted as if the whole pool were left for it, so requests were held and refused after seconds.

Change: 2.7 s after SIGTERM new requests are refused with Retry-After 0 and a closed connection; settings are read anew on SIGHUP and when their file changes; late work is counted against what timely work leaves, later steps go first among late ones; log lines are JSON on a pipe that never blocks, bounded, with whole stories of failed requests.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -268,11 +268,18 @@
         Measures idle times and time limits.
     connect_ms : float
         Milliseconds to wait for a connection.
+
+    Attributes
+    ----------
+    connect_ms : float
+        The same; it may be changed.
+    opened : int
+        Connections opened so far.
     """
 
     def __init__(self, clock: clocks.Clock, connect_ms: float = 500.0) -> None:
         self._clock = clock
-        self._connect_ms = connect_ms
+        self.connect_ms = connect_ms
         self._idle: dict[ids.Address, list[Connection]] = {}
         self.opened = 0
 
@@ -309,7 +316,7 @@
     async def _open(self, address: ids.Address) -> Connection:
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(self._connect_ms / 1000.0):
+            async with asyncio.timeout(self.connect_ms / 1000.0):
                 loop = asyncio.get_running_loop()
                 _, connection = await loop.create_connection(
                     Connection, host, int(port)
--- a/chervilshore/decisions/batches.py
+++ b/chervilshore/decisions/batches.py
@@ -8,6 +8,7 @@
 
 from collections import abc as collections_abc
 import enum
+import math
 
 import msgspec
 
@@ -16,7 +17,7 @@
 from chervilshore import records
 from chervilshore.rules import model
 
-PRIORITY_MS = 150.0
+PRIORITY_MS = 300.0
 """Milliseconds by which one step of priority moves a piece ahead or back."""
 
 SPEED_WEIGHT = 0.4
@@ -34,6 +35,16 @@
 BACKOFF_MS = 60.0
 """Milliseconds for which a full endpoint is not asked again."""
 
+CROWDED_REST_MS = 200.0
+"""Milliseconds for which an endpoint without any room is not asked again;
+results of a lost keeper take up to four seconds to lapse."""
+
+SHARE_MS = 1500.0
+"""Milliseconds over which the share of timely work is averaged."""
+
+LEAST_SPARE = 0.1
+"""The part of a pool that is taken to be left for late work in any case."""
+
 CROWDED_MS = 600.0
 """Milliseconds for which an endpoint counts as fuller than it seemed."""
 
@@ -204,6 +215,8 @@
         self.batching = batching
         self.jobs: dict[str, Job] = {}
         self._workers: dict[ids.EndpointId, _Worker] = {}
+        self._timely = 0.0
+        self._faded = 0.0
 
     def set_endpoints(
         self, found: collections_abc.Iterable[records.EndpointRecord]
@@ -249,10 +262,21 @@
                 late += len(job.waiting)
         free = min(self._left_ms(worker, now) for worker in usable)
         each = whole / self.batching.most / len(usable)
+        spare = max(LEAST_SPARE, 1.0 - self._count_share(now, each))
         return backlog.Waits(
-            free + timely * each, free + (timely + late) * each
+            free + timely * each, free + (timely + late) * each / spare
         )
 
+    def _count_share(self, now: float, each_ms: float) -> float:
+        """Tell the part of the pool that timely work takes."""
+        self._fade(now)
+        return self._timely * each_ms / SHARE_MS
+
+    def _fade(self, now: float) -> None:
+        passed = max(0.0, now - self._faded)
+        self._timely *= math.exp(-passed / SHARE_MS)
+        self._faded = now
+
     def _left_ms(self, worker: _Worker, now: float) -> float:
         call = worker.call
         if call is None:
@@ -334,10 +358,12 @@
     def _sort(self, now: float) -> list[Job]:
         """Order the jobs: those that can reach their objective first."""
 
-        def weigh(job: Job) -> tuple[bool, float]:
+        def weigh(job: Job) -> tuple[bool, int, float]:
             if now <= job.due:
-                return False, job.due + PRIORITY_MS * job.priority
-            return True, job.deadline + PRIORITY_MS * job.priority
+                return False, 0, job.due + PRIORITY_MS * job.priority
+            # What earlier steps have made would be lost first.
+            by_time = job.deadline + PRIORITY_MS * job.priority
+            return True, -job.stage, by_time
 
         return sorted(
             (job for job in self.jobs.values() if job.waiting), key=weigh
@@ -375,8 +401,11 @@
             room -= len(pieces) * job.result_bytes
         if not parts:
             return None
+        self._fade(now)
         for part in parts:
             part.job.waiting -= set(part.pieces)
+            if now <= part.job.due:
+                self._timely += len(part.pieces)
         size = batching.most - left
         call = BatchCall(
             worker.record, parts, now, self.expect_ms(size, worker.speed)
@@ -507,7 +536,7 @@
             size = max(part.job.result_bytes for part in call.parts)
             worker.results["crowded"] = (now + CROWDED_MS, crowded * size)
             if crowded == call.size:
-                worker.rests_until = now + BACKOFF_MS
+                worker.rests_until = now + CROWDED_REST_MS
         return self._return_pieces(call, counts=not crowded)
 
     def fail(self, call: BatchCall, full: bool, now: float) -> list[Job]:
--- a/chervilshore/decisions/retries.py
+++ b/chervilshore/decisions/retries.py
@@ -81,6 +81,13 @@
         self._allowed = 0
         self._denied = 0
 
+    def change(self, ratio: float, floor: float, most: float) -> None:
+        """Go by other numbers from now on."""
+        self._ratio = ratio
+        self._floor = floor
+        self._most = most
+        self._tokens = min(self._tokens, most)
+
     def note_first(self) -> None:
         """Earn a part of a retry; see `RetryPolicy.note_first`."""
         self._tokens = min(self._most, self._tokens + self._ratio)
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -40,6 +40,9 @@
     STOPPED = EventSpec(1004, _INFO, "daemon stopped")
     TASK_FAILED = EventSpec(1005, _ERROR, "background task failed")
 
+    RELOADED = EventSpec(1006, _INFO, "settings read anew")
+    SETTINGS_REFUSED = EventSpec(1007, _ERROR, "new settings refused")
+
     # Configuration: 2000 to 2999.
     GENERATION_IN_FORCE = EventSpec(2001, _INFO, "generation in force")
     GENERATION_REFUSED = EventSpec(2002, _ERROR, "generation refused")
@@ -130,5 +133,9 @@
         spec.number,
         spec.text,
         words,
-        extra={"event": spec.number, "fields": fields},
+        extra={
+            "event": spec.number,
+            "event_text": spec.text,
+            "fields": fields,
+        },
     )
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -59,8 +59,8 @@
 PROBES = probes.Numbers(period_ms=400.0)
 """Fewer probes than by default: small hosts pay for each message."""
 
-LEAVE_MS = 2500.0
-"""Milliseconds for which a leaving host goes on taking connections: the
+LEAVE_MS = 2700.0
+"""Milliseconds for which a leaving host goes on taking requests: the
 balancer leaves it out after two missed questions, a second apart."""
 
 _DECODERS = catalog.Decoders(
@@ -190,9 +190,8 @@
             shedding.NoShedding(),
             self._metrics,
         )
-        runner = stage.StageRunner(
-            self._clock, attempts, self._make_retry_budget()
-        )
+        self._budget = retries.RetryBudget(*_share_budget(self._options))
+        runner = stage.StageRunner(self._clock, attempts, self._budget)
         self._cutoff = cutoff.CutoffFilter(self._clock)
         steps = (
             outcome.OutcomeFilter(),
@@ -205,17 +204,6 @@
         last = forward.ForwardFilter(self._clock, self._preparer, runner)
         return base.chain(steps, last.run)
 
-    def _make_retry_budget(self) -> retries.RetryPolicy:
-        """Share the budget of all hosts without any agreement."""
-        options = self._options
-        slack = options.retry_slack / HOSTS_SHARING
-        window = options.retry_window_ms / clocks.MILLIS_PER_SECOND
-        return retries.RetryBudget(
-            ratio=options.retry_ratio * RATIO_PART,
-            floor=slack / 2.0 / window,
-            most=max(1.0, slack / 2.0),
-        )
-
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -267,6 +255,13 @@
             status=200 if ready else 503,
         )
 
+    def reload(self, options: settings.Settings) -> None:
+        """Take new settings, as far as they may change while it runs."""
+        self._options = options
+        self._connections.connect_ms = options.connect_ms
+        self._store.timeout_ms = options.platform_ms
+        self._budget.change(*_share_budget(options))
+
     async def drain(self) -> None:
         """Let the balancer turn away, and finish what runs."""
         self._leaving = True
@@ -274,6 +269,8 @@
         self._membership.leave()
         await self._catalog.unregister()
         await self._clock.sleep(LEAVE_MS)
+        # What comes later has a better chance at any other host.
+        self.ingress.closed = True
         left = self._options.drain_ms - LEAVE_MS
         try:
             await clocks.wait_for(
@@ -291,3 +288,17 @@
     async def on_shutdown(self) -> None:
         """Close the store's connections, which stopping parts use."""
         await self._store.close()
+
+
+def _share_budget(options: settings.Settings) -> tuple[float, float, float]:
+    """Tell this host's part of the retry budget, without any agreement.
+
+    Returns
+    -------
+    tuple of float
+        Ratio, retries a second and retries at once.
+    """
+    slack = options.retry_slack / HOSTS_SHARING
+    window = options.retry_window_ms / clocks.MILLIS_PER_SECOND
+    ratio = options.retry_ratio * RATIO_PART
+    return ratio, slack / 2.0 / window, max(1.0, slack / 2.0)
--- a/chervilshore/ingress.py
+++ b/chervilshore/ingress.py
@@ -79,6 +79,8 @@
     ----------
     draining : bool
         Whether connections end with the answers on them.
+    closed : bool
+        Whether new requests are refused, as they could not be finished.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         read_limits: collections_abc.Callable[[], model.CallerLimits],
     ) -> None:
         self.draining = False
+        self.closed = False
         self._clock = clock
         self._handle = handle
         self._metrics = counters
@@ -111,6 +114,12 @@
         exchange = None
         relay = EventRelay(request)
         try:
+            if self.closed:
+                answer = base.Answer(
+                    results.Code.DRAINING,
+                    retry_after_ms=server.DRAIN_RETRY_MS,
+                )
+                return await self._write(request, relay, answer)
             exchange, answer = await self._read(request, relay, begun)
             if exchange is not None:
                 answer = await self._handle(exchange)
@@ -128,7 +137,6 @@
         limits = self._read_limits()
         refused = base.Answer(results.Code.BODY_TOO_LARGE)
         if (request.content_length or 0) > limits.body_bytes:
-            request.force_close()
             return None, refused
         try:
             async with asyncio.timeout(server.READ_SECONDS):
@@ -180,7 +188,10 @@
             _set_headers(response, found.headers)
         else:
             response = self._make_refusal(request, answer)
-        if self.draining:
+        too_large = answer.code is results.Code.BODY_TOO_LARGE
+        if self.draining or too_large:
+            # The rest of a body that is not read must not be taken for
+            # another request.
             response.force_close()
         return response
 
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -371,6 +371,10 @@
         site = web.TCPSite(self._runner, host.strip("[]"), int(port))
         await site.start()
 
+    def reload(self, options: settings.Settings) -> None:
+        """Take new settings, as far as they may change while it runs."""
+        self._options = options
+
     async def drain(self) -> None:
         """Refuse new requests, tell the peers, and finish what runs."""
         self.server.draining = True
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -71,7 +71,7 @@
         counters: metrics.Metrics | None = None,
     ) -> None:
         self._address = address
-        self._timeout_ms = timeout_ms
+        self.timeout_ms = timeout_ms
         self._counters = counters
         self._pool = connections.ConnectionPool(clock, connect_ms=timeout_ms)
 
@@ -153,7 +153,7 @@
         if body:
             headers.append(("Content-Type", "application/json"))
         request = connections.Request(method, path, headers, body)
-        limit = self._timeout_ms if limit_ms is None else limit_ms
+        limit = self.timeout_ms if limit_ms is None else limit_ms
         try:
             status, content = await self._pool.fetch(
                 self._address, request, limit, ANSWER_BYTES
--- /dev/null
+++ b/tests/gateway_helpers.py
@@ -0,0 +1,179 @@
+"""A forwarding host on loopback before stand-ins of store and workers."""
+
+import asyncio
+import contextlib
+import itertools
+
+import aiohttp
+
+from chervilshore import clock as clocks
+from chervilshore import gateway
+from chervilshore import settings
+from standins import store as stores
+from standins import workers
+
+KEY = "key-of-a-team"
+NUMBERS = itertools.count(1)
+WAIT_SECONDS = 10.0
+
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 100_000,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
+
+def make_route(name, service, **changes):
+    """Write a route as the operator does."""
+    return {
+        "name": name,
+        "host": "shop.example",
+        "path_prefix": f"/{name}/",
+        "kind": "idempotent",
+        "timeout_ms": 5000,
+        "slo_ms": 2000,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+    } | changes
+
+
+def make_config(version, routes, services, keys=(KEY,)):
+    """Write a configuration as the operator does."""
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": LIMITS,
+        "tenants": [{"name": "team1", "api_keys": list(keys)}],
+    }
+
+
+def make_service(name, **changes):
+    """Write a service as the operator does."""
+    return {"name": name, "health_path": "/health", "max_conns": 50} | changes
+
+
+def make_pieces(**changes):
+    """Write how a service takes pieces."""
+    return {
+        "slots": 1,
+        "queue": 2,
+        "batch": 8,
+        "call_ms": 5.0,
+        "item_ms": 1.0,
+        "headroom_mb": 10.0,
+        "handle_s": 4.0,
+        "link_mbps": 1000,
+    } | changes
+
+
+async def find_ports(count):
+    """Find free ports of the loopback address."""
+    servers = [
+        await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        for _ in range(count)
+    ]
+    ports = [server.sockets[0].getsockname()[1] for server in servers]
+    for server in servers:
+        server.close()
+        await server.wait_closed()
+    return ports
+
+
+class Deployment:
+    """A store, workers and hosts."""
+
+    def __init__(self):
+        self.store = stores.Store()
+        self.hosts = []
+        self.workers = {}
+        self.address = ""
+        self._session = None
+        self._version = 0
+
+    async def start(self):
+        self.address = await self.store.start()
+        self._session = aiohttp.ClientSession(auto_decompress=False)
+
+    async def stop(self):
+        for host in self.hosts:
+            await host.stop()
+        for worker in self.workers.values():
+            await worker.stop()
+        await self.store.stop()
+        await self._session.close()
+
+    async def configure(self, routes, services, **changes):
+        """Write a new configuration."""
+        self._version += 3
+        config = make_config(self._version, routes, services, **changes)
+        await self.store.write("config", "main", config)
+        return self._version
+
+    async def add_worker(self, name, service, zone="a", **options):
+        """Start a worker and let it register."""
+        worker = workers.Worker(name, **options)
+        await worker.start()
+        self.workers[name] = worker
+        await self.store.write("servers", name, worker.describe(service, zone))
+        return worker
+
+    async def add_host(self, **changes):
+        """Start a host and wait until it is ready."""
+        front, ready, peer = await find_ports(3)
+        values = {
+            "interface": "forward",
+            "host": f"h{len(self.hosts) + 1}",
+            "domain": "a",
+            "http_address": f"127.0.0.1:{front}",
+            "ready_address": f"127.0.0.1:{ready}",
+            "peer_address": f"127.0.0.1:{peer}",
+            "platform": self.address,
+            "drain_ms": "4000",
+        } | changes
+        options = settings.load(values, {})
+        host = gateway.Gateway(options, clocks.SystemClock())
+        host.address = values["http_address"]
+        host.ready_address = values["ready_address"]
+        await host.start()
+        self.hosts.append(host)
+        return host
+
+    async def wait(self, check):
+        """Wait until something holds."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not check():
+                await asyncio.sleep(0.01)
+
+    async def wait_ready(self, host, endpoints):
+        """Wait until a host knows its configuration and endpoints."""
+        await self.wait(
+            lambda: (
+                host.is_ready
+                and host._catalog.describe()["endpoints"] == endpoints
+            )
+        )
+
+    @contextlib.asynccontextmanager
+    async def open(self, host, path, method="POST", headers=(), **options):
+        """Send a request and give its answer while it is open."""
+        number = f"r{next(NUMBERS)}"
+        sent = {
+            "Host": "shop.example",
+            "Chervilshore-Attempt-Id": number,
+            "Chervilshore-Deadline-Ms": "5000",
+            "Chervilshore-Key": KEY,
+        } | dict(headers)
+        async with self._session.request(
+            method, f"http://{host.address}{path}", headers=sent, **options
+        ) as response:
+            response.attempt = number
+            yield response
+
+    async def ask(self, host, path, **options):
+        """Send a request; return its answer and body."""
+        async with self.open(host, path, **options) as response:
+            return response, await response.read()
--- /dev/null
+++ b/tests/test_eventstreams.py
@@ -0,0 +1,32 @@
+"""Events are passed on whole, however their bytes arrive."""
+
+import hypothesis
+from hypothesis import strategies
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore import eventstreams
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(strategies.lists(strategies.integers(0, len(STREAM))))
+def test_any_cut_gives_the_same_events(cuts):
+    splitter = eventstreams.EventSplitter()
+    edges = [0, *sorted(cuts), len(STREAM)]
+    whole = b"".join(
+        splitter.feed(STREAM[begin:end])
+        for begin, end in zip(edges, edges[1:], strict=False)
+    )
+    assertions.assert_that(whole, matchers.Equals(STREAM))
+    assertions.assert_that(splitter.last_event, matchers.Equals(3))
+    assertions.assert_that(splitter.is_clean, matchers.Is(True))
+
+
+def test_a_part_of_an_event_is_held_back():
+    splitter = eventstreams.EventSplitter()
+    whole = splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    assertions.assert_that(whole, matchers.Equals(b"id: 1\ndata: a\n\n"))
+    assertions.assert_that(splitter.last_event, matchers.Equals(1))
+    assertions.assert_that(splitter.is_clean, matchers.Is(False))
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,140 @@
+"""Log lines: whole stories, bounded, and no wait for a reader."""
+
+import logging
+import os
+
+import msgspec
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore import events
+from chervilshore import logs
+
+
+@pytest.fixture
+def pipe():
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        try:
+            os.close(end)
+        except OSError:
+            # The test has closed it.
+            pass
+
+
+@pytest.fixture
+def logger(clock, pipe):
+    handler = logs.JsonHandler(logs.LineWriter(pipe[1]), clock)
+    found = logging.getLogger("chervilshore.test")
+    found.handlers[:] = [handler]
+    found.setLevel("INFO")
+    found.propagate = False
+    yield found
+    found.handlers.clear()
+    found.propagate = True
+
+
+def read_lines(pipe):
+    os.set_blocking(pipe[0], False)
+    content = b""
+    while True:
+        try:
+            part = os.read(pipe[0], 1_000_000)
+        except BlockingIOError:
+            break
+        if not part:
+            break
+        content += part
+    return [msgspec.json.decode(line) for line in content.splitlines()]
+
+
+def tell_story(logger, request, code=0, lines=3):
+    for number in range(lines):
+        events.log_event(
+            logger,
+            events.Event.ENDPOINT_CHOSEN,
+            request=request,
+            endpoint=f"e{number}",
+        )
+    events.log_event(
+        logger,
+        events.Event.REQUEST_FORWARDED,
+        request=request,
+        code=code,
+        millis=5,
+    )
+
+
+def test_a_line_has_its_event_its_times_and_its_fields(logger, pipe):
+    tell_story(logger, "r1", lines=1)
+    first, last = read_lines(pipe)
+    assertions.assert_that(first["event"], matchers.Equals(4105))
+    assertions.assert_that(first["endpoint"], matchers.Equals("e0"))
+    assertions.assert_that(
+        set(first), matchers.GreaterThan({"time_ms", "steady_ms", "level"})
+    )
+    assertions.assert_that(last["code"], matchers.Equals(0))
+
+
+def test_hostile_values_stay_on_their_line(logger, pipe):
+    request = 'a\n{"event":1}\x00\x1b[2J' + "x" * 10_000
+    tell_story(logger, request, lines=0)
+    (line,) = read_lines(pipe)
+    assertions.assert_that(
+        len(line["request"]), matchers.LessThan(logs.MOST_VALUE_LENGTH + 10)
+    )
+
+
+def test_ten_thousand_failures_in_a_second_are_bounded(logger, pipe):
+    """Pattern: every request fails at once."""
+    writer = logger.handlers[0]._writer
+    for number in range(10_000):
+        tell_story(logger, f"r{number}", code=1021, lines=1)
+    lines = read_lines(pipe)
+    most = logs.MOST_LINES_PER_SECOND + logs.MOST_FAILURE_LINES
+    assertions.assert_that(len(lines), matchers.LessThan(most + 5))
+    assertions.assert_that(writer.dropped, matchers.LessThan(10_000))
+
+
+def test_what_was_left_out_is_counted(clock, logger, pipe):
+    written = 0
+    for number in range(1000):
+        tell_story(logger, f"r{number}")
+        # The pipe itself holds fewer lines than are allowed at once.
+        written += len(read_lines(pipe))
+    clock.set(10_000.0)
+    tell_story(logger, "later", lines=0)
+    first = read_lines(pipe)[0]
+    assertions.assert_that(first["text"], matchers.Equals("lines left out"))
+    assertions.assert_that(first["count"] + written, matchers.Equals(4000))
+
+
+def test_failed_requests_keep_their_whole_story_under_load(logger, pipe):
+    for number in range(150):
+        tell_story(logger, f"r{number}")
+    read_lines(pipe)
+    tell_story(logger, "failed", code=1021, lines=5)
+    lines = [one for one in read_lines(pipe) if one["request"] == "failed"]
+    assertions.assert_that(len(lines), matchers.Equals(6))
+
+
+def test_a_reader_that_stalls_holds_nothing_up(logger, pipe, clock):
+    for number in range(20_000):
+        clock.set(number * 10.0)
+        tell_story(logger, f"r{number}", lines=0)
+    writer = logger.handlers[0]._writer
+    assertions.assert_that(writer.dropped, matchers.GreaterThan(0))
+    assertions.assert_that(
+        writer._bytes, matchers.LessThan(logs.MOST_PENDING_BYTES + 1)
+    )
+
+
+def test_a_closed_reader_holds_nothing_up(logger, pipe):
+    os.close(pipe[0])
+    for number in range(100):
+        tell_story(logger, f"r{number}")
+    assertions.assert_that(
+        logger.handlers[0]._writer.dropped, matchers.GreaterThan(0)
+    )
