Let a leaving keeper of pieces hand its waiting jobs over

A keeper that left went on calling for what waited with it, beside its successor, so endpoints refused calls; after a cut each job asked a silent keeper for 250 ms first.

Change: what waits when a keeper leaves goes back to the hosts that asked, which choose the next keeper; a keeper that was silent is passed over for two seconds.

--- a/chervilshore/clients/pieces.py
+++ b/chervilshore/clients/pieces.py
@@ -16,6 +16,7 @@
     INPUT_GONE = "input gone"
     NO_ROOM = "no room"
     ERROR = "error"
+    MOVED = "moved"
 
 
 class PieceCall(msgspec.Struct, frozen=True):
--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -93,6 +93,7 @@
         self._ended: dict[str, tuple[float, piecemessages.PiecesMade]] = {}
         self._pool_of: dict[str, ids.PoolName] = {}
         self._running: set[asyncio.Task] = set()
+        self._leaving = False
 
     async def on_start(self) -> None:
         """Take messages."""
@@ -110,6 +111,13 @@
         for task in tuple(self._running):
             task.cancel()
 
+    def leave(self) -> None:
+        """Send what waits to other keepers, and take on nothing more."""
+        self._leaving = True
+        for keep in self._keeps.values():
+            for job in keep.planner.give_up_waiting():
+                self._end(keep, job, pieces.Failure.MOVED)
+
     def _hear_ask(
         self, sender: ids.Address, ask: piecemessages.PiecesAsk
     ) -> piecemessages.PiecesTaken | None:
@@ -126,7 +134,7 @@
         Returns
         -------
         PiecesTaken or None
-            Nothing when the pool is not known here yet.
+            Nothing when the pool is not known here, or the host leaves.
         """
         now = self._clock.now()
         self._forget_ended(now)
@@ -137,6 +145,8 @@
         keep = self._find_keep(ask.pool)
         if keep is None:
             return None
+        if self._leaving and ask.job not in keep.planner.jobs:
+            return None
         keep.reports[ask.job] = report
         waits = keep.planner.estimate_waits(now)
         if ask.job not in keep.planner.jobs:
--- a/chervilshore/controllers/preparing.py
+++ b/chervilshore/controllers/preparing.py
@@ -44,6 +44,9 @@
 SUBMIT_TRIES = 4
 """Keepers that are tried for one job."""
 
+SILENT_MS = 2000.0
+"""Milliseconds for which a keeper that did not answer is passed over."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -114,6 +117,7 @@
         self._life = f"{clock.wall():.0f}"
         self._waiting: dict[str, asyncio.Future] = {}
         self._backlog = backlog.Backlog()
+        self._silent: dict[ids.HostId, float] = {}
 
     async def on_start(self) -> None:
         """Take messages."""
@@ -306,8 +310,13 @@
                 if not await self._offer(keeper, sent):
                     silent.add(keeper.host)
                     continue
-                if await self._wait(future):
+                if not await self._wait(future):
+                    continue
+                if future.result().failure is not pieces.Failure.MOVED:
                     return future.result()
+                silent.add(keeper.host)
+                future = asyncio.get_running_loop().create_future()
+                self._waiting[ask.job] = future
             return _make_failed(ask, pieces.Failure.ERROR)
         finally:
             del self._waiting[ask.job]
@@ -332,6 +341,7 @@
         try:
             taken = await self._peers.ask(keeper.peer_address, ask, ACCEPT_MS)
         except exceptions.PeerError as error:
+            self._silent[keeper.host] = self._clock.now() + SILENT_MS
             events.log_event(
                 _LOGGER,
                 events.Event.BATCH_KEEPER_SILENT,
@@ -360,15 +370,17 @@
             )
 
     def _choose_keeper(
-        self, pool: ids.PoolName, silent: set[ids.HostId]
+        self, pool: ids.PoolName, passed_over: set[ids.HostId]
     ) -> records.HostRecord:
         """Choose the keeper that all hosts choose, as far as it is known."""
+        now = self._clock.now()
         hosts = self._directory.hosts()
         usable = {
             record.host: record
             for record in hosts
             if record.state is records.HostState.ALIVE
-            and record.host not in silent
+            and record.host not in passed_over
+            and now >= self._silent.get(record.host, 0.0)
         }
         chosen = rendezvous.choose(usable, pool)
         return usable[chosen] if chosen is not None else hosts[0]
--- a/chervilshore/decisions/batches.py
+++ b/chervilshore/decisions/batches.py
@@ -239,6 +239,15 @@
         """Forget a job; pieces in a call are made in vain."""
         return self.jobs.pop(name, None)
 
+    def give_up_waiting(self) -> list[Job]:
+        """Take the jobs of which nothing has been called for."""
+        found = [
+            job for job in self.jobs.values() if len(job.waiting) == job.count
+        ]
+        for job in found:
+            del self.jobs[job.name]
+        return found
+
     def expect_ms(self, pieces: int, speed: float = 1.0) -> float:
         """Tell the milliseconds that a call with so many pieces takes."""
         batching = self.batching
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -267,6 +267,7 @@
         self._leaving = True
         self.ingress.draining = True
         self._membership.leave()
+        self._keeper.leave()
         await self._catalog.unregister()
         await self._clock.sleep(LEAVE_MS)
         # What comes later has a better chance at any other host.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -480,3 +480,34 @@
         response.headers["Connection"], matchers.Equals("close")
     )
     assertions.assert_that(worker.runs, matchers.Equals([]))
+
+
+async def test_a_leaving_keeper_hands_its_waiting_jobs_over(deployment):
+    """Pattern: hosts that restart in turn while pieces wait for a call."""
+    host = await serve_stages(deployment, millis=300.0)
+    other = await deployment.add_host()
+    await deployment.wait_ready(other, 3)
+    await deployment.wait(
+        lambda: (
+            len(host._catalog.hosts()) == 2
+            and len(other._catalog.hosts()) == 2
+        )
+    )
+    headers = {"Chervilshore-Pieces": "8,1", "Chervilshore-Piece-Key": "k1"}
+    asked = [
+        asyncio.ensure_future(deployment.ask(one, "/say/", headers=headers))
+        for one in (host, other, host)
+    ]
+    worker = deployment.workers["c0"]
+    await deployment.wait(lambda: worker.calls)
+    keeper = next(
+        one for one in (host, other) if one._keeper._keeps.get("cut")
+    )
+    drained = asyncio.ensure_future(keeper.drain())
+    for response, _ in await asyncio.gather(*asked):
+        assertions.assert_that(response.status, matchers.Equals(200))
+    pieces = [
+        (one["id"], one["piece"]) for call in worker.calls for one in call
+    ]
+    assertions.assert_that(len(pieces), matchers.Equals(len(set(pieces))))
+    await drained
