Make fewer calls to the store

Change: the list of hosts is read at the start and while a host knows no other; membership spreads the rest. After changes 200 ms pass before the next watch. Watches wait for 20 s.

--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -21,9 +21,17 @@
 from chervilshore import records
 from chervilshore.rules import model
 
-WATCH_MS = 10_000.0
-"""Milliseconds for which one watch waits: long, as each call is paid for,
-and short enough to be answered on links that drop quiet connections."""
+WATCH_MS = 20_000.0
+"""Milliseconds for which one watch waits: long, as each call is paid for;
+probes of the connection show sooner that it has gone silent."""
+
+SETTLE_MS = 200.0
+"""Milliseconds after changes before the next watch, so that one call brings
+several; a tenth of the time in which a leaving endpoint must be left."""
+
+LONELY_MS = 5000.0
+"""Milliseconds between two readings of the list of hosts while no other
+host is known; after that hosts hear of each other from their peers."""
 
 RETRY_MS = 250.0
 """Milliseconds between two calls to a store that does not answer."""
@@ -187,8 +195,10 @@
         """Answer peers and follow every kind."""
         self._peers.handle(catalogmessages.CatalogAsk, self._answer)
         for kind in self._kinds:
-            self.add_future(self._follow(kind))
+            if kind != self._decoders.hosts:
+                self.add_future(self._follow(kind))
         self.add_future(self._register())
+        self.add_future(self._find_hosts())
         self.add_future(self._relay())
 
     async def unregister(self) -> None:
@@ -220,6 +230,25 @@
                 self._written = True
                 return
 
+    async def _find_hosts(self) -> None:
+        """Read the list of hosts until one of them has been met."""
+        kind = self._decoders.hosts
+        wait = RETRY_MS
+        while not self.should_stop:
+            try:
+                listing = await self._store.list(kind)
+            except exceptions.PlatformError as error:
+                self._note_lost(kind, error)
+                await self._clock.sleep(wait)
+                wait = min(MOST_RETRY_MS, wait * 2.0)
+                continue
+            self._note_regained(kind)
+            self._kinds[kind].replace(listing, self._clock.now())
+            self._apply(kind)
+            await self._clock.sleep(LONELY_MS)
+            if len(self._membership.hosts()) > 1:
+                return
+
     async def _follow(self, kind: str) -> None:
         state = self._kinds[kind]
         wait = RETRY_MS
@@ -232,6 +261,11 @@
                     )
                     self._note_regained(kind)
                     state.merge(changes, self._clock.now())
+                    if changes.changes:
+                        wait = RETRY_MS
+                        self._apply(kind)
+                        await self._clock.sleep(SETTLE_MS)
+                        continue
                 else:
                     listing = await self._store.list(kind)
                     self._note_regained(kind)
