Tell a request's story from the logs of all hosts

Cause: on-call engineers have only logs, and a request's pieces are called for by another host than its own.

Change: chervilshore trace ID FILES puts the lines of all hosts about one request in order and says how it ended and why. A file with a byte order mark is read. make environment installs the package, so that both commands exist.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
 environment: $(VENV)/.ready ## Make the virtual environment from the pinned requirements.
--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -25,6 +25,7 @@
 from chervilshore import operations
 from chervilshore import reports
 from chervilshore.rules import guards
+from chervilshore import traces
 
 PLATFORM_VARIABLE = "CHERVILSHORE_PLATFORM"
 PLATFORM_MS = 1000.0
@@ -87,6 +88,9 @@
             return commands.check(*_read_file(arguments.file))
         if arguments.command == "format":
             return _format(arguments)
+        if arguments.command == "trace":
+            logs = map(_read_file, arguments.file)
+            return traces.trace(arguments.request, logs)
         async with contextlib.AsyncExitStack() as stack:
             session = await stack.enter_async_context(aiohttp.ClientSession())
             platform = self._platform or _connect(arguments, stack)
@@ -252,6 +256,9 @@
     )
     one.add_argument("state", choices=("out", "in"))
     one.add_argument("name")
+    one = add("trace", parents=[common], help="what became of a request")
+    one.add_argument("request", help="its id")
+    one.add_argument("file", nargs="+", help="log files; - reads input")
     add("status", parents=[common], help="hosts, domains, endpoints, limits")
     add("refusals", parents=[common], help="which requests were refused")
     one = add("explain", parents=[common], help="which rules would decide")
@@ -333,7 +340,8 @@
     if name == "-":
         return sys.stdin.read(), "standard input"
     try:
-        return pathlib.Path(name).read_text(), name
+        # Some editors begin a file with a byte order mark.
+        return pathlib.Path(name).read_text("utf-8-sig"), name
     except (OSError, UnicodeDecodeError) as error:
         raise exceptions.RulesError(f"{name}: {error}") from error
 
--- /dev/null
+++ b/chervilshore/traces.py
@@ -0,0 +1,211 @@
+"""The story of one request, told from the log lines of all hosts."""
+
+from collections import abc as collections_abc
+
+import msgspec
+
+from chervilshore import events
+from chervilshore import reports
+from chervilshore import results
+
+HIDDEN = frozenset(
+    {"time_ms", "steady_ms", "level", "module", "event", "text", "request"}
+)
+"""Fields that are told otherwise, or say nothing about the request."""
+
+_LINE = msgspec.json.Decoder(dict)
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A log line about a request.
+
+    Parameters
+    ----------
+    source : str
+        The file from which it comes, and the host if that is told.
+    fields : dict
+        Its fields.
+    """
+
+    source: str
+    fields: dict
+
+    @property
+    def moment(self) -> float:
+        """The time of day in milliseconds."""
+        return float(self.fields.get("time_ms", 0.0))
+
+
+def find_entries(
+    request: str, lines: collections_abc.Iterable[str], source: str
+) -> list[Entry]:
+    """Find the lines about a request, in order.
+
+    What stands before the JSON object of a line, such as a host's name, is
+    kept as its source.
+
+    Parameters
+    ----------
+    request : str
+        The request's id.
+    lines : iterable of str
+        A log.
+    source : str
+        Where it comes from.
+    """
+    found = []
+    for line in lines:
+        if request not in line:
+            continue
+        before, brace, rest = line.partition("{")
+        try:
+            fields = _LINE.decode(brace + rest)
+        except msgspec.DecodeError:
+            # A line that was cut, or that another program has written.
+            continue
+        concerns = fields.get("request") == request
+        if concerns or request in fields.get("requests", ()):
+            name = " ".join([source, *before.split()[-1:]])
+            found.append(Entry(name, fields))
+    return found
+
+
+def sort_entries(entries: list[Entry]) -> list[Entry]:
+    """Put the lines of several hosts in order.
+
+    Lines of one source keep their order even if its time of day steps.
+    """
+    by_source: dict[str, list[Entry]] = {}
+    for entry in entries:
+        by_source.setdefault(entry.source, []).append(entry)
+    keyed = []
+    for found in by_source.values():
+        latest = 0.0
+        for entry in found:
+            latest = max(latest, entry.moment)
+            keyed.append((latest, entry))
+    keyed.sort(key=lambda pair: pair[0])
+    return [entry for _, entry in keyed]
+
+
+def explain(entries: list[Entry]) -> str:
+    """Say in words how a request ended and why."""
+    ends = [
+        entry.fields
+        for entry in entries
+        if entry.fields.get("event")
+        == events.Event.REQUEST_FORWARDED.value.number
+    ]
+    if not ends:
+        return (
+            "No line tells its end: its host was killed, cut its lines "
+            "under load, or its log is not among these files."
+        )
+    end = ends[-1]
+    code = results.BY_NUMBER.get(end.get("code"))
+    if code is None:
+        return f"It ended with a code that is not known: {end.get('code')}."
+    words = [
+        f"It ended after {end.get('millis')} ms with {code.value.number} "
+        f"{code.name} (status {end.get('status')}): {code.value.text}"
+    ]
+    if end.get("detail"):
+        words.append(f"What its host said: {end['detail']}.")
+    words += _find_causes(entries)
+    return " ".join(words)
+
+
+def _find_causes(entries: list[Entry]) -> list[str]:
+    """Name what went wrong on the way, the earliest first."""
+    numbers = {event.value.number: event for event in events.Event}
+    words = []
+    for entry in entries:
+        fields = entry.fields
+        event = numbers.get(fields.get("event"))
+        if event is events.Event.BATCH_KEEPER_SILENT:
+            words.append(
+                f"The keeper {fields['keeper']} of pool {fields['pool']} "
+                "did not answer."
+            )
+        elif event is events.Event.PIECES_MADE and fields.get("failure"):
+            words.append(
+                f"Stage {fields['stage']} at pool {fields['pool']} brought "
+                f"nothing: {fields['failure']}."
+            )
+        elif event is events.Event.PIECES_CALLED:
+            if fields.get("outcome") != "made":
+                words.append(
+                    f"A call to {fields['endpoint']} was "
+                    f"{fields['outcome']} after {fields['millis']} ms."
+                )
+            elif fields["millis"] > 2 * fields["expected_ms"]:
+                words.append(
+                    f"A call to {fields['endpoint']} took "
+                    f"{fields['millis']} ms, {fields['expected_ms']} were "
+                    "expected."
+                )
+    chosen = [
+        entry.fields["endpoint"]
+        for entry in entries
+        if entry.fields.get("event")
+        == events.Event.ENDPOINT_CHOSEN.value.number
+    ]
+    if len(chosen) > 1:
+        words.append(f"It was sent to {', then '.join(chosen)}.")
+    elif chosen:
+        words.append(f"It was sent to {chosen[0]}.")
+    else:
+        words.append("It was sent to no endpoint.")
+    return words
+
+
+def trace(
+    request: str, logs: collections_abc.Iterable[tuple[str, str]]
+) -> reports.Report:
+    """Tell a request's story from logs.
+
+    Parameters
+    ----------
+    request : str
+        Its id.
+    logs : iterable of tuple
+        The text of each log, and where it comes from.
+    """
+    entries = []
+    for text, source in logs:
+        entries += find_entries(request, text.splitlines(), source)
+    return make_report(request, sort_entries(entries))
+
+
+def make_report(request: str, entries: list[Entry]) -> reports.Report:
+    """Tell a request's story.
+
+    Parameters
+    ----------
+    request : str
+        Its id.
+    entries : list of Entry
+        The lines about it, in order.
+    """
+    lines = [f"request {request}: {len(entries)} lines"]
+    begun = entries[0].moment if entries else 0.0
+    for entry in entries:
+        fields = entry.fields
+        rest = " ".join(
+            f"{name}={value}"
+            for name, value in fields.items()
+            if name not in HIDDEN and name != "requests"
+        )
+        lines.append(
+            f"{entry.moment - begun:+9.0f} ms  {entry.source}  "
+            f"{fields.get('event', '')} {fields.get('text', '')}  {rest}"
+        )
+    lines.append(explain(entries))
+    data = {
+        "request": request,
+        "lines": [
+            {"source": entry.source} | entry.fields for entry in entries
+        ],
+        "cause": lines[-1],
+    }
+    return reports.Report("\n".join(lines), data)
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,145 @@
+"""A request's story from the lines of all hosts, and its cause in words."""
+
+import logging
+
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore import cmdline
+from chervilshore import events
+from chervilshore import traces
+
+REQUEST = "0f3a"
+
+
+def write_line(event, time_ms, **fields):
+    """Write a log line as the daemon does."""
+    logger = logging.getLogger("chervilshore.test")
+    logger.setLevel("INFO")
+    records = []
+
+    class Keep(logging.Handler):
+        def emit(self, record):
+            records.append(record)
+
+    logger.handlers[:] = [Keep()]
+    events.log_event(logger, event, **fields)
+    logger.handlers.clear()
+    return traces.msgspec.json.encode(
+        {
+            "time_ms": time_ms,
+            "event": event.value.number,
+            "text": event.value.text,
+        }
+        | records[0].fields
+    ).decode()
+
+
+def end(time_ms, code, **fields):
+    return write_line(
+        events.Event.REQUEST_FORWARDED,
+        time_ms,
+        request=REQUEST,
+        code=code,
+        status=503,
+        millis=time_ms,
+        **fields,
+    )
+
+
+def test_lines_of_other_requests_are_left_out():
+    log = "\n".join(
+        [
+            write_line(
+                events.Event.ENDPOINT_CHOSEN, 1, request="f00", endpoint="e1"
+            ),
+            "not a line of ours 0f3a {",
+            write_line(
+                events.Event.ENDPOINT_CHOSEN,
+                2,
+                request=REQUEST,
+                endpoint="e2",
+            ),
+        ]
+    )
+    report = traces.trace(REQUEST, [(log, "h1")])
+    assertions.assert_that(
+        [line["endpoint"] for line in report.data["lines"]],
+        matchers.Equals(["e2"]),
+    )
+
+
+def test_a_lost_call_of_another_host_is_named_as_cause():
+    """A keeper on another host loses the call that has the pieces."""
+    keeper = write_line(
+        events.Event.PIECES_CALLED,
+        50,
+        pool="desk",
+        endpoint="w1",
+        outcome="lost",
+        millis=2100,
+        expected_ms=400,
+        requests=["else", REQUEST],
+    )
+    own = "\n".join(
+        [
+            write_line(
+                events.Event.PIECES_MADE,
+                60,
+                request=REQUEST,
+                stage=1,
+                pool="desk",
+                failure="error",
+            ),
+            end(70, 1010, detail="preparation: error"),
+        ]
+    )
+    report = traces.trace(REQUEST, [(own, "h1"), (keeper, "h2")])
+    cause = report.data["cause"]
+    for words in (
+        "1010 DEADLINE_HOPELESS",
+        "w1 was lost after 2100 ms",
+        "Stage 1 at pool desk brought nothing: error",
+        "sent to no endpoint",
+    ):
+        assertions.assert_that(cause, matchers.Contains(words))
+    assertions.assert_that(
+        [line["source"] for line in report.data["lines"]],
+        matchers.Equals(["h2", "h1", "h1"]),
+    )
+
+
+def test_a_clock_that_steps_back_leaves_a_hosts_lines_in_order():
+    log = "\n".join(
+        [
+            write_line(
+                events.Event.ENDPOINT_CHOSEN,
+                5000,
+                request=REQUEST,
+                endpoint="e1",
+            ),
+            end(100, 2002),
+        ]
+    )
+    report = traces.trace(REQUEST, [(log, "h1")])
+    assertions.assert_that(
+        [line["event"] for line in report.data["lines"]],
+        matchers.Equals([4105, 7006]),
+    )
+
+
+def test_a_request_without_an_end_is_said_to_have_none():
+    report = traces.trace(REQUEST, [("", "h1")])
+    assertions.assert_that(
+        report.data["cause"], matchers.StartsWith("No line tells its end")
+    )
+
+
+async def test_the_tool_reads_logs_with_a_byte_order_mark(tmp_path):
+    path = tmp_path / "h1.log"
+    path.write_bytes(b"\xef\xbb\xbf" + end(10, 0).encode())
+    lines = []
+    tool = cmdline.CommandLine(write=lines.append)
+    code = await tool.run(["trace", REQUEST, str(path)])
+    assertions.assert_that(code, matchers.Equals(0))
+    assertions.assert_that(lines[0], matchers.Contains("1 lines"))
