Try another endpoint when a connection failed, whatever the budget

Change: an attempt without a connection is repeated without drawing on the budget; the number of attempts bounds it as before. The test fails without.

--- a/chervilshore/filters/stage.py
+++ b/chervilshore/filters/stage.py
@@ -141,7 +141,9 @@
             self._end(results.Code.DEADLINE_PASSED, error)
         runs_left = work.runs < work.exchange.pipeline.attempts
         tries_left = work.attempts < MOST_ATTEMPTS and runs_left
-        if not tries_left or not self._budget.may_retry(now):
+        # What reached nobody has cost no endpoint anything.
+        free = error.outcome is records.Outcome.UNREACHED
+        if not tries_left or not (free or self._budget.may_retry(now)):
             broken = results.Code.STAGE_BROKEN
             self._end(broken if ran else results.Code.NO_ENDPOINT, error)
         work.excluded |= {error.endpoint}
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -6,6 +6,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.decisions import retries
 from chervilshore import exceptions
 from chervilshore.filters import cutoff
 from chervilshore.filters import outcome
@@ -229,3 +230,16 @@
         source.released,
         matchers.Contains(("e1", records.Outcome.CANCELLED)),
     )
+
+
+async def test_what_reached_nobody_draws_on_no_budget(clock):
+    """Pattern: a domain is cut off and every connection there fails."""
+    rules = helpers.make_rules()
+    plans = {"e1": UNREACHED, "e2": UNREACHED, "e3": None}
+    source = helpers.FakeSlots(plans)
+    client = helpers.FakeClient(plans)
+    budget = retries.RetryBudget(ratio=0.0, floor=0.0, most=0.0)
+    runner = helpers.make_runner(clock, source, client, budget=budget)
+    exchange = helpers.make_exchange(rules)
+    made = await runner.run(exchange, 0, dict(exchange.body))
+    assertions.assert_that(made["answer"], matchers.Equals("e3"))
