--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -120,7 +120,10 @@
             options.platform, self._clock, options.platform_ms, self._metrics
         )
         self._peers = zeromq.ZeroPeers(
-            options.peer_address, self._clock, self._metrics
+            options.peer_address,
+            self._clock,
+            self._metrics,
+            listen=options.peer_listen,
         )
         record = records.HostRecord(
             host=options.host,
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real daemons under faults from outside."""
