Let strong hosts keep the pieces, and share the retry budget by known hosts

Cause: on the grown fleets nine hosts in ten have half a core and 10 Mbit/s and any of them could become the keeper of a pool; the slack of the retry budget was divided among ten hosts, however many there are.

Change: hosts tell their capacity with their address, and keepers are chosen among those with at least half of the greatest; the slack is divided among 1.3 times the hosts that have ever been known.

--- a/chervilshore/controllers/preparing.py
+++ b/chervilshore/controllers/preparing.py
@@ -13,8 +13,8 @@
 from chervilshore.controllers import batching
 from chervilshore.controllers import directory as directories
 from chervilshore.decisions import backlog
+from chervilshore.decisions import owners
 from chervilshore.decisions import placing
-from chervilshore.decisions import rendezvous
 from chervilshore.decisions import schedule
 from chervilshore import events
 from chervilshore import exceptions
@@ -375,15 +375,14 @@
         """Choose the keeper that all hosts choose, as far as it is known."""
         now = self._clock.now()
         hosts = self._directory.hosts()
-        usable = {
-            record.host: record
+        usable = [
+            record
             for record in hosts
             if record.state is records.HostState.ALIVE
             and record.host not in passed_over
             and now >= self._silent.get(record.host, 0.0)
-        }
-        chosen = rendezvous.choose(usable, pool)
-        return usable[chosen] if chosen is not None else hosts[0]
+        ]
+        return owners.choose_strong(usable, pool) or hosts[0]
 
     def release(self, prepared: Prepared) -> None:
         """Let the endpoints forget a request's results."""
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -49,8 +49,11 @@
 MOST_FIELD_BYTES = 65_536
 """Bytes of a header that are read at all."""
 
-HOSTS_SHARING = 10.0
-"""Hosts among which the slack of the retry budget is divided."""
+LEAST_SHARING = 10
+"""Hosts among which the slack of the retry budget is divided at least."""
+
+SHARING_MARGIN = 1.3
+"""Times the hosts that are known, as some may be added unseen."""
 
 RATIO_PART = 0.7
 """The part of the retry ratio that a host uses, as windows may cut between
@@ -104,6 +107,7 @@
         self._random = random.Random()
         self._runners: list[web.ServerRunner] = []
         self._leaving = False
+        self._most_hosts = 1
         self._make_control()
         self._make_work()
         self.ingress = ingress.Ingress(
@@ -130,6 +134,7 @@
             domain=options.domain,
             peer_address=options.peer_address,
             http_address=options.http_address,
+            capacity=options.capacity,
         )
         self._membership = membership.Membership(
             record,
@@ -193,7 +198,10 @@
             shedding.NoShedding(),
             self._metrics,
         )
-        self._budget = retries.RetryBudget(*_share_budget(self._options))
+        self._budget = retries.RetryBudget(
+            *_share_budget(self._options, self._most_hosts)
+        )
+        self._membership.listen(lambda *unused: self._count_hosts())
         runner = stage.StageRunner(self._clock, attempts, self._budget)
         self._cutoff = cutoff.CutoffFilter(self._clock)
         steps = (
@@ -207,6 +215,16 @@
         last = forward.ForwardFilter(self._clock, self._preparer, runner)
         return base.chain(steps, last.run)
 
+    def _count_hosts(self) -> None:
+        """Share the budget among all hosts that have ever been known.
+
+        Hosts that seem down may only be cut off, and go on retrying.
+        """
+        known = len(self._membership.hosts())
+        if known > self._most_hosts:
+            self._most_hosts = known
+            self._budget.change(*_share_budget(self._options, known))
+
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -263,7 +281,7 @@
         self._options = options
         self._connections.connect_ms = options.connect_ms
         self._store.timeout_ms = options.platform_ms
-        self._budget.change(*_share_budget(options))
+        self._budget.change(*_share_budget(options, self._most_hosts))
 
     async def drain(self) -> None:
         """Let the balancer turn away, and finish what runs."""
@@ -294,15 +312,25 @@
         await self._store.close()
 
 
-def _share_budget(options: settings.Settings) -> tuple[float, float, float]:
+def _share_budget(
+    options: settings.Settings, hosts: int
+) -> tuple[float, float, float]:
     """Tell this host's part of the retry budget, without any agreement.
 
+    Parameters
+    ----------
+    options : Settings
+        Has the budget of all hosts.
+    hosts : int
+        Hosts that are known.
+
     Returns
     -------
     tuple of float
         Ratio, retries a second and retries at once.
     """
-    slack = options.retry_slack / HOSTS_SHARING
+    sharing = max(LEAST_SHARING, hosts * SHARING_MARGIN)
+    slack = options.retry_slack / sharing
     window = options.retry_window_ms / clocks.MILLIS_PER_SECOND
     ratio = options.retry_ratio * RATIO_PART
     return ratio, slack / 2.0 / window, max(1.0, slack / 2.0)
--- a/chervilshore/platform/documents.py
+++ b/chervilshore/platform/documents.py
@@ -257,6 +257,7 @@
 class _Host(msgspec.Struct):
     domain: str
     peer: str
+    capacity: float = 1.0
 
 
 _HOST = msgspec.json.Decoder(_Host)
@@ -264,7 +265,9 @@
 
 def encode_host(record: records.HostRecord) -> bytes:
     """Write what an entry host tells of itself in the store."""
-    return msgspec.json.encode(_Host(record.domain, record.peer_address))
+    return msgspec.json.encode(
+        _Host(record.domain, record.peer_address, record.capacity)
+    )
 
 
 def decode_host(name: str, content: bytes) -> records.HostRecord | None:
@@ -278,4 +281,5 @@
         domain=ids.DomainId(found.domain),
         peer_address=ids.Address(found.peer),
         http_address=ids.Address(""),
+        capacity=found.capacity,
     )
--- a/chervilshore/records.py
+++ b/chervilshore/records.py
@@ -77,6 +77,8 @@
         What is believed of it.
     incarnation : Incarnation
         The life that the record speaks of.
+    capacity : float
+        How much it can carry, against other hosts.
     """
 
     host: ids.HostId
@@ -85,6 +87,7 @@
     http_address: ids.Address
     state: HostState = HostState.ALIVE
     incarnation: ids.Incarnation = ids.Incarnation(0)
+    capacity: float = 1.0
 
 
 class EndpointRecord(msgspec.Struct, frozen=True):
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -179,6 +179,13 @@
         "its metrics",
         "",
     ),
+    Setting(
+        "capacity",
+        real(0.001, 1_000_000.0),
+        "how much this host can carry, in any unit that all hosts share; "
+        "the strongest ones keep the pieces of work of all hosts",
+        "1",
+    ),
     Setting(
         "retry_ratio",
         real(0.0, 10.0),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,8 @@
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore import gateway
+from chervilshore import settings
 from tests import gateway_helpers as helpers
 
 
@@ -482,6 +484,28 @@
     assertions.assert_that(worker.runs, matchers.Equals([]))
 
 
+@pytest.mark.parametrize("hosts", [1, 6, 9, 68, 76, 300])
+def test_retries_of_all_hosts_stay_within_the_budget(hosts):
+    """Pattern: every host of a fleet uses its whole share at once."""
+    options = settings.load(
+        {
+            "host": "h1",
+            "domain": "a",
+            "http_address": "127.0.0.1:1",
+            "peer_address": "127.0.0.1:2",
+            "platform": "127.0.0.1:3",
+            "retry_ratio": "0.2",
+            "retry_slack": str(52 if hosts < 10 else 2.6 * hosts),
+            "retry_window_ms": "10000",
+        },
+        {},
+    )
+    ratio, floor, most = gateway._share_budget(options, hosts)
+    used = hosts * (most + 10.0 * floor)
+    assertions.assert_that(used, matchers.LessThan(options.retry_slack + 0.01))
+    assertions.assert_that(ratio, matchers.LessThan(0.2))
+
+
 async def test_a_leaving_keeper_hands_its_waiting_jobs_over(deployment):
     """Pattern: hosts that restart in turn while pieces wait for a call."""
     host = await serve_stages(deployment, millis=300.0)
