Refuse numbers in headers that no request can mean

Cause: a deadline of nan was taken, and a request could name any number of pieces, for each of which a keeper would hold memory (found while writing tests of hostile headers).

--- a/chervilshore/platform/requests.py
+++ b/chervilshore/platform/requests.py
@@ -1,6 +1,7 @@
 """Callers' requests and the calls that pass them on."""
 
 from collections import abc as collections_abc
+import math
 
 from chervilshore import passages
 from chervilshore.platform import names
@@ -25,6 +26,12 @@
 MOST_PARTS = 64
 """Parts of a prompt or preparations that are read."""
 
+MOST_PIECES = 10_000
+"""Pieces that a request may name; far more than any pool makes in time."""
+
+MOST_TOKENS = 100_000_000
+"""Tokens that a request may name."""
+
 
 def decode_passage(
     method: str,
@@ -57,7 +64,7 @@
         if part.strip()
     }
     dropped = HOP_HEADERS | names.OWN_HEADERS | listed
-    tokens = _split_numbers(first.get(names.TOKENS, ""))
+    tokens = _split_numbers(first.get(names.TOKENS, ""), MOST_TOKENS)
     budget = first.get(names.DEADLINE)
     last_event = first.get(names.LAST_EVENT, "")
     return passages.Passage(
@@ -72,11 +79,11 @@
         ],
         body=body,
         access_key=first.get(names.KEY, ""),
-        budget_ms=None if budget is None else float(budget),
+        budget_ms=None if budget is None else _read_millis(budget),
         parts=_read_parts(first.get(names.PREFIX, "")),
         tokens_in=tokens[0] if tokens else 0,
         tokens_out=tokens[1] if len(tokens) > 1 else 0,
-        piece_counts=_split_numbers(first.get(names.PIECES, "")),
+        piece_counts=_split_numbers(first.get(names.PIECES, ""), MOST_PIECES),
         piece_key=first.get(names.PIECE_KEY, ""),
         last_event=int(last_event) if last_event.isdigit() else None,
     )
@@ -87,13 +94,23 @@
     return headers.get(names.ATTEMPT_ID, "")
 
 
-def _split_numbers(text: str) -> tuple[int, ...]:
+def _read_millis(text: str) -> float:
+    millis = float(text)
+    if not math.isfinite(millis):
+        raise ValueError(text[:80])
+    return millis
+
+
+def _split_numbers(text: str, most: int) -> tuple[int, ...]:
     if not text:
         return ()
     parts = text.split(",")
     if len(parts) > MOST_PARTS:
         raise ValueError(text[:80])
-    return tuple(int(part) for part in parts)
+    numbers = tuple(int(part) for part in parts)
+    if not all(0 <= number <= most for number in numbers):
+        raise ValueError(text[:80])
+    return numbers
 
 
 def _read_parts(text: str) -> tuple[passages.PromptPart, ...]:
