--- a/chervilshore/controllers/preparing.py
+++ b/chervilshore/controllers/preparing.py
@@ -34,6 +34,10 @@
 RETRY_MS = 500.0
 """Least milliseconds after which a refused caller may come back."""
 
+MOST_REDOS = 1
+"""Times that a request is prepared anew when a result vanished before its
+reader: its maker died, or is cut off from the reader."""
+
 GATE_MS = 900.0
 """Milliseconds that a late request may wait for the calls of a pool before
 it is held back; results lapse after a few seconds of waiting."""
@@ -138,6 +142,20 @@
         exceptions.RefusalError
             They cannot be had in time.
         """
+        for tries_left in reversed(range(MOST_REDOS + 1)):
+            try:
+                return await self._prepare_once(exchange)
+            except StepFailed as error:
+                gone = error.failure is pieces.Failure.INPUT_GONE
+                if gone and tries_left:
+                    continue
+                raise exceptions.RefusalError(
+                    results.Code.DEADLINE_HOPELESS,
+                    f"preparation: {error}",
+                    RETRY_MS,
+                ) from error
+
+    async def _prepare_once(self, exchange: base.Exchange) -> Prepared:
         steps = self._plan(exchange)
         prepared = Prepared()
         if not steps:
@@ -149,13 +167,6 @@
         )
         try:
             await self._run_steps(exchange, steps, prepared, home)
-        except StepFailed as error:
-            self.release(prepared)
-            raise exceptions.RefusalError(
-                results.Code.DEADLINE_HOPELESS,
-                f"preparation: {error}",
-                RETRY_MS,
-            ) from error
         except BaseException:
             self.release(prepared)
             raise
--- /dev/null
+++ b/measure/days.py
@@ -0,0 +1,70 @@
+"""Writes docs/DAYS.md from the journal of days that were played."""
+
+import pathlib
+
+import msgspec
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+JOURNAL = ROOT / "journal"
+PAGE = ROOT / "docs" / "DAYS.md"
+
+INTRODUCTION = """\
+# Days on the users' platform
+
+The latest whole score of each site in the journal; `python -m measure.days`
+writes this page. A day's score is where its worth lies between two marks of
+the site; prices are parts of the day's worth. What binds a day is its
+largest price and its weakest part.
+"""
+
+
+def find_latest() -> dict[str, dict]:
+    """Find the newest score of each site, whole ones first."""
+    found: dict[str, dict] = {}
+    for path in sorted(JOURNAL.glob("*.json")):
+        entry = msgspec.json.decode(path.read_bytes(), type=dict)
+        if entry.get("cmd") != "score" or not entry.get("days"):
+            continue
+        known = found.get(entry["site"])
+        whole = entry.get("mode") != "quick"
+        if known is None or whole or known.get("mode") == "quick":
+            found[entry["site"]] = entry
+    return found
+
+
+def write_table(site: str, entry: dict) -> str:
+    """Write the table of one score."""
+    kind = "quick" if entry.get("mode") == "quick" else "whole"
+    lines = [
+        f"## {site}",
+        "",
+        f"Entry {entry['id']} ({kind}), score {entry['score']}.",
+        "",
+        "| day | score | worth | served | refused | largest prices "
+        "| weakest part |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for day in entry["days"]:
+        prices = sorted(day["prices"], key=lambda one: -one[2])[:2]
+        told = ", ".join(f"{name} {cost:.3f}" for name, _, cost in prices)
+        weakest = min(day["parts"], key=lambda one: one[2])
+        broken = f" BROKEN {day['rules']}" if day["rules"] else ""
+        lines.append(
+            f"| {day['name']}{broken} | {day['score']:.2f} | {day['G']:.3f} "
+            f"| {day['served']:.3f} | {day['refused']:.3f} | {told} "
+            f"| {weakest[0]} {weakest[2]:.2f} |"
+        )
+    return "\n".join(lines)
+
+
+def main() -> None:
+    """Write the page."""
+    tables = [
+        write_table(site, entry)
+        for site, entry in sorted(find_latest().items())
+    ]
+    PAGE.write_text("\n\n".join([INTRODUCTION.rstrip(), *tables]) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -30,8 +30,8 @@
         Whether bytes follow a whole answer.
     cut_body : bool
         Whether an answer ends before its whole body.
-    gone : bool
-        Whether every input is said to be gone.
+    gone : int
+        Calls whose inputs are said to be gone.
     """
 
     shed: int = 0
@@ -42,7 +42,7 @@
     cross: bool = False
     extra: bool = False
     cut_body: bool = False
-    gone: bool = False
+    gone: int = 0
 
 
 class Worker:
@@ -140,6 +140,7 @@
         self.calls.append(call["items"])
         await asyncio.sleep(self._millis / 1000.0)
         if self.faults.gone:
+            self.faults.gone -= 1
             made = [{"reason": "gone"} for _ in call["items"]]
         else:
             made = [
@@ -161,6 +162,7 @@
             faults.shed -= 1
             return self._refuse(503)
         if faults.gone:
+            faults.gone -= 1
             return self._refuse(409)
         attempt = headers.get("chervilshore-attempt-id", "")
         self.runs.append(attempt)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -302,6 +302,21 @@
     )
 
 
+@pytest.mark.parametrize("worker", ["s0", "m0"])
+async def test_results_that_vanish_are_made_again(deployment, worker):
+    """Pattern: a maker dies, or is cut off from who reads its results."""
+    host = await serve_stages(deployment)
+    deployment.workers[worker].faults.gone = 1
+    response, _ = await deployment.ask(
+        host,
+        "/say/",
+        headers={"Chervilshore-Pieces": "2,3", "Chervilshore-Piece-Key": "k"},
+    )
+    assertions.assert_that(response.status, matchers.Equals(200))
+    made = [len(call) for call in deployment.workers["c0"].calls]
+    assertions.assert_that(made, matchers.Equals([2, 2]))
+
+
 async def test_pieces_of_two_hosts_share_calls(deployment):
     """Pattern: many small requests over all hosts, one call at a time."""
     host = await serve_stages(deployment, millis=300.0)
