Split the long modules of the forwarding host

Change: no behaviour. decisions/batches keeps the planning; jobs and calls are decisions/piecejobs, what is known of an endpoint decisions/makers, the share of timely work decisions/backlog. controllers/submitting takes jobs to keepers, controllers/preparing runs steps; controllers/relay learns from peers, controllers/catalog follows the store. Kinds of values are settingkinds.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -14,6 +14,7 @@
 from chervilshore.controllers import directory as directories
 from chervilshore.decisions import backlog
 from chervilshore.decisions import batches
+from chervilshore.decisions import piecejobs
 from chervilshore import events
 from chervilshore import exceptions
 from chervilshore import ids
@@ -264,7 +265,7 @@
             and not rules.is_out(record.domain)
         )
 
-    async def _make_call(self, keep: _Keep, call: batches.BatchCall) -> None:
+    async def _make_call(self, keep: _Keep, call: piecejobs.BatchCall) -> None:
         now = self._clock.now()
         asked = [
             pieces.PieceCall(
@@ -315,14 +316,16 @@
         )
         keep.wake.set()
 
-    def _fail(self, keep: _Keep, call: batches.BatchCall, busy: bool) -> None:
+    def _fail(
+        self, keep: _Keep, call: piecejobs.BatchCall, busy: bool
+    ) -> None:
         for job in keep.planner.fail(call, busy, self._clock.now()):
             self._end(keep, job, pieces.Failure.ERROR)
 
     def _finish(
         self,
         keep: _Keep,
-        call: batches.BatchCall,
+        call: piecejobs.BatchCall,
         found: list[pieces.PieceResult],
     ) -> None:
         now = self._clock.now()
@@ -350,7 +353,7 @@
     def _end(
         self,
         keep: _Keep,
-        job: batches.Job,
+        job: piecejobs.Job,
         failure: pieces.Failure | None,
     ) -> None:
         handles = () if failure else tuple(job.handles)
@@ -373,8 +376,8 @@
             del self._ended[name]
 
 
-def _make_job(ask: piecemessages.PiecesAsk, now: float) -> batches.Job:
-    return batches.Job(
+def _make_job(ask: piecemessages.PiecesAsk, now: float) -> piecejobs.Job:
+    return piecejobs.Job(
         name=ask.job,
         request=ask.request,
         stage=ask.stage,
--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -1,16 +1,13 @@
 """Configuration, endpoints and hosts from the store, and from peers."""
 
-from collections import abc as collections_abc
 import logging
-import random
 
 import mode
 import msgspec
 
-from chervilshore import catalogmessages
-from chervilshore.clients import peers as peer_types
 from chervilshore import clock as clocks
 from chervilshore.controllers import configuration as configurations
+from chervilshore.controllers import decoders as decoding
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import membership as memberships
 from chervilshore.decisions import kinds
@@ -39,12 +36,6 @@
 MOST_RETRY_MS = 1000.0
 """Milliseconds up to which that grows."""
 
-RELAY_MS = 500.0
-"""Milliseconds between two questions to peers while the store is away."""
-
-RELAY_LIMIT_MS = 400.0
-"""Milliseconds that a peer has to answer."""
-
 LAPSE_MS = 1600.0
 """Milliseconds for which an entry that vanished during an outage of the
 store counts still: its endpoint writes it anew within two seconds."""
@@ -52,36 +43,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class Decoders(msgspec.Struct, frozen=True):
-    """How the objects of each kind are read.
-
-    Parameters
-    ----------
-    rules, domains, endpoints, hosts : str
-        The kinds of objects.
-    rules_name : str
-        The object that holds the configuration.
-    read_rules, read_endpoint, read_host : callable
-        Decode an object's content.
-    write_host : callable
-        Encodes what this host tells of itself.
-    """
-
-    rules: str
-    domains: str
-    endpoints: str
-    hosts: str
-    rules_name: str
-    read_rules: collections_abc.Callable[[bytes], model.Rules]
-    read_endpoint: collections_abc.Callable[
-        [str, bytes], records.EndpointRecord | None
-    ]
-    read_host: collections_abc.Callable[
-        [str, bytes], records.HostRecord | None
-    ]
-    write_host: collections_abc.Callable[[records.HostRecord], bytes]
-
-
 class Catalog(
     mode.Service, configurations.Configuration, directories.Directory
 ):
@@ -95,33 +56,30 @@
         Read its objects.
     membership : Membership
         Which entry hosts are alive.
-    peers : Peers
-        Carries the messages.
     clock : Clock
         The time.
-    generator : random.Random
-        Chooses peers.
+
+    Attributes
+    ----------
+    kinds : dict of str to KindState
+        What is known of each kind of objects.
     """
 
     def __init__(
         self,
         store: objects.ObjectStore,
-        decoders: Decoders,
+        decoders: decoding.Decoders,
         membership: memberships.Membership,
-        peers: peer_types.Peers,
         clock: clocks.Clock,
-        generator: random.Random,
     ) -> None:
         super().__init__()
         self._store = store
         self._decoders = decoders
         self._membership = membership
-        self._peers = peers
         self._clock = clock
-        self._random = generator
         self._rules = model.Rules()
         self._listeners: list[configurations.Listener] = []
-        self._kinds = {
+        self.kinds = {
             decoders.rules: kinds.KindState(),
             decoders.domains: kinds.KindState(),
             decoders.endpoints: kinds.KindState(LAPSE_MS),
@@ -171,7 +129,7 @@
     @property
     def ready(self) -> bool:
         """Whether every kind has been read, by this host or by a peer."""
-        known = all(state.revision for state in self._kinds.values())
+        known = all(state.revision for state in self.kinds.values())
         return known and bool(self._rules.generation)
 
     def describe(self) -> dict[str, object]:
@@ -179,11 +137,11 @@
         return {
             "generation": self._rules.generation,
             "revisions": {
-                kind: state.revision for kind, state in self._kinds.items()
+                kind: state.revision for kind, state in self.kinds.items()
             },
             "lost": [
                 kind
-                for kind, state in self._kinds.items()
+                for kind, state in self.kinds.items()
                 if state.lost_since is not None
             ],
             "endpoints": len(self._endpoints),
@@ -192,14 +150,12 @@
     # Following the store.
 
     async def on_start(self) -> None:
-        """Answer peers and follow every kind."""
-        self._peers.handle(catalogmessages.CatalogAsk, self._answer)
-        for kind in self._kinds:
+        """Follow every kind."""
+        for kind in self.kinds:
             if kind != self._decoders.hosts:
                 self.add_future(self._follow(kind))
         self.add_future(self._register())
         self.add_future(self._find_hosts())
-        self.add_future(self._relay())
 
     async def unregister(self) -> None:
         """Take this host's own entry from the store."""
@@ -243,14 +199,14 @@
                 wait = min(MOST_RETRY_MS, wait * 2.0)
                 continue
             self._note_regained(kind)
-            self._kinds[kind].replace(listing, self._clock.now())
-            self._apply(kind)
+            self.kinds[kind].replace(listing, self._clock.now())
+            self.apply(kind)
             await self._clock.sleep(LONELY_MS)
             if len(self._membership.hosts()) > 1:
                 return
 
     async def _follow(self, kind: str) -> None:
-        state = self._kinds[kind]
+        state = self.kinds[kind]
         wait = RETRY_MS
         listed = False
         while not self.should_stop:
@@ -263,7 +219,7 @@
                     state.merge(changes, self._clock.now())
                     if changes.changes:
                         wait = RETRY_MS
-                        self._apply(kind)
+                        self.apply(kind)
                         await self._clock.sleep(SETTLE_MS)
                         continue
                 else:
@@ -280,10 +236,10 @@
                 wait = min(MOST_RETRY_MS, wait * 2.0)
                 continue
             wait = RETRY_MS
-            self._apply(kind)
+            self.apply(kind)
 
     def _note_lost(self, kind: str, error: exceptions.PlatformError) -> None:
-        state = self._kinds[kind]
+        state = self.kinds[kind]
         if state.lost_since is None:
             state.lost_since = self._clock.now()
             events.log_event(
@@ -295,7 +251,7 @@
             )
 
     def _note_regained(self, kind: str) -> None:
-        state = self._kinds[kind]
+        state = self.kinds[kind]
         if state.lost_since is not None:
             now = self._clock.now()
             events.log_event(
@@ -307,87 +263,15 @@
             state.lost_since = None
             state.returned = now
 
-    # Peers.
-
-    def _answer(
-        self, sender: ids.Address, ask: catalogmessages.CatalogAsk
-    ) -> catalogmessages.CatalogReply:
-        found = []
-        for kind, revision in ask.revisions.items():
-            state = self._kinds.get(kind)
-            if state is not None and state.revision > revision:
-                stored = tuple(
-                    (one.name, one.revision, one.content)
-                    for one in state.objects.values()
-                )
-                found.append(
-                    catalogmessages.KindSnapshot(kind, state.revision, stored)
-                )
-        return catalogmessages.CatalogReply(tuple(found))
-
-    async def _relay(self) -> None:
-        """Learn from peers while the store does not answer this host."""
-        while not self.should_stop:
-            await self._clock.sleep(RELAY_MS)
-            lost = {
-                kind: state.revision
-                for kind, state in self._kinds.items()
-                if state.lost_since is not None
-            }
-            others = [
-                host
-                for host in self._membership.hosts()[1:]
-                if host.state is records.HostState.ALIVE
-            ]
-            if not lost or not others:
-                continue
-            peer = self._random.choice(others)
-            try:
-                reply = await self._peers.ask(
-                    peer.peer_address,
-                    catalogmessages.CatalogAsk(lost),
-                    RELAY_LIMIT_MS,
-                )
-            except exceptions.PeerError:
-                # Another one is asked in the next round.
-                continue
-            if isinstance(reply, catalogmessages.CatalogReply):
-                self._learn(peer, reply)
-
-    def _learn(
-        self,
-        peer: records.HostRecord,
-        reply: catalogmessages.CatalogReply,
-    ) -> None:
-        for snapshot in reply.snapshots:
-            state = self._kinds.get(snapshot.kind)
-            if state is None or snapshot.revision <= state.revision:
-                continue
-            listing = objects.Listing(
-                tuple(
-                    objects.StoredObject(*stored)
-                    for stored in snapshot.objects
-                ),
-                snapshot.revision,
-            )
-            state.replace(listing, self._clock.now())
-            events.log_event(
-                _LOGGER,
-                events.Event.KIND_RELAYED,
-                kind=snapshot.kind,
-                revision=snapshot.revision,
-                peer=peer.host,
-            )
-            self._apply(snapshot.kind)
-
     # Putting in force.
 
     def _expire(self) -> None:
         kind = self._decoders.endpoints
-        if self._kinds[kind].expire(self._clock.now()):
-            self._apply(kind)
+        if self.kinds[kind].expire(self._clock.now()):
+            self.apply(kind)
 
-    def _apply(self, kind: str) -> None:
+    def apply(self, kind: str) -> None:
+        """Put in force what is known of a kind."""
         if kind == self._decoders.rules:
             self._apply_rules()
         elif kind == self._decoders.domains:
@@ -398,7 +282,7 @@
             self._apply_hosts()
 
     def _apply_rules(self) -> None:
-        state = self._kinds[self._decoders.rules]
+        state = self.kinds[self._decoders.rules]
         stored = state.objects.get(self._decoders.rules_name)
         if stored is None:
             return
@@ -425,7 +309,7 @@
 
     def _join_rules(self) -> None:
         """Join the configuration and the domains that are taken out."""
-        names = self._kinds[self._decoders.domains].objects
+        names = self.kinds[self._decoders.domains].objects
         out = {
             ids.DomainId(name): model.Domain(
                 ids.DomainId(name), state=records.DomainState.OUT
@@ -441,7 +325,7 @@
             listener(self._rules)
 
     def _apply_endpoints(self) -> None:
-        state = self._kinds[self._decoders.endpoints]
+        state = self.kinds[self._decoders.endpoints]
         now = self._clock.now()
         found = {}
         for stored in state.objects.values():
@@ -476,7 +360,7 @@
         self._pools = {name: tuple(some) for name, some in pools.items()}
 
     def _apply_hosts(self) -> None:
-        state = self._kinds[self._decoders.hosts]
+        state = self.kinds[self._decoders.hosts]
         found = [
             self._decoders.read_host(stored.name, stored.content)
             for stored in state.objects.values()
--- a/chervilshore/decisions/backlog.py
+++ b/chervilshore/decisions/backlog.py
@@ -1,5 +1,7 @@
 """What a host knows of the queues of preparing pools."""
 
+import math
+
 import msgspec
 
 from chervilshore import ids
@@ -8,6 +10,13 @@
 """Milliseconds after which what a keeper said says nothing any more."""
 
 
+SHARE_MS = 1500.0
+"""Milliseconds over which the share of timely work is averaged."""
+
+LEAST_SPARE = 0.1
+"""The part of a pool that is taken to be left for late work in any case."""
+
+
 class Waits(msgspec.Struct, frozen=True, array_like=True):
     """How long new pieces wait for their call, about.
 
@@ -43,3 +52,34 @@
             max(0.0, waits.timely_ms - passed),
             max(0.0, waits.late_ms - passed),
         )
+
+
+class TimelyShare:
+    """The part of a pool that timely work takes, over the last seconds."""
+
+    def __init__(self) -> None:
+        self._pieces = 0.0
+        self._faded = 0.0
+
+    def note(self, pieces: int, now: float) -> None:
+        """Count timely pieces that were called for."""
+        self._fade(now)
+        self._pieces += pieces
+
+    def count_spare(self, piece_ms: float, now: float) -> float:
+        """Tell the part that is left for late work.
+
+        Parameters
+        ----------
+        piece_ms : float
+            Milliseconds in which the whole pool makes one piece.
+        now : float
+            The time in milliseconds.
+        """
+        self._fade(now)
+        return max(LEAST_SPARE, 1.0 - self._pieces * piece_ms / SHARE_MS)
+
+    def _fade(self, now: float) -> None:
+        passed = max(0.0, now - self._faded)
+        self._pieces *= math.exp(-passed / SHARE_MS)
+        self._faded = now
--- a/chervilshore/decisions/batches.py
+++ b/chervilshore/decisions/batches.py
@@ -1,18 +1,15 @@
 """Which pieces of work go together to which endpoint, and when.
 
-An endpoint of a preparing pool makes one call at a time, and a call costs
-a fixed time before its first piece. One planner for a pool therefore
-collects the pieces of all hosts and fills a call whenever an endpoint is
-free.
+An endpoint of a preparing pool makes one call at a time, which costs a fixed
+time before its first piece. One planner for a pool therefore collects the
+pieces of all hosts and fills a call whenever an endpoint is free.
 """
 
 from collections import abc as collections_abc
-import enum
-import math
-
-import msgspec
 
 from chervilshore.decisions import backlog
+from chervilshore.decisions import makers
+from chervilshore.decisions import piecejobs
 from chervilshore import ids
 from chervilshore import records
 from chervilshore.rules import model
@@ -20,9 +17,6 @@
 PRIORITY_MS = 300.0
 """Milliseconds by which one step of priority moves a piece ahead or back."""
 
-SPEED_WEIGHT = 0.4
-"""The weight of one call in an endpoint's speed."""
-
 LATE_FACTOR = 2.0
 """Times the expected time after which a call's pieces go elsewhere too."""
 
@@ -32,28 +26,6 @@
 MOST_TRIES = 3
 """Calls that one piece may be part of."""
 
-BACKOFF_MS = 60.0
-"""Milliseconds for which a full endpoint is not asked again."""
-
-CROWDED_REST_MS = 200.0
-"""Milliseconds for which an endpoint without any room is not asked again;
-results of a lost keeper take up to four seconds to lapse."""
-
-SHARE_MS = 1500.0
-"""Milliseconds over which the share of timely work is averaged."""
-
-LEAST_SPARE = 0.1
-"""The part of a pool that is taken to be left for late work in any case."""
-
-CROWDED_MS = 600.0
-"""Milliseconds for which an endpoint counts as fuller than it seemed."""
-
-FAILED_MS = 700.0
-"""Milliseconds for which an endpoint rests after a first lost call."""
-
-MOST_FAILED_MS = 5000.0
-"""Milliseconds for which an endpoint rests at most."""
-
 NEAR_BYTES = 200_000
 """Bytes of a result from which it should be made near its reader."""
 
@@ -64,138 +36,6 @@
 """The part of the room for results that is planned with, as their sizes are
 known only about."""
 
-SLOW_SPEED = 2.0
-"""Times the usual duration from which an endpoint is left while others
-are free soon."""
-
-SPEED_REST_MS = 4000.0
-"""Milliseconds after which a slow endpoint is tried with a small call."""
-
-
-class State(enum.Enum):
-    """Where a piece stands."""
-
-    WAITING = "waiting"
-    CALLED = "called"
-    DONE = "done"
-
-
-class Job(msgspec.Struct, eq=False):
-    """The pieces that one preparation of a request needs.
-
-    Parameters
-    ----------
-    name : str
-        Unique among all hosts.
-    request : RequestId
-        The request.
-    stage : int
-        The position of the preparation.
-    count : int
-        Its pieces.
-    key : str
-        What the pieces work on, when they have no inputs.
-    inputs : tuple of str
-        The results that they work on.
-    priority : int
-        Lower goes first.
-    due : float
-        The moment by which its call must begin to reach the objective.
-    deadline : float
-        The moment by which its call must begin to be of use at all.
-    result_bytes : int
-        Bytes of one result, about.
-    domain : DomainId
-        Where the results will be read; empty when that is open.
-
-    Attributes
-    ----------
-    handles : list of str
-        The results, empty where there is none yet.
-    waiting : set of int
-        Pieces that are in no call.
-    tries : int
-        Calls that brought nothing for it.
-    """
-
-    name: str
-    request: ids.RequestId
-    stage: int
-    count: int
-    key: str = ""
-    inputs: tuple[str, ...] = ()
-    priority: int = 5
-    due: float = 0.0
-    deadline: float = 0.0
-    result_bytes: int = 0
-    domain: ids.DomainId = ids.DomainId("")
-    handles: list[str] = []
-    waiting: set[int] = set()
-    tries: int = 0
-
-    def __post_init__(self) -> None:
-        self.handles = [""] * self.count
-        self.waiting = set(range(self.count))
-
-    @property
-    def is_done(self) -> bool:
-        """Whether every piece has its result."""
-        return all(self.handles)
-
-
-class Part(msgspec.Struct, frozen=True, eq=False):
-    """Some pieces of a job within a call."""
-
-    job: Job
-    pieces: tuple[int, ...]
-
-
-class BatchCall(msgspec.Struct, eq=False):
-    """A call to an endpoint.
-
-    Parameters
-    ----------
-    record : EndpointRecord
-        The endpoint.
-    parts : list of Part
-        The pieces.
-    began : float
-        The moment at which it begins.
-    expected_ms : float
-        Milliseconds that it should take.
-    released : bool
-        Whether its pieces wait for another call, as it takes too long.
-    """
-
-    record: records.EndpointRecord
-    parts: list[Part]
-    began: float
-    expected_ms: float
-    released: bool = False
-
-    @property
-    def size(self) -> int:
-        """The number of its pieces."""
-        return sum(len(part.pieces) for part in self.parts)
-
-
-class _Worker:
-    """What is known of one endpoint."""
-
-    def __init__(self, record: records.EndpointRecord) -> None:
-        self.record = record
-        self.call: BatchCall | None = None
-        self.speed = 1.0
-        self.rests_until = 0.0
-        self.failures = 0
-        self.results: dict[str, tuple[float, int]] = {}
-
-    def used_bytes(self, now: float) -> int:
-        gone = [name for name, (end, _) in self.results.items() if end <= now]
-        for name in gone:
-            del self.results[name]
-        return sum(size for _, size in self.results.values())
-
 
 class BatchPlanner:
     """Plans the calls of one pool.
@@ -213,10 +53,9 @@
 
     def __init__(self, batching: model.Batching) -> None:
         self.batching = batching
-        self.jobs: dict[str, Job] = {}
-        self._workers: dict[ids.EndpointId, _Worker] = {}
-        self._timely = 0.0
-        self._faded = 0.0
+        self.jobs: dict[str, piecejobs.Job] = {}
+        self._makers: dict[ids.EndpointId, makers.Maker] = {}
+        self._timely = backlog.TimelyShare()
 
     def set_endpoints(
         self, found: collections_abc.Iterable[records.EndpointRecord]
@@ -224,22 +63,22 @@
         """Name the endpoints that may be used."""
         kept = {}
         for record in found:
-            worker = self._workers.get(record.endpoint)
-            if worker is None or worker.record.instance != record.instance:
-                worker = _Worker(record)
-            worker.record = record
-            kept[record.endpoint] = worker
-        self._workers = kept
-
-    def add(self, job: Job) -> None:
+            maker = self._makers.get(record.endpoint)
+            if maker is None or maker.record.instance != record.instance:
+                maker = makers.Maker(record)
+            maker.record = record
+            kept[record.endpoint] = maker
+        self._makers = kept
+
+    def add(self, job: piecejobs.Job) -> None:
         """Take a job on."""
         self.jobs[job.name] = job
 
-    def drop(self, name: str) -> Job | None:
+    def drop(self, name: str) -> piecejobs.Job | None:
         """Forget a job; pieces in a call are made in vain."""
         return self.jobs.pop(name, None)
 
-    def give_up_waiting(self) -> list[Job]:
+    def give_up_waiting(self) -> list[piecejobs.Job]:
         """Take the jobs of which nothing has been called for."""
         found = [
             job for job in self.jobs.values() if len(job.waiting) == job.count
@@ -256,9 +95,7 @@
     def estimate_waits(self, now: float) -> backlog.Waits:
         """Tell for how long new jobs wait for their call, about."""
         usable = [
-            worker
-            for worker in self._workers.values()
-            if worker.rests_until <= now and worker.speed < SLOW_SPEED
+            maker for maker in self._makers.values() if maker.is_usable(now)
         ]
         whole = self.expect_ms(self.batching.most)
         if not usable:
@@ -269,30 +106,14 @@
                 timely += len(job.waiting)
             else:
                 late += len(job.waiting)
-        free = min(self._left_ms(worker, now) for worker in usable)
+        free = min(maker.count_left(now) for maker in usable)
         each = whole / self.batching.most / len(usable)
-        spare = max(LEAST_SPARE, 1.0 - self._count_share(now, each))
+        spare = self._timely.count_spare(each, now)
         return backlog.Waits(
             free + timely * each, free + (timely + late) * each / spare
         )
 
-    def _count_share(self, now: float, each_ms: float) -> float:
-        """Tell the part of the pool that timely work takes."""
-        self._fade(now)
-        return self._timely * each_ms / SHARE_MS
-
-    def _fade(self, now: float) -> None:
-        passed = max(0.0, now - self._faded)
-        self._timely *= math.exp(-passed / SHARE_MS)
-        self._faded = now
-
-    def _left_ms(self, worker: _Worker, now: float) -> float:
-        call = worker.call
-        if call is None:
-            return 0.0
-        return max(0.0, call.began + call.expected_ms - now)
-
-    def expire(self, now: float) -> list[Job]:
+    def expire(self, now: float) -> list[piecejobs.Job]:
         """Take the jobs whose waiting pieces come too late."""
         late = [
             job
@@ -303,15 +124,15 @@
             del self.jobs[job.name]
         return late
 
-    def plan(self, now: float) -> list[BatchCall]:
+    def plan(self, now: float) -> list[piecejobs.BatchCall]:
         """Fill a call for each endpoint that is free."""
         self._release_late(now)
         calls = []
         waiting = self._sort(now)
-        for worker in self._list_free(now):
+        for maker in self._list_free(now):
             if not waiting:
                 break
-            call = self._fill(worker, waiting, now)
+            call = self._fill(maker, waiting, now)
             if call is not None:
                 calls.append(call)
             waiting = [job for job in waiting if job.waiting]
@@ -320,32 +141,32 @@
     def next_moment(self, now: float) -> float | None:
         """Tell when to plan again though nothing has happened."""
         moments = []
-        for worker in self._workers.values():
-            call = worker.call
+        for maker in self._makers.values():
+            call = maker.call
             if call is not None and not call.released:
                 moments.append(call.began + self._late_ms(call))
-            elif worker.rests_until > now:
-                moments.append(worker.rests_until)
+            elif maker.rests_until > now:
+                moments.append(maker.rests_until)
         moments += [job.deadline for job in self.jobs.values() if job.waiting]
         return min((one for one in moments if one > now), default=None)
 
-    def _late_ms(self, call: BatchCall) -> float:
+    def _late_ms(self, call: piecejobs.BatchCall) -> float:
         return LATE_FACTOR * call.expected_ms + LATE_SLACK_MS
 
     def _release_late(self, now: float) -> None:
         """Let pieces of calls that take too long go elsewhere too."""
-        for worker in self._workers.values():
-            call = worker.call
+        for maker in self._makers.values():
+            call = maker.call
             if call is None or call.released:
                 continue
             if now >= call.began + self._late_ms(call):
                 call.released = True
-                worker.speed = max(worker.speed, SLOW_SPEED)
+                maker.note_late()
                 self._return_pieces(call)
 
     def _return_pieces(
-        self, call: BatchCall, counts: bool = True
-    ) -> list[Job]:
+        self, call: piecejobs.BatchCall, counts: bool = True
+    ) -> list[piecejobs.Job]:
         """Let a call's pieces wait again; tell which jobs have failed."""
         failed = []
         for part in call.parts:
@@ -364,10 +185,10 @@
                 job.waiting |= missing
         return failed
 
-    def _sort(self, now: float) -> list[Job]:
+    def _sort(self, now: float) -> list[piecejobs.Job]:
         """Order the jobs: those that can reach their objective first."""
 
-        def weigh(job: Job) -> tuple[bool, int, float]:
+        def weigh(job: piecejobs.Job) -> tuple[bool, int, float]:
             if now <= job.due:
                 return False, 0, job.due + PRIORITY_MS * job.priority
             # What earlier steps have made would be lost first.
@@ -378,26 +199,26 @@
             (job for job in self.jobs.values() if job.waiting), key=weigh
         )
 
-    def _list_free(self, now: float) -> list[_Worker]:
+    def _list_free(self, now: float) -> list[makers.Maker]:
         free = [
-            worker
-            for worker in self._workers.values()
-            if worker.call is None and worker.rests_until <= now
+            maker
+            for maker in self._makers.values()
+            if maker.call is None and maker.rests_until <= now
         ]
-        free.sort(key=lambda worker: worker.speed)
+        free.sort(key=lambda maker: maker.speed)
         return free
 
     def _fill(
-        self, worker: _Worker, waiting: list[Job], now: float
-    ) -> BatchCall | None:
+        self, maker: makers.Maker, waiting: list[piecejobs.Job], now: float
+    ) -> piecejobs.BatchCall | None:
         batching = self.batching
-        room = ROOM_PART * batching.room_bytes - worker.used_bytes(now)
+        room = ROOM_PART * batching.room_bytes - maker.count_used(now)
         left = batching.most
         parts = []
         for job in waiting:
             if left <= 0:
                 break
-            if self._waits_for_near(worker, job, now):
+            if self._waits_for_near(maker, job, now):
                 continue
             fits = left
             if job.result_bytes:
@@ -405,67 +226,55 @@
             pieces = tuple(sorted(job.waiting)[: max(0, fits)])
             if not pieces:
                 continue
-            parts.append(Part(job, pieces))
+            parts.append(piecejobs.Part(job, pieces))
             left -= len(pieces)
             room -= len(pieces) * job.result_bytes
         if not parts:
             return None
-        self._fade(now)
         for part in parts:
             part.job.waiting -= set(part.pieces)
             if now <= part.job.due:
-                self._timely += len(part.pieces)
+                self._timely.note(len(part.pieces), now)
         size = batching.most - left
-        call = BatchCall(
-            worker.record, parts, now, self.expect_ms(size, worker.speed)
+        call = piecejobs.BatchCall(
+            maker.record, parts, now, self.expect_ms(size, maker.speed)
         )
-        worker.call = call
-        for part in parts:
-            for piece in part.pieces:
-                self._reserve(worker, part.job, piece, call, now)
+        maker.reserve(call, batching.keep_ms, now)
         return call
 
-    def _waits_for_near(self, worker: _Worker, job: Job, now: float) -> bool:
+    def _waits_for_near(
+        self, maker: makers.Maker, job: piecejobs.Job, now: float
+    ) -> bool:
         """Tell whether a job should wait for an endpoint near its reader.
 
         Large results are made where they will be read while that costs
         the request nothing.
         """
-        domain = worker.record.domain
+        domain = maker.record.domain
         if job.result_bytes < NEAR_BYTES or domain == job.domain:
             return False
         return any(
             other.record.domain == job.domain
-            and other.rests_until <= now
-            and other.speed < SLOW_SPEED
-            and now + self._left_ms(other, now) + NEAR_SLACK_MS <= job.due
-            for other in self._workers.values()
+            and other.is_usable(now)
+            and now + other.count_left(now) + NEAR_SLACK_MS <= job.due
+            for other in self._makers.values()
         )
 
-    def _reserve(
-        self,
-        worker: _Worker,
-        job: Job,
-        piece: int,
-        call: BatchCall,
-        now: float,
-    ) -> None:
-        ends = now + call.expected_ms + self.batching.keep_ms
-        worker.results[f"{job.name}/{piece}"] = (ends, job.result_bytes)
-
-    def _end(self, call: BatchCall, now: float) -> _Worker | None:
-        worker = self._workers.get(call.record.endpoint)
-        if worker is None or worker.call is not call:
+    def _end(
+        self, call: piecejobs.BatchCall, now: float
+    ) -> makers.Maker | None:
+        maker = self._makers.get(call.record.endpoint)
+        if maker is None or maker.call is not call:
             return None
-        worker.call = None
-        return worker
+        maker.call = None
+        return maker
 
     def finish(
         self,
-        call: BatchCall,
+        call: piecejobs.BatchCall,
         handles: list[str],
         now: float,
-    ) -> tuple[list[Job], list[str]]:
+    ) -> tuple[list[piecejobs.Job], list[str]]:
         """Take the results of a call, in the order of its pieces.
 
         Parameters
@@ -482,24 +291,21 @@
         tuple of list
             The jobs that are done now, and the handles that nobody needs.
         """
-        worker = self._end(call, now)
-        if worker is not None:
-            worker.failures = 0
-            actual = (now - call.began) / self.expect_ms(call.size)
-            worker.speed += SPEED_WEIGHT * (actual - worker.speed)
-            if worker.speed >= SLOW_SPEED:
-                worker.rests_until = now + SPEED_REST_MS
-                worker.speed = (worker.speed + 1.0) / 2.0
+        maker = self._end(call, now)
+        if maker is not None:
+            usual = self.expect_ms(call.size)
+            maker.note_speed((now - call.began) / usual, now)
         done, spare = [], []
         position = 0
+        lapses = now + self.batching.keep_ms
         for part in call.parts:
             job = part.job
             known = self.jobs.get(job.name) is job
             for piece in part.pieces:
                 handle = handles[position]
                 position += 1
-                if worker is not None:
-                    self._note_result(worker, job, piece, handle, now)
+                if maker is not None:
+                    maker.note_result(job, piece, handle, lapses)
                 if not handle:
                     continue
                 if not known or job.handles[piece]:
@@ -512,17 +318,9 @@
                 done.append(job)
         return done, spare
 
-    def _note_result(
-        self, worker: _Worker, job: Job, piece: int, handle: str, now: float
-    ) -> None:
-        worker.results.pop(f"{job.name}/{piece}", None)
-        if handle:
-            ends = now + self.batching.keep_ms
-            worker.results[handle] = (ends, job.result_bytes)
-
     def retry_missing(
-        self, call: BatchCall, crowded: int, now: float
-    ) -> list[Job]:
+        self, call: piecejobs.BatchCall, crowded: int, now: float
+    ) -> list[piecejobs.Job]:
         """Let pieces without a result wait again.
 
         Parameters
@@ -539,16 +337,16 @@
         list of Job
             The jobs that have failed too often.
         """
-        worker = self._workers.get(call.record.endpoint)
-        if worker is not None and crowded:
+        maker = self._makers.get(call.record.endpoint)
+        if maker is not None and crowded:
             # Less room is left there than it seemed.
             size = max(part.job.result_bytes for part in call.parts)
-            worker.results["crowded"] = (now + CROWDED_MS, crowded * size)
-            if crowded == call.size:
-                worker.rests_until = now + CROWDED_REST_MS
+            maker.note_crowded(crowded * size, crowded == call.size, now)
         return self._return_pieces(call, counts=not crowded)
 
-    def fail(self, call: BatchCall, full: bool, now: float) -> list[Job]:
+    def fail(
+        self, call: piecejobs.BatchCall, full: bool, now: float
+    ) -> list[piecejobs.Job]:
         """Take a call that brought nothing.
 
         Parameters
@@ -565,34 +363,29 @@
         list of Job
             The jobs that have failed too often.
         """
-        worker = self._end(call, now)
-        if worker is not None:
+        maker = self._end(call, now)
+        if maker is not None:
             if full:
-                for part in call.parts:
-                    for piece in part.pieces:
-                        name = f"{part.job.name}/{piece}"
-                        worker.results.pop(name, None)
-                worker.rests_until = now + BACKOFF_MS
+                maker.release(call)
+                maker.note_full(now)
             else:
-                worker.failures += 1
-                rest = FAILED_MS * 2.0 ** (worker.failures - 1)
-                worker.rests_until = now + min(MOST_FAILED_MS, rest)
+                maker.note_lost(now)
         if call.released:
             return []
         return self._return_pieces(call, counts=not full)
 
     def count_room(self, endpoint: ids.EndpointId, now: float) -> float:
         """Tell the bytes of results that an endpoint can still keep."""
-        worker = self._workers.get(endpoint)
-        if worker is None:
+        maker = self._makers.get(endpoint)
+        if maker is None:
             return 0.0
-        return self.batching.room_bytes - worker.used_bytes(now)
+        return self.batching.room_bytes - maker.count_used(now)
 
     def find_maker(self, handle: str) -> records.EndpointRecord | None:
         """Tell which endpoint has a result."""
-        for worker in self._workers.values():
-            if handle in worker.results:
-                return worker.record
+        for maker in self._makers.values():
+            if handle in maker.results:
+                return maker.record
         return None
 
     def note_freed(
@@ -601,7 +394,7 @@
         handles: collections_abc.Iterable[str],
     ) -> None:
         """Count the room of results that an endpoint has given up."""
-        worker = self._workers.get(endpoint)
-        if worker is not None:
+        maker = self._makers.get(endpoint)
+        if maker is not None:
             for handle in handles:
-                worker.results.pop(handle, None)
+                maker.results.pop(handle, None)
--- /dev/null
+++ b/chervilshore/decisions/piecejobs.py
@@ -0,0 +1,105 @@
+"""Pieces of work that go before a request, and calls that carry them."""
+
+import msgspec
+
+from chervilshore import ids
+from chervilshore import records
+
+
+class Job(msgspec.Struct, eq=False):
+    """The pieces that one preparation of a request needs.
+
+    Parameters
+    ----------
+    name : str
+        Unique among all hosts.
+    request : RequestId
+        The request.
+    stage : int
+        The position of the preparation.
+    count : int
+        Its pieces.
+    key : str
+        What the pieces work on, when they have no inputs.
+    inputs : tuple of str
+        The results that they work on.
+    priority : int
+        Lower goes first.
+    due : float
+        The moment by which its call must begin to reach the objective.
+    deadline : float
+        The moment by which its call must begin to be of use at all.
+    result_bytes : int
+        Bytes of one result, about.
+    domain : DomainId
+        Where the results will be read; empty when that is open.
+
+    Attributes
+    ----------
+    handles : list of str
+        The results, empty where there is none yet.
+    waiting : set of int
+        Pieces that are in no call.
+    tries : int
+        Calls that brought nothing for it.
+    """
+
+    name: str
+    request: ids.RequestId
+    stage: int
+    count: int
+    key: str = ""
+    inputs: tuple[str, ...] = ()
+    priority: int = 5
+    due: float = 0.0
+    deadline: float = 0.0
+    result_bytes: int = 0
+    domain: ids.DomainId = ids.DomainId("")
+    handles: list[str] = []
+    waiting: set[int] = set()
+    tries: int = 0
+
+    def __post_init__(self) -> None:
+        self.handles = [""] * self.count
+        self.waiting = set(range(self.count))
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every piece has its result."""
+        return all(self.handles)
+
+
+class Part(msgspec.Struct, frozen=True, eq=False):
+    """Some pieces of a job within a call."""
+
+    job: Job
+    pieces: tuple[int, ...]
+
+
+class BatchCall(msgspec.Struct, eq=False):
+    """A call to an endpoint.
+
+    Parameters
+    ----------
+    record : EndpointRecord
+        The endpoint.
+    parts : list of Part
+        The pieces.
+    began : float
+        The moment at which it begins.
+    expected_ms : float
+        Milliseconds that it should take.
+    released : bool
+        Whether its pieces wait for another call, as it takes too long.
+    """
+
+    record: records.EndpointRecord
+    parts: list[Part]
+    began: float
+    expected_ms: float
+    released: bool = False
+
+    @property
+    def size(self) -> int:
+        """The number of its pieces."""
+        return sum(len(part.pieces) for part in self.parts)
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -10,9 +10,12 @@
 from chervilshore import clock as clocks
 from chervilshore.controllers import batching
 from chervilshore.controllers import catalog
+from chervilshore.controllers import decoders
 from chervilshore.controllers import membership
 from chervilshore.controllers import pacing
 from chervilshore.controllers import preparing
+from chervilshore.controllers import relay
+from chervilshore.controllers import submitting
 from chervilshore.decisions import deadlines
 from chervilshore.decisions import ejection
 from chervilshore.decisions import placing
@@ -66,7 +69,7 @@
 """Milliseconds for which a leaving host goes on taking requests: the
 balancer leaves it out after two missed questions, a second apart."""
 
-_DECODERS = catalog.Decoders(
+_DECODERS = decoders.Decoders(
     rules=names.CONFIG,
     domains=names.EVACUATIONS,
     endpoints=names.SERVERS,
@@ -145,8 +148,10 @@
             metrics=self._metrics,
         )
         self._catalog = catalog.Catalog(
-            self._store,
-            _DECODERS,
+            self._store, _DECODERS, self._membership, self._clock
+        )
+        self._relay = relay.Relay(
+            self._catalog,
             self._membership,
             self._peers,
             self._clock,
@@ -166,13 +171,16 @@
             pieces.PieceClient(self._connections),
             self._metrics,
         )
-        self._preparer = preparing.Preparer(
+        self._keepers = submitting.Keepers(
             options.host,
             self._clock,
             self._peers,
             self._catalog,
             self._keeper,
         )
+        self._preparer = preparing.Preparer(
+            options.host, self._clock, self._catalog, self._keepers
+        )
         self._slots = pacing.PacedSlots(
             options.host,
             self._clock,
@@ -236,8 +244,9 @@
             self._peers,
             self._membership,
             self._catalog,
+            self._relay,
             self._keeper,
-            self._preparer,
+            self._keepers,
         ):
             await self.add_runtime_dependency(service)
         await self._listen(self.ingress.serve, self._options.http_address)
--- a/chervilshore/rules/words.py
+++ b/chervilshore/rules/words.py
@@ -9,7 +9,7 @@
 
 from chervilshore import records
 from chervilshore.rules import model
-from chervilshore import settings
+from chervilshore import settingkinds
 
 HOST_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9.:_-]{0,126}")
 PATH_PATTERN = re.compile(r"/[A-Za-z0-9._~/-]{0,254}")
@@ -92,7 +92,7 @@
     return Value(kind, " or ".join(choices), choices)
 
 
-def _take(kind: settings.Kind) -> Value:
+def _take(kind: settingkinds.Kind) -> Value:
     return Value(kind.parse, kind.allowed)
 
 
@@ -115,13 +115,13 @@
     return tuple(NAME.parse(part) for part in text.split(","))
 
 
-NAME = _take(settings.NAME)
+NAME = _take(settingkinds.NAME)
 HOST = Value(_match(HOST_PATTERN), "a host or endpoint of the host list")
 PATH = Value(_match(PATH_PATTERN), "a path that begins with /")
 YES = Value(_parse_yes, "yes or no", ("yes", "no"))
 STAGES = Value(_parse_stages, "STAGE@POOL,STAGE@POOL,... in order")
 NAMES = Value(_parse_names, "names separated by commas, without blanks")
-MILLIS = _take(settings.whole(1, 86_400_000))
+MILLIS = _take(settingkinds.whole(1, 86_400_000))
 
 
 def _shape(
@@ -162,8 +162,8 @@
         "pool",
         model.Pool,
         Field("kind", "kind", _choose(records.EndpointKind), required=True),
-        Field("cold", "cold", _take(settings.whole(1, 100_000))),
-        Field("most", "most", _take(settings.whole(1, 100_000))),
+        Field("cold", "cold", _take(settingkinds.whole(1, 100_000))),
+        Field("most", "most", _take(settingkinds.whole(1, 100_000))),
         Field("fencing", "fencing", _choose(model.Fencing)),
         Field("resume", "resume", YES),
         Field("model", "model", NAME),
@@ -171,7 +171,7 @@
     "class": _shape(
         "class",
         model.RequestClass,
-        Field("priority", "priority", _take(settings.whole(0, 100))),
+        Field("priority", "priority", _take(settingkinds.whole(0, 100))),
         Field("aging", "aging_ms", MILLIS),
     ),
     "pipeline": _shape(
@@ -203,9 +203,13 @@
     "team": _shape(
         "team",
         model.Team,
-        Field("rate", "rate", _take(settings.real(0.001, 1e9)), required=True),
-        Field("burst", "burst", _take(settings.real(1, 1e9))),
-        Field("concurrency", "concurrency", _take(settings.whole(1, 10**9))),
+        Field(
+            "rate", "rate", _take(settingkinds.real(0.001, 1e9)), required=True
+        ),
+        Field("burst", "burst", _take(settingkinds.real(1, 1e9))),
+        Field(
+            "concurrency", "concurrency", _take(settingkinds.whole(1, 10**9))
+        ),
     ),
 }
 """Every kind of rule by its first word."""
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -2,13 +2,12 @@
 
 import argparse
 from collections import abc as collections_abc
-import ipaddress
-import re
 import typing
 
 import msgspec
 
 from chervilshore import exceptions
+from chervilshore import settingkinds
 
 VARIABLE_PREFIX = "CHERVILSHORE_"
 
@@ -16,92 +15,6 @@
 """The variable that holds the path of a settings file."""
 
 
-class Kind(msgspec.Struct, frozen=True):
-    """A kind of value.
-
-    Parameters
-    ----------
-    parse : callable
-        Turns text into the value; raises ValueError.
-    allowed : str
-        What is allowed, for people.
-    """
-
-    parse: collections_abc.Callable[[str], typing.Any]
-    allowed: str
-
-
-def _parse_name(text: str) -> str:
-    if not re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", text):
-        raise ValueError(text)
-    return text
-
-
-def _parse_address(text: str) -> str:
-    host, _, port = text.rpartition(":")
-    ipaddress.ip_address(host.strip("[]"))
-    if not 0 < int(port) < 65536:
-        raise ValueError(text)
-    return text
-
-
-def _parse_addresses(text: str) -> tuple[str, ...]:
-    parts = [part.strip() for part in text.split(",") if part.strip()]
-    return tuple(_parse_address(part) for part in parts)
-
-
-def _parse_number(text: str) -> str:
-    return text and str(ipaddress.ip_address(text))
-
-
-def _parse_optional_address(text: str) -> str:
-    return text and _parse_address(text)
-
-
-NAME = Kind(_parse_name, "1 to 63 letters, digits, dots, dashes, underlines")
-ADDRESS = Kind(_parse_address, "an IP number and a port, as 127.0.0.1:7000")
-ADDRESSES = Kind(_parse_addresses, "addresses separated by commas")
-OPTIONAL_ADDRESS = Kind(
-    _parse_optional_address, "nothing, or an IP number and a port"
-)
-OPTIONAL_NUMBER = Kind(_parse_number, "nothing, or an IP number")
-
-
-def choice(*words: str) -> Kind:
-    """Make the kind of some words."""
-
-    def parse(text: str) -> str:
-        if text not in words:
-            raise ValueError(text)
-        return text
-
-    return Kind(parse, " or ".join(words))
-
-
-def whole(least: int, most: int) -> Kind:
-    """Make the kind of whole numbers in a range."""
-
-    def parse(text: str) -> int:
-        number = int(text)
-        if not least <= number <= most:
-            raise ValueError(text)
-        return number
-
-    return Kind(parse, f"a whole number from {least} to {most}")
-
-
-def real(least: float, most: float) -> Kind:
-    """Make the kind of numbers in a range."""
-
-    def parse(text: str) -> float:
-        number = float(text)
-        if not least <= number <= most:
-            raise ValueError(text)
-        return number
-
-    return Kind(parse, f"a number from {least:g} to {most:g}")
-
-
 class Setting(msgspec.Struct, frozen=True):
     """One setting.
 
@@ -118,7 +31,7 @@
     """
 
     name: str
-    kind: Kind
+    kind: settingkinds.Kind
     text: str
     default: str | None = None
 
@@ -135,97 +48,105 @@
 
 SETTINGS = (
     # The host.
-    Setting("host", NAME, "name of this host"),
-    Setting("domain", NAME, "failure domain of this host"),
-    Setting("http_address", ADDRESS, "where callers and operators connect"),
-    Setting("peer_address", ADDRESS, "where other entry hosts connect"),
-    Setting("platform", ADDRESS, "where the platform's object API is"),
+    Setting("host", settingkinds.NAME, "name of this host"),
+    Setting("domain", settingkinds.NAME, "failure domain of this host"),
+    Setting(
+        "http_address",
+        settingkinds.ADDRESS,
+        "where callers and operators connect",
+    ),
+    Setting(
+        "peer_address", settingkinds.ADDRESS, "where other entry hosts connect"
+    ),
+    Setting(
+        "platform", settingkinds.ADDRESS, "where the platform's object API is"
+    ),
     Setting(
         "log_level",
-        choice("debug", "info", "warning", "error"),
+        settingkinds.choice("debug", "info", "warning", "error"),
         "least level of what is logged",
         "info",
     ),
     Setting(
         "source_ip",
-        OPTIONAL_NUMBER,
+        settingkinds.OPTIONAL_NUMBER,
         "local IP number from which this host connects",
         "",
     ),
     Setting(
         "peer_listen",
-        OPTIONAL_ADDRESS,
+        settingkinds.OPTIONAL_ADDRESS,
         "where to listen when peers reach it under another address",
         "",
     ),
     Setting(
         "policies",
-        choice("full", "baseline"),
+        settingkinds.choice("full", "baseline"),
         "decisions to use; the baselines are there to compare with",
         "full",
     ),
     # Forwarding.
     Setting(
         "interface",
-        choice("pipelines", "forward"),
+        settingkinds.choice("pipelines", "forward"),
         "what callers speak: the project's own interface for pipelines, or "
         "requests that are forwarded on the users' platform",
         "pipelines",
     ),
     Setting(
         "ready_address",
-        OPTIONAL_ADDRESS,
+        settingkinds.OPTIONAL_ADDRESS,
         "where a forwarding host tells balancers whether it is ready, and "
         "its metrics",
         "",
     ),
     Setting(
         "capacity",
-        real(0.001, 1_000_000.0),
+        settingkinds.real(0.001, 1_000_000.0),
         "how much this host can carry, in any unit that all hosts share; "
         "the strongest ones keep the pieces of work of all hosts",
         "1",
     ),
     Setting(
         "retry_ratio",
-        real(0.0, 10.0),
+        settingkinds.real(0.0, 10.0),
         "retries for each forwarded request that all hosts may make",
         "0.1",
     ),
     Setting(
         "retry_slack",
-        real(0.0, 100_000.0),
+        settingkinds.real(0.0, 100_000.0),
         "retries in a window that all hosts may make besides",
         "10",
     ),
     Setting(
         "retry_window_ms",
-        whole(100, 600_000),
+        settingkinds.whole(100, 600_000),
         "window in which retries are counted, in milliseconds",
         "10000",
     ),
     # Requests.
     Setting(
         "body_bytes",
-        whole(1_000, 100_000_000),
+        settingkinds.whole(1_000, 100_000_000),
         "largest body of a request, in bytes",
         "1000000",
     ),
     Setting(
         "deadline_ms",
-        whole(10, 600_000),
+        settingkinds.whole(10, 600_000),
         "longest deadline of a request, in milliseconds",
         "60000",
     ),
     Setting(
         "drain_ms",
-        whole(0, 600_000),
+        settingkinds.whole(0, 600_000),
         "longest wait for requests in flight on shutdown, in milliseconds",
         "60000",
     ),
     Setting(
         "connect_ms",
-        whole(10, 60_000),
+        settingkinds.whole(10, 60_000),
         "longest wait for a connection to an endpoint, in milliseconds",
         "500",
     ),
@@ -233,21 +154,21 @@
     # Membership and peers.
     Setting(
         "seeds",
-        ADDRESSES,
+        settingkinds.ADDRESSES,
         "peer addresses to ask before the host list is read",
         "",
     ),
     # Grants, routing and limits.
     Setting(
         "limit_report_ms",
-        whole(50, 60_000),
+        settingkinds.whole(50, 60_000),
         "time between two reports to the keepers of team limits, in "
         "milliseconds",
         "500",
     ),
     Setting(
         "limit_share_ms",
-        whole(200, 600_000),
+        settingkinds.whole(200, 600_000),
         "how long a share of a team's limits lasts without a report, in "
         "milliseconds",
         "2000",
@@ -255,58 +176,58 @@
     # Claims.
     Setting(
         "claim_shards",
-        whole(1, 4096),
+        settingkinds.whole(1, 4096),
         "logs of claims, when the platform holds none yet",
         "16",
     ),
     Setting(
         "claim_retention_ms",
-        whole(3_600_000, 2_000_000_000),
+        settingkinds.whole(3_600_000, 2_000_000_000),
         "least time for which a used key is known, in milliseconds",
         "86400000",
     ),
     Setting(
         "claim_answer_bytes",
-        whole(0, 500_000),
+        settingkinds.whole(0, 500_000),
         "largest answer kept for repeats, in bytes",
         "16384",
     ),
     Setting(
         "claim_batch_ms",
-        whole(0, 1000),
+        settingkinds.whole(0, 1000),
         "least time between two batches of a log, in milliseconds",
         "5",
     ),
     # Leases and orders.
     Setting(
         "lease_ms",
-        whole(5000, 600_000),
+        settingkinds.whole(5000, 600_000),
         "time for which a lease lasts, alike on all hosts, in milliseconds",
         "10000",
     ),
     Setting(
         "order_ms",
-        whole(100, 600_000),
+        settingkinds.whole(100, 600_000),
         "longest wait for an engine's answer to an order, alike on all "
         "hosts, in milliseconds",
         "5000",
     ),
     Setting(
         "load_interval_ms",
-        whole(0, 600_000),
+        settingkinds.whole(0, 600_000),
         "least time between two weight loads in the fleet, in milliseconds",
         "2000",
     ),
     # The platform.
     Setting(
         "platform_ms",
-        whole(10, 60_000),
+        settingkinds.whole(10, 60_000),
         "longest wait for an answer of the platform, in milliseconds",
         "1000",
     ),
     Setting(
         "hosts_poll_ms",
-        whole(100, 600_000),
+        settingkinds.whole(100, 600_000),
         "time between two readings of the host list, in milliseconds",
         "1000",
     ),
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -7,6 +7,8 @@
 from testtools import matchers
 
 from chervilshore.decisions import batches
+from chervilshore.decisions import makers
+from chervilshore.decisions import piecejobs
 from chervilshore import ids
 from chervilshore import records
 from chervilshore.rules import model
@@ -30,7 +32,7 @@
 
 
 def make_job(name, count=4, due=1000.0, deadline=5000.0, **changes):
-    return batches.Job(
+    return piecejobs.Job(
         name=name,
         request=ids.RequestId(name),
         stage=1,
@@ -75,7 +77,7 @@
             done += len(end_call(planner, call, now)[0])
             planner.note_freed(
                 call.record.endpoint,
-                list(planner._workers[call.record.endpoint].results),
+                list(planner._makers[call.record.endpoint].results),
             )
     assertions.assert_that(calls, matchers.LessThan(16))
 
@@ -140,7 +142,7 @@
     call = planner.plan(0.0)[0]
     planner.fail(call, full=False, now=10.0)
     assertions.assert_that(planner.plan(20.0), matchers.Equals([]))
-    later = planner.plan(10.0 + batches.FAILED_MS)
+    later = planner.plan(10.0 + makers.FAILED_MS)
     assertions.assert_that(
         [list_jobs(one) for one in later], matchers.Equals([["j1"]])
     )
@@ -153,7 +155,7 @@
     while not failed:
         call = planner.plan(now)[0]
         failed = planner.fail(call, full=False, now=now)
-        now += batches.MOST_FAILED_MS
+        now += makers.MOST_FAILED_MS
     assertions.assert_that(
         [job.name for job in failed], matchers.Equals(["j1"])
     )
@@ -169,7 +171,7 @@
         assertions.assert_that(
             planner.fail(call, full=True, now=now), matchers.Equals([])
         )
-        now += batches.BACKOFF_MS
+        now += makers.BACKOFF_MS
 
 
 def test_results_that_are_kept_take_room(planner):
@@ -189,7 +191,7 @@
     end_call(planner, first, 400.0)
     planner.add(make_job("j2", count=15, result_bytes=100_000))
     assertions.assert_that(planner.plan(500.0)[0].size, matchers.Equals(1))
-    taken = list(planner._workers["w1"].results)
+    taken = list(planner._makers["w1"].results)
     planner.note_freed(ids.EndpointId("w1"), taken)
     assertions.assert_that(
         planner.count_room(ids.EndpointId("w1"), 500.0),
