--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,10 +23,28 @@
 
 
 async def run(
-    seed: int, seconds: float, hosts: int, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    hosts: int,
+    folder: pathlib.Path,
+    timed: bool = True,
 ) -> list[str]:
     """Run one seed.
 
+    Parameters
+    ----------
+    seed : int
+        Draws the faults and the requests.
+    seconds : float
+        How long faults are injected.
+    hosts : int
+        The number of daemons.
+    folder : Path
+        Where settings and logs are kept.
+    timed : bool
+        Whether service must be whole again in time, which a machine that
+        is busy otherwise cannot promise.
+
     Returns
     -------
     list of str
@@ -59,7 +77,7 @@
         served = sum(ledger.recent) / max(1, len(ledger.recent))
         ends.set()
         await asyncio.gather(*calling)
-        if served < LEAST_SERVED:
+        if timed and served < LEAST_SERVED:
             ledger.broken.append(f"only {served:.0%} served at the end")
     finally:
         await deployment.stop()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,7 +14,14 @@
 """Statuses that promise that a request has not run and never will."""
 
 BUDGET_MS = 4000
+PAUSED_SECONDS = 6.0
+"""Seconds past its deadline in which a request must have its answer: a host
+that is paused answers when it goes on, and two pauses of 2.5 seconds may
+follow each other."""
+
 PAUSE_SECONDS = 0.03
+"""Seconds between two requests of a caller at most."""
+
 _EVENT = re.compile(rb"id: (\d+)\n")
 
 
@@ -140,7 +147,9 @@
 
     async def run(self, ends: asyncio.Event) -> None:
         """Send one request after another until the event is set."""
-        timeout = aiohttp.ClientTimeout(total=BUDGET_MS / 1000.0 + 2.0)
+        timeout = aiohttp.ClientTimeout(
+            total=BUDGET_MS / 1000.0 + PAUSED_SECONDS
+        )
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while not ends.is_set():
                 await self._ask(session, self._random.choice(KINDS))
