Give tests and soak ports by the one function that avoids collisions

Cause: read-through. tests/gateway_helpers and soak/deployment had each a copy of measure.deployment.find_ports, without its care: they took ports from the range of outgoing connections and could give one twice.

Change: both call the one that was there. No assertion is touched.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from measure import deployment as deployments
 from soak import callers
 from soak import proxy
 from standins import store as stores
@@ -202,7 +203,7 @@
         for worker in self.workers:
             await worker.start(self.store)
         for host in self.hosts:
-            await host.prepare(address, await find_ports(3))
+            await host.prepare(address, deployments.find_ports(3))
             await host.start()
 
     async def configure(self) -> None:
@@ -249,16 +250,3 @@
             self.collect(worker)
             await worker.stop()
         await self.store.stop()
-
-
-async def find_ports(count: int) -> list[int]:
-    """Find free ports of the loopback address."""
-    servers = [
-        await asyncio.start_server(lambda *unused: None, "127.0.0.1", 0)
-        for _ in range(count)
-    ]
-    ports = [server.sockets[0].getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-        await server.wait_closed()
-    return ports
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -9,6 +9,7 @@
 from chervilshore import clock as clocks
 from chervilshore import gateway
 from chervilshore import settings
+from measure import deployment as deployments
 from standins import store as stores
 from standins import workers
 
@@ -70,19 +71,6 @@
     } | changes
 
 
-async def find_ports(count):
-    """Find free ports of the loopback address."""
-    servers = [
-        await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        for _ in range(count)
-    ]
-    ports = [server.sockets[0].getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-        await server.wait_closed()
-    return ports
-
-
 class Deployment:
     """A store, workers and hosts."""
 
@@ -123,7 +111,7 @@
 
     async def add_host(self, **changes):
         """Start a host and wait until it is ready."""
-        front, ready, peer = await find_ports(3)
+        front, ready, peer = deployments.find_ports(3)
         values = {
             "interface": "forward",
             "host": f"h{len(self.hosts) + 1}",
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -9,6 +9,7 @@
 from testtools import matchers
 
 from chervilshore import settings
+from measure import deployment as deployments
 from tests import gateway_helpers as helpers
 
 
@@ -23,7 +24,7 @@
 
 
 async def start(tmp_path, deployment):
-    ports = await helpers.find_ports(3)
+    ports = deployments.find_ports(3)
     path = tmp_path / "settings.json"
     values = {
         "interface": "forward",
