Say once whether an endpoint is open, and drop state that nobody reads

Cause: read-through. The check of an endpoint's state and domain stood in four controllers; a keeper's task and the time handed to a private method were never read.

Change: Rules.is_open serves all four. No behaviour changes.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -52,7 +52,6 @@
         self.reports: dict[str, Report] = {}
         self.freed: dict[ids.EndpointId, list[str]] = {}
         self.wake = asyncio.Event()
-        self.task: asyncio.Task | None = None
 
 
 class BatchKeeper(mode.Service):
@@ -218,7 +217,7 @@
         if keep is None:
             keep = _Keep(batches.BatchPlanner(rule.batching))
             self._keeps[pool] = keep
-            keep.task = self._start(self._run_keep(pool, keep))
+            self._start(self._run_keep(pool, keep))
         keep.planner.batching = rule.batching
         return keep
 
@@ -261,8 +260,7 @@
         keep.planner.set_endpoints(
             record
             for record in self._directory.endpoints(pool)
-            if record.state is records.EndpointState.LIVE
-            and not rules.is_out(record.domain)
+            if rules.is_open(record)
         )
 
     async def _make_call(self, keep: _Keep, call: piecejobs.BatchCall) -> None:
--- a/chervilshore/controllers/pacing.py
+++ b/chervilshore/controllers/pacing.py
@@ -131,9 +131,7 @@
         return {"in_flight": dict(self._in_flight)}
 
     def _is_open(self, record: records.EndpointRecord) -> bool:
-        if record.state is not records.EndpointState.LIVE:
-            return False
-        return not self._configuration.rules.is_out(record.domain)
+        return self._configuration.rules.is_open(record)
 
     def _find_router(self, pool: ids.PoolName) -> routing.Router:
         if pool not in self._routers:
--- a/chervilshore/controllers/queueing.py
+++ b/chervilshore/controllers/queueing.py
@@ -160,9 +160,7 @@
 
     def _is_open(self, record: records.EndpointRecord) -> bool:
         found = self._directory.endpoint(record.endpoint)
-        if found is None or found.state is not records.EndpointState.LIVE:
-            return False
-        return not self._configuration.rules.is_out(found.domain)
+        return found is not None and self._configuration.rules.is_open(found)
 
     def _list_records(
         self, need: routing.Need
--- a/chervilshore/controllers/slots.py
+++ b/chervilshore/controllers/slots.py
@@ -139,6 +139,4 @@
         return {"bounded": False}
 
     def _is_usable(self, record: records.EndpointRecord) -> bool:
-        if record.state is not records.EndpointState.LIVE:
-            return False
-        return not self._configuration.rules.is_out(record.domain)
+        return self._configuration.rules.is_open(record)
--- a/chervilshore/decisions/batches.py
+++ b/chervilshore/decisions/batches.py
@@ -260,9 +260,7 @@
             for other in self._makers.values()
         )
 
-    def _end(
-        self, call: piecejobs.BatchCall, now: float
-    ) -> makers.Maker | None:
+    def _end(self, call: piecejobs.BatchCall) -> makers.Maker | None:
         maker = self._makers.get(call.record.endpoint)
         if maker is None or maker.call is not call:
             return None
@@ -291,7 +289,7 @@
         tuple of list
             The jobs that are done now, and the handles that nobody needs.
         """
-        maker = self._end(call, now)
+        maker = self._end(call)
         if maker is not None:
             usual = self.expect_ms(call.size)
             maker.note_speed((now - call.began) / usual, now)
@@ -363,7 +361,7 @@
         list of Job
             The jobs that have failed too often.
         """
-        maker = self._end(call, now)
+        maker = self._end(call)
         if maker is not None:
             if full:
                 maker.release(call)
--- a/chervilshore/rules/model.py
+++ b/chervilshore/rules/model.py
@@ -299,6 +299,11 @@
         rule = self.domains.get(domain)
         return rule is not None and rule.state is records.DomainState.OUT
 
+    def is_open(self, record: records.EndpointRecord) -> bool:
+        """Tell whether an endpoint is neither leaving nor in a domain out."""
+        live = record.state is records.EndpointState.LIVE
+        return live and not self.is_out(record.domain)
+
     def domain_of(self, record: records.EndpointRecord) -> ids.DomainId:
         """Tell the failure domain of an endpoint, assignments first."""
         assignment = self.assignments.get(record.endpoint)
