Bound the time and size of a head, and let hosts without the store find each other

Cause: the limits for heads that operators set were decoded and not applied: a caller could hold a connection with half a head until it was idle for 75 s, and send 8 MB of headers. A host started while the store was away knew no other host and stayed unready until the store came back.

Change: listener.Connection ends a head that is late with 408, from its first byte on; Ingress refuses headers over the limit with 431. Peers listen at the control address, whose seeds the settings name, and Membership, which asks seeds already, gets them.

--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -109,6 +109,7 @@
     REQUEST_CRASHED = EventSpec(7004, _ERROR, "request crashed")
     CALLER_GONE = EventSpec(7005, _INFO, "caller gone")
     REQUEST_FORWARDED = EventSpec(7006, _INFO, "forwarded request ended")
+    HEAD_LATE = EventSpec(7007, _WARNING, "head of a request came too slowly")
 
 
 def log_event(logger: logging.Logger, event: Event, **fields) -> None:
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -32,6 +32,7 @@
 from chervilshore.filters import route
 from chervilshore.filters import stage
 from chervilshore import ingress
+from chervilshore import listener
 from chervilshore import metrics
 from chervilshore.platform import documents
 from chervilshore.platform import forwarding
@@ -144,6 +145,7 @@
             self._clock,
             self._peers,
             self._random,
+            options.seeds,
             numbers=PROBES,
             metrics=self._metrics,
         )
@@ -254,9 +256,9 @@
 
     async def _listen(self, handler, address: str) -> None:
         runner = web.ServerRunner(
-            web.Server(
+            listener.Listener(
                 handler,
-                handler_cancellation=True,
+                self._read_head_seconds,
                 keepalive_timeout=KEEPALIVE_SECONDS,
                 access_log=None,
                 max_field_size=MOST_FIELD_BYTES,
@@ -270,6 +272,10 @@
         await web.TCPSite(runner, host, int(port)).start()
         self._runners.append(runner)
 
+    def _read_head_seconds(self) -> float:
+        limits = self._catalog.rules.limits
+        return limits.header_ms / clocks.MILLIS_PER_SECOND
+
     async def _show(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/metrics":
             return web.Response(
--- a/chervilshore/ingress.py
+++ b/chervilshore/ingress.py
@@ -149,6 +149,8 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in request.raw_headers
         ]
+        if sum(map(_count_bytes, pairs)) > limits.header_bytes:
+            return None, base.Answer(results.Code.HEAD_TOO_LARGE)
         headers = {name.lower(): value for name, value in pairs}
         request_id = self._dialect.read_request(headers)
         if not request_id:
@@ -316,6 +318,11 @@
             raise exceptions.CallerGone(str(error)) from error
 
 
+def _count_bytes(header: tuple[str, str]) -> int:
+    name, value = header
+    return len(name) + len(value)
+
+
 def _set_headers(
     response: web.StreamResponse, headers: passages.Headers
 ) -> None:
--- a/chervilshore/results.py
+++ b/chervilshore/results.py
@@ -73,6 +73,9 @@
         1011, _NOT_RUN, 504, "The deadline passed before it was run."
     )
     UNKNOWN_KEY = Result(1013, _NOT_RUN, 401, "No team holds this access key.")
+    HEAD_TOO_LARGE = Result(
+        1014, _NOT_RUN, 431, "The headers are over the allowed size."
+    )
     BODY_LATE = Result(1012, _NOT_RUN, 408, "The body did not come in time.")
     TEAM_LIMIT = Result(1020, _NOT_RUN, 429, "The team is over its limit.")
     OVERLOADED = Result(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 from chervilshore.clients import memory
 from chervilshore import clock as clocks
+from tests import gateway_helpers
 
 
 @pytest.fixture
@@ -19,3 +20,11 @@
 @pytest.fixture
 def network(clock):
     return memory.MemoryNetwork(clock)
+
+
+@pytest.fixture
+async def deployment():
+    found = gateway_helpers.Deployment()
+    await found.start()
+    yield found
+    await found.stop()
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -41,13 +41,13 @@
     } | changes
 
 
-def make_config(version, routes, services, keys=(KEY,)):
+def make_config(version, routes, services, keys=(KEY,), limits=None):
     """Write a configuration as the operator does."""
     return {
         "version": version,
         "routes": routes,
         "services": services,
-        "limits": LIMITS,
+        "limits": LIMITS | (limits or {}),
         "tenants": [{"name": "team1", "api_keys": list(keys)}],
     }
 
@@ -165,3 +165,56 @@
         """Send a request; return its answer and body."""
         async with self.open(host, path, **options) as response:
             return response, await response.read()
+
+
+async def serve_plain(deployment, count=1, limits=None, **route):
+    """Start a host before plain workers."""
+    await deployment.configure(
+        [make_route("look", "ledger", **route)],
+        [make_service("ledger")],
+        limits=limits,
+    )
+    host = await deployment.add_host()
+    found = [
+        await deployment.add_worker(f"w{number}", "ledger")
+        for number in range(count)
+    ]
+    await deployment.wait_ready(host, count)
+    return host, found
+
+
+async def serve_stream(deployment, count=1, events=5, **route):
+    """Start a host before model workers."""
+    await deployment.configure(
+        [make_route("say", "llm", kind="stream", **route)],
+        [make_service("llm", engine={"slots": 8})],
+    )
+    host = await deployment.add_host()
+    found = [
+        await deployment.add_worker(f"m{number}", "llm", events=events)
+        for number in range(count)
+    ]
+    await deployment.wait_ready(host, count)
+    return host, found
+
+
+async def serve_stages(deployment, **worker):
+    """Start a host before two services in a row and a model worker."""
+    stages = [
+        {"service": "cut", "after": [], "size_bytes": 1000},
+        {"service": "sew", "after": [0], "size_bytes": 1000},
+    ]
+    await deployment.configure(
+        [make_route("say", "llm", kind="stream", stages=stages)],
+        [
+            make_service("llm", engine={"slots": 8}),
+            make_service("cut", pieces=make_pieces()),
+            make_service("sew", pieces=make_pieces()),
+        ],
+    )
+    host = await deployment.add_host()
+    await deployment.add_worker("m0", "llm", events=3)
+    await deployment.add_worker("c0", "cut", **worker)
+    await deployment.add_worker("s0", "sew")
+    await deployment.wait_ready(host, 3)
+    return host
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,65 +13,8 @@
 from tests import gateway_helpers as helpers
 
 
-@pytest.fixture
-async def deployment():
-    found = helpers.Deployment()
-    await found.start()
-    yield found
-    await found.stop()
-
-
-async def serve_plain(deployment, count=1, **route):
-    await deployment.configure(
-        [helpers.make_route("look", "ledger", **route)],
-        [helpers.make_service("ledger")],
-    )
-    host = await deployment.add_host()
-    found = [
-        await deployment.add_worker(f"w{number}", "ledger")
-        for number in range(count)
-    ]
-    await deployment.wait_ready(host, count)
-    return host, found
-
-
-async def serve_stream(deployment, count=1, events=5, **route):
-    await deployment.configure(
-        [helpers.make_route("say", "llm", kind="stream", **route)],
-        [helpers.make_service("llm", engine={"slots": 8})],
-    )
-    host = await deployment.add_host()
-    found = [
-        await deployment.add_worker(f"m{number}", "llm", events=events)
-        for number in range(count)
-    ]
-    await deployment.wait_ready(host, count)
-    return host, found
-
-
-async def serve_stages(deployment, **worker):
-    stages = [
-        {"service": "cut", "after": [], "size_bytes": 1000},
-        {"service": "sew", "after": [0], "size_bytes": 1000},
-    ]
-    await deployment.configure(
-        [helpers.make_route("say", "llm", kind="stream", stages=stages)],
-        [
-            helpers.make_service("llm", engine={"slots": 8}),
-            helpers.make_service("cut", pieces=helpers.make_pieces()),
-            helpers.make_service("sew", pieces=helpers.make_pieces()),
-        ],
-    )
-    host = await deployment.add_host()
-    await deployment.add_worker("m0", "llm", events=3)
-    await deployment.add_worker("c0", "cut", **worker)
-    await deployment.add_worker("s0", "sew")
-    await deployment.wait_ready(host, 3)
-    return host
-
-
 async def test_a_request_and_its_answer_pass_unchanged(deployment):
-    host, (worker,) = await serve_plain(deployment)
+    host, (worker,) = await helpers.serve_plain(deployment)
     response, body = await deployment.ask(
         host,
         "/look/a%2Fb/../c?x=%20y",
@@ -113,14 +56,14 @@
 async def test_what_cannot_be_meant_is_refused(
     deployment, path, headers, status
 ):
-    host, (worker,) = await serve_plain(deployment)
+    host, (worker,) = await helpers.serve_plain(deployment)
     response, _ = await deployment.ask(host, path, headers=headers)
     assertions.assert_that(response.status, matchers.Equals(status))
     assertions.assert_that(worker.runs, matchers.Equals([]))
 
 
 async def test_headers_that_the_system_sets_never_pass(deployment):
-    host, (worker,) = await serve_plain(deployment)
+    host, (worker,) = await helpers.serve_plain(deployment)
     forged = {
         "Chervilshore-Tenant": "another",
         "Chervilshore-Expect-Instance": "w9",
@@ -144,15 +87,8 @@
         assertions.assert_that(seen, matchers.Not(matchers.Contains(name)))
 
 
-async def test_a_body_over_the_limit_is_refused(deployment):
-    host, (worker,) = await serve_plain(deployment)
-    response, _ = await deployment.ask(host, "/look/", data=b"x" * 100_001)
-    assertions.assert_that(response.status, matchers.Equals(413))
-    assertions.assert_that(worker.runs, matchers.Equals([]))
-
-
 async def test_repeatable_work_goes_elsewhere_after_a_failure(deployment):
-    host, found = await serve_plain(deployment, count=2)
+    host, found = await helpers.serve_plain(deployment, count=2)
     for worker in found:
         worker.faults.fail = 1
     response, body = await deployment.ask(host, "/look/")
@@ -170,7 +106,7 @@
 async def test_an_instruction_that_may_have_run_is_not_sent_again(
     deployment, fault
 ):
-    host, found = await serve_plain(
+    host, found = await helpers.serve_plain(
         deployment, count=2, kind="non_idempotent", max_attempts=1
     )
     for worker in found:
@@ -182,7 +118,7 @@
 
 
 async def test_an_instruction_that_was_refused_goes_elsewhere(deployment):
-    host, found = await serve_plain(
+    host, found = await helpers.serve_plain(
         deployment, count=2, kind="non_idempotent", max_attempts=1
     )
     for worker in found:
@@ -194,7 +130,7 @@
 
 
 async def test_bytes_after_an_answer_belong_to_no_request(deployment):
-    host, (worker,) = await serve_plain(deployment)
+    host, (worker,) = await helpers.serve_plain(deployment)
     worker.faults.extra = True
     for _ in range(5):
         response, body = await deployment.ask(host, "/look/")
@@ -203,7 +139,7 @@
 
 
 async def test_another_worker_at_an_address_runs_nothing(deployment):
-    host, (worker,) = await serve_plain(deployment)
+    host, (worker,) = await helpers.serve_plain(deployment)
     worker.name = "someone-else"
     response, _ = await deployment.ask(host, "/look/")
     assertions.assert_that(response.status, matchers.Equals(503))
@@ -211,14 +147,14 @@
 
 
 async def test_a_caller_hears_at_its_routes_time(deployment):
-    host, (worker,) = await serve_plain(deployment, timeout_ms=200)
+    host, (worker,) = await helpers.serve_plain(deployment, timeout_ms=200)
     worker.faults.mute = True
     response, _ = await deployment.ask(host, "/look/")
     assertions.assert_that(response.status, matchers.Equals(504))
 
 
 async def test_a_worker_stops_when_the_caller_leaves(deployment):
-    host, (worker,) = await serve_plain(deployment)
+    host, (worker,) = await helpers.serve_plain(deployment)
     worker.faults.mute = True
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(0.3):
@@ -227,14 +163,16 @@
 
 
 async def test_a_stream_passes_event_by_event(deployment):
-    host, _ = await serve_stream(deployment)
+    host, _ = await helpers.serve_stream(deployment)
     response, body = await deployment.ask(host, "/say/")
     assertions.assert_that(response.status, matchers.Equals(200))
     assertions.assert_that(body.count(b"\n\n"), matchers.Equals(5))
 
 
 async def test_a_resumable_stream_goes_on_at_another_worker(deployment):
-    host, found = await serve_stream(deployment, count=2, resumable=True)
+    host, found = await helpers.serve_stream(
+        deployment, count=2, resumable=True
+    )
     for worker in found:
         worker.faults.cut_after = 2
     found[0].faults.cut_after = 2
@@ -252,7 +190,7 @@
 
 
 async def test_a_stream_that_cannot_be_resumed_breaks_visibly(deployment):
-    host, (worker,) = await serve_stream(
+    host, (worker,) = await helpers.serve_stream(
         deployment, resumable=False, max_attempts=1
     )
     worker.faults.cut_after = 2
@@ -262,7 +200,7 @@
 
 
 async def test_pieces_are_made_in_order_and_handed_over(deployment):
-    host = await serve_stages(deployment)
+    host = await helpers.serve_stages(deployment)
     response, _ = await deployment.ask(
         host,
         "/say/",
@@ -285,7 +223,7 @@
 
 
 async def test_results_are_given_up_after_their_last_reader(deployment):
-    host = await serve_stages(deployment)
+    host = await helpers.serve_stages(deployment)
     await deployment.ask(
         host,
         "/say/",
@@ -305,7 +243,7 @@
 @pytest.mark.parametrize("worker", ["s0", "m0"])
 async def test_results_that_vanish_are_made_again(deployment, worker):
     """Pattern: a maker dies, or is cut off from who reads its results."""
-    host = await serve_stages(deployment)
+    host = await helpers.serve_stages(deployment)
     deployment.workers[worker].faults.gone = 1
     response, _ = await deployment.ask(
         host,
@@ -319,7 +257,7 @@
 
 async def test_pieces_of_two_hosts_share_calls(deployment):
     """Pattern: many small requests over all hosts, one call at a time."""
-    host = await serve_stages(deployment, millis=300.0)
+    host = await helpers.serve_stages(deployment, millis=300.0)
     other = await deployment.add_host()
     await deployment.wait_ready(other, 3)
     await deployment.wait(
@@ -344,7 +282,7 @@
 
 
 async def test_a_leaving_worker_gets_nothing_more(deployment):
-    host, found = await serve_plain(deployment, count=2)
+    host, found = await helpers.serve_plain(deployment, count=2)
     entry = found[0].describe("ledger", "a", state="draining")
     await deployment.store.write("servers", "w0", entry)
     catalog = host._catalog
@@ -357,7 +295,7 @@
 
 
 async def test_a_domain_that_is_out_gets_nothing(deployment):
-    host, found = await serve_plain(deployment)
+    host, found = await helpers.serve_plain(deployment)
     await deployment.store.write("evacuations", "a", {})
     await deployment.wait(lambda: host._catalog.rules.is_out("a"))
     response, _ = await deployment.ask(host, "/look/")
@@ -370,7 +308,7 @@
 
 
 async def test_entries_that_cannot_be_read_name_no_worker(deployment):
-    host, found = await serve_plain(deployment)
+    host, found = await helpers.serve_plain(deployment)
     for name, entry in {
         "x1": {"service": 5},
         "x2": "nothing",
@@ -387,56 +325,8 @@
     )
 
 
-async def test_a_host_without_the_store_learns_from_its_peers(deployment):
-    """Pattern: the store turns one host away; a key is revoked meanwhile."""
-    host, _ = await serve_plain(deployment)
-    other = await deployment.add_host()
-    await deployment.wait_ready(other, 1)
-    await deployment.wait(lambda: len(other._catalog.hosts()) == 2)
-    # This host alone calls a store that is not there any more.
-    other._catalog._store._address = "127.0.0.1:9"
-    version = await deployment.configure(
-        [helpers.make_route("look", "ledger")],
-        [helpers.make_service("ledger")],
-        keys=["another"],
-    )
-    # The open watch tells of this change; the next one comes by a peer.
-    await deployment.wait(lambda: other._catalog.rules.generation == version)
-    version = await deployment.configure(
-        [helpers.make_route("look", "ledger")],
-        [helpers.make_service("ledger")],
-    )
-    await deployment.wait(lambda: other._catalog.rules.generation == version)
-
-
-async def test_forgotten_history_is_listed_anew(deployment):
-    host, _ = await serve_plain(deployment)
-    deployment.store.faults.refuse = 503
-    await deployment.configure(
-        [helpers.make_route("new", "ledger")],
-        [helpers.make_service("ledger")],
-    )
-    deployment.store.compact()
-    deployment.store.faults.refuse = 0
-    await deployment.wait(lambda: "new" in host._catalog.rules.pipelines)
-
-
-async def test_a_host_without_configuration_says_so(deployment):
-    host = await deployment.add_host()
-    response, _ = await deployment.ask(host, "/look/")
-    assertions.assert_that(response.status, matchers.Equals(503))
-    assertions.assert_that(host.is_ready, matchers.Is(False))
-
-
-async def test_a_lost_answer_leaves_one_entry_of_the_host(deployment):
-    deployment.store.faults.lose = 1
-    host, _ = await serve_plain(deployment)
-    kinds = deployment.store._kinds["chervilshore-hosts"]
-    await deployment.wait(lambda: list(kinds) == ["h1"])
-
-
 async def test_a_leaving_host_finishes_what_it_has_taken(deployment):
-    host, (worker,) = await serve_plain(deployment)
+    host, (worker,) = await helpers.serve_plain(deployment)
     worker._millis = 500.0
     asked = asyncio.ensure_future(deployment.ask(host, "/look/"))
     await deployment.wait(lambda: worker.runs)
@@ -452,44 +342,9 @@
     await draining
 
 
-@pytest.mark.parametrize(
-    "raw",
-    [
-        b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
-        b"Content-Length: 3\r\nContent-Length: 30\r\n\r\nabc",
-        b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
-        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
-        b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
-        b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
-        b"Transfer-Encoding: gzip, chunked, x\r\n\r\n0\r\n\r\n",
-        b"GET /look/ HTTP/1.1\r\nHost: shop.example\r\nBad Name: 1\r\n\r\n",
-        b"GET /look/ HTTP/1.1\r\nHost: shop.example\r\nX: a\x00b\r\n\r\n",
-    ],
-)
-async def test_smuggled_requests_reach_no_worker(deployment, raw):
-    host, (worker,) = await serve_plain(deployment)
-    name, _, port = host.address.rpartition(":")
-    reader, writer = await asyncio.open_connection(name, int(port))
-    head, rest = raw.split(b"\r\n", 1)
-    marks = (
-        b"\r\nChervilshore-Attempt-Id: bad\r\n"
-        b"Chervilshore-Key: key-of-a-team\r\n"
-    )
-    writer.write(head + marks + rest)
-    async with asyncio.timeout(5.0):
-        answer = await reader.read(100)
-    writer.close()
-    assertions.assert_that(
-        answer[:12] in (b"HTTP/1.1 400", b"HTTP/1.0 400", b""),
-        matchers.Is(True),
-    )
-    assertions.assert_that(worker.runs, matchers.Equals([]))
-
-
 async def test_a_leaving_host_refuses_what_it_could_not_finish(deployment):
     """Pattern: connections that callers keep to a host that stops."""
-    host, (worker,) = await serve_plain(deployment)
+    host, (worker,) = await helpers.serve_plain(deployment)
     host.ingress.draining = host.ingress.closed = True
     response, _ = await deployment.ask(host, "/look/")
     assertions.assert_that(response.status, matchers.Equals(503))
@@ -526,7 +381,7 @@
 
 async def test_a_leaving_keeper_hands_its_waiting_jobs_over(deployment):
     """Pattern: hosts that restart in turn while pieces wait for a call."""
-    host = await serve_stages(deployment, millis=300.0)
+    host = await helpers.serve_stages(deployment, millis=300.0)
     other = await deployment.add_host()
     await deployment.wait_ready(other, 3)
     await deployment.wait(
--- /dev/null
+++ b/tests/test_gateway_input.py
@@ -0,0 +1,109 @@
+"""What callers may not send to a forwarding host, fast or slow."""
+
+import asyncio
+import contextlib
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from tests import gateway_helpers as helpers
+
+HEAD = (
+    b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
+    b"Chervilshore-Attempt-Id: raw\r\nChervilshore-Key: key-of-a-team\r\n"
+)
+
+
+@contextlib.asynccontextmanager
+async def connect(host):
+    """Open a connection that ends with the test."""
+    name, _, port = host.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(name, int(port))
+    try:
+        async with asyncio.timeout(5.0):
+            yield reader, writer
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Content-Length: 3\r\nContent-Length: 30\r\n\r\nabc",
+        b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+        b"POST /look/ HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Transfer-Encoding: gzip, chunked, x\r\n\r\n0\r\n\r\n",
+        b"GET /look/ HTTP/1.1\r\nHost: shop.example\r\nBad Name: 1\r\n\r\n",
+        b"GET /look/ HTTP/1.1\r\nHost: shop.example\r\nX: a\x00b\r\n\r\n",
+    ],
+)
+async def test_smuggled_requests_reach_no_worker(deployment, raw):
+    host, (worker,) = await helpers.serve_plain(deployment)
+    name, _, port = host.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(name, int(port))
+    head, rest = raw.split(b"\r\n", 1)
+    marks = (
+        b"\r\nChervilshore-Attempt-Id: bad\r\n"
+        b"Chervilshore-Key: key-of-a-team\r\n"
+    )
+    writer.write(head + marks + rest)
+    async with asyncio.timeout(5.0):
+        answer = await reader.read(100)
+    writer.close()
+    assertions.assert_that(
+        answer[:12] in (b"HTTP/1.1 400", b"HTTP/1.0 400", b""),
+        matchers.Is(True),
+    )
+    assertions.assert_that(worker.runs, matchers.Equals([]))
+
+
+async def test_a_body_over_the_limit_is_refused(deployment):
+    host, (worker,) = await helpers.serve_plain(deployment)
+    response, _ = await deployment.ask(host, "/look/", data=b"x" * 100_001)
+    assertions.assert_that(response.status, matchers.Equals(413))
+    assertions.assert_that(worker.runs, matchers.Equals([]))
+
+
+async def test_a_head_over_the_limit_is_refused(deployment):
+    host, (worker,) = await helpers.serve_plain(deployment)
+    response, _ = await deployment.ask(
+        host, "/look/", headers={"X-Large": "x" * 16_384}
+    )
+    assertions.assert_that(response.status, matchers.Equals(431))
+    assertions.assert_that(worker.runs, matchers.Equals([]))
+
+
+async def test_a_head_that_comes_too_slowly_ends_its_connection(deployment):
+    """Pattern: many callers send heads byte by byte and hold connections."""
+    host, (worker,) = await helpers.serve_plain(
+        deployment, limits={"header_timeout_ms": 300}
+    )
+    async with connect(host) as (reader, writer):
+        writer.write(HEAD)
+        answer = await reader.read()
+    assertions.assert_that(
+        answer, matchers.StartsWith(b"HTTP/1.1 408 Request Timeout")
+    )
+    assertions.assert_that(worker.runs, matchers.Equals([]))
+
+
+async def test_time_between_requests_is_not_time_for_a_head(deployment):
+    host, (worker,) = await helpers.serve_plain(
+        deployment, limits={"header_timeout_ms": 300}
+    )
+    async with connect(host) as (reader, writer):
+        for _ in range(2):
+            await asyncio.sleep(0.6)
+            writer.write(HEAD + b"Content-Length: 4\r\n\r\n")
+            await asyncio.sleep(0.6)
+            writer.write(b"body")
+            answer = await reader.readuntil(b"answer of w0")
+            assertions.assert_that(
+                answer, matchers.StartsWith(b"HTTP/1.1 200")
+            )
+    assertions.assert_that(worker.runs, matchers.HasLength(2))
