Let results go once they are read, keep jobs with their keeper, and weigh waits by urgency

Hosts refused 42 % of urgent requests in a model of twice the load, since the wait that keepers told counted less urgent pieces that give way to them. A job that was asked about again after 700 ms went to whoever was first choice by then, and was made twice after a host's return; it was given up as late although its call had begun; jobs that failed too often in late calls ended without a word.

Change: keepers tell when the inputs of a job have been read (PiecesRead), and hosts give them up then; such jobs are not called for again but prepared anew. Waits are told by priority. A job that does not fit into the room that is left is not cut in two, unless it is the first. A job stays with the keeper that has it, and a former keeper is told to drop it. Calls log what waits.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -18,6 +18,7 @@
 from chervilshore import events
 from chervilshore import exceptions
 from chervilshore import ids
+from chervilshore import messages
 from chervilshore import metrics as metric_types
 from chervilshore import piecemessages
 from chervilshore import records
@@ -40,8 +41,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-Report = collections_abc.Callable[[piecemessages.PiecesMade], None]
-"""Takes the end of a job to the host that asked for it."""
+Report = collections_abc.Callable[
+    [piecemessages.PiecesMade | piecemessages.PiecesRead], None
+]
+"""Takes news of a job to the host that asked for it."""
 
 
 class _Keep:
@@ -121,8 +124,8 @@
     def _hear_ask(
         self, sender: ids.Address, ask: piecemessages.PiecesAsk
     ) -> piecemessages.PiecesTaken | None:
-        def report(made: piecemessages.PiecesMade) -> None:
-            self._peers.send(sender, made)
+        def report(news: messages.Message) -> None:
+            self._peers.send(sender, news)
 
         return self.take(ask, report)
 
@@ -240,6 +243,8 @@
                 self._end(keep, job, pieces.Failure.LATE)
             for call in keep.planner.plan(now):
                 self._start(self._make_call(keep, call))
+            for job in keep.planner.take_failed():
+                self._end_failed(keep, job)
             keep.wake.clear()
             await self._wait(keep)
 
@@ -280,6 +285,7 @@
         limit = CALL_FACTOR * call.expected_ms + CALL_SLACK_MS
         outcome = "made"
         failures: collections.Counter[str] = collections.Counter()
+        reading = self._start(self._tell_read(keep, call))
         try:
             found = await self._client.run(call.record, asked, limit)
         except exceptions.EndpointError as error:
@@ -289,6 +295,8 @@
         else:
             failures.update(one.failure.value for one in found if one.failure)
             self._finish(keep, call, found)
+        finally:
+            reading.cancel()
         millis = self._clock.now() - now
         self._metrics.count(
             metric_types.Metric.BATCHES, call.record.pool, outcome
@@ -306,6 +314,7 @@
             endpoint=call.record.endpoint,
             outcome=outcome,
             pieces=len(asked),
+            waiting=keep.planner.count_waiting(),
             failures=dict(failures),
             room_bytes=keep.planner.count_room(call.record.endpoint, now),
             requests=[part.job.request for part in call.parts],
@@ -314,11 +323,23 @@
         )
         keep.wake.set()
 
+    async def _tell_read(self, keep: _Keep, call: piecejobs.BatchCall) -> None:
+        """Tell those who asked when the inputs are not needed any more.
+
+        Their room is scarce: kept until the call ends, results of a step
+        would be there twice as long as they are read.
+        """
+        await self._clock.sleep(keep.planner.expect_read_ms(call))
+        for job in keep.planner.note_read(call):
+            report = keep.reports.get(job.name)
+            if report is not None:
+                report(piecemessages.PiecesRead(job.name))
+
     def _fail(
         self, keep: _Keep, call: piecejobs.BatchCall, busy: bool
     ) -> None:
         for job in keep.planner.fail(call, busy, self._clock.now()):
-            self._end(keep, job, pieces.Failure.ERROR)
+            self._end_failed(keep, job)
 
     def _finish(
         self,
@@ -346,7 +367,11 @@
                     self._end(keep, part.job, failure)
         crowded = sum(one.failure is pieces.Failure.NO_ROOM for one in found)
         for job in keep.planner.retry_missing(call, crowded, now):
-            self._end(keep, job, pieces.Failure.ERROR)
+            self._end_failed(keep, job)
+
+    def _end_failed(self, keep: _Keep, job: piecejobs.Job) -> None:
+        gone = pieces.Failure.INPUT_GONE
+        self._end(keep, job, gone if job.is_read else pieces.Failure.ERROR)
 
     def _end(
         self,
@@ -387,4 +412,5 @@
         deadline=now + ask.left_ms,
         result_bytes=ask.result_bytes,
         domain=ask.domain,
+        input_bytes=ask.input_bytes,
     )
--- a/chervilshore/controllers/preparing.py
+++ b/chervilshore/controllers/preparing.py
@@ -143,7 +143,9 @@
             exchange.rules.pools,
             passage.piece_counts,
             passage.tokens_in,
-            lambda pool: self._keepers.backlog.find(pool, now).timely_ms,
+            lambda pool: self._keepers.backlog.find(pool, now).find_timely(
+                exchange.priority
+            ),
         )
 
     async def _pass_gate(self, exchange: base.Exchange) -> None:
@@ -183,7 +185,7 @@
         home: ids.DomainId,
     ) -> None:
         tasks: dict[int, asyncio.Task] = {}
-        readers = schedule.count_readers(steps)
+        readers = schedule.find_readers(steps)
         for step in steps:
             prepared.pools[step.stage] = step.pool
             needed = [tasks[other] for other in step.after]
@@ -208,14 +210,22 @@
         step: schedule.Step,
         needed: list[asyncio.Task],
         prepared: Prepared,
-        readers: dict[int, int],
+        readers: dict[int, set[int]],
         home: ids.DomainId,
     ) -> tuple[str, ...]:
         inputs: list[str] = []
         for task in needed:
             inputs += await asyncio.shield(task)
         ask = self._make_ask(exchange, step, tuple(inputs), home)
-        made = await self._keepers.submit(ask)
+
+        def let_inputs_go() -> None:
+            # Their room is wanted for the results of other requests.
+            for other in step.after:
+                readers[other].discard(step.stage)
+                if not readers[other] and other in prepared.made:
+                    self._free(prepared, other)
+
+        made = await self._keepers.submit(ask, let_inputs_go)
         events.log_event(
             _LOGGER,
             events.Event.PIECES_MADE,
@@ -228,11 +238,7 @@
         if made.failure is not None:
             raise StepFailed(made.failure)
         prepared.made[step.stage] = made.handles
-        for other in step.after:
-            readers[other] -= 1
-            if not readers[other]:
-                # Their room is wanted for the results of other requests.
-                self._free(prepared, other)
+        let_inputs_go()
         return made.handles
 
     def _make_ask(
@@ -259,6 +265,7 @@
             due_ms=objective - now - step.path_ms,
             left_ms=exchange.arrived + limit - now - step.path_ms,
             result_bytes=step.result_bytes,
+            input_bytes=step.input_bytes,
             domain=home,
         )
 
--- a/chervilshore/controllers/submitting.py
+++ b/chervilshore/controllers/submitting.py
@@ -1,6 +1,7 @@
 """Takes jobs for pieces to the keepers of their pools, and back."""
 
 import asyncio
+from collections import abc as collections_abc
 import logging
 
 import mode
@@ -35,6 +36,24 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class _Waiting:
+    """One job that is waited for."""
+
+    def __init__(self, on_read: collections_abc.Callable[[], None]) -> None:
+        self.is_read = False
+        self._on_read = on_read
+        self.expect_again()
+
+    def note_read(self) -> None:
+        """Learn that the inputs need not be kept any more."""
+        self.is_read = True
+        self._on_read()
+
+    def expect_again(self) -> None:
+        """Wait for another keeper's word."""
+        self.made = asyncio.get_running_loop().create_future()
+
+
 class Keepers(mode.Service):
     """The keepers of preparing pools, this host's own among them.
 
@@ -72,60 +91,84 @@
         self._peers = peers
         self._directory = directory
         self._keeper = keeper
-        self._waiting: dict[str, asyncio.Future] = {}
+        self._waiting: dict[str, _Waiting] = {}
         self._silent: dict[ids.HostId, float] = {}
 
     async def on_start(self) -> None:
         """Take messages."""
         self._peers.handle(
-            piecemessages.PiecesMade, lambda _, made: self._hear_made(made)
+            piecemessages.PiecesMade, lambda _, made: self._hear(made)
+        )
+        self._peers.handle(
+            piecemessages.PiecesRead, lambda _, read: self._hear(read)
         )
 
-    def _hear_made(self, made: piecemessages.PiecesMade) -> None:
-        future = self._waiting.get(made.job)
-        if future is not None and not future.done():
-            future.set_result(made)
+    def _hear(
+        self, news: piecemessages.PiecesMade | piecemessages.PiecesRead
+    ) -> None:
+        waiting = self._waiting.get(news.job)
+        if waiting is None:
+            return
+        if isinstance(news, piecemessages.PiecesRead):
+            waiting.note_read()
+        elif not waiting.made.done():
+            waiting.made.set_result(news)
 
     async def submit(
-        self, ask: piecemessages.PiecesAsk
+        self,
+        ask: piecemessages.PiecesAsk,
+        on_read: collections_abc.Callable[[], None],
     ) -> piecemessages.PiecesMade:
         """Find a keeper and wait for the job's end.
 
+        Parameters
+        ----------
+        ask : PiecesAsk
+            The job.
+        on_read : callable
+            Is called when the job's inputs need not be kept any more; once
+            at least if they are read and it does not end before.
+
         Returns
         -------
         PiecesMade
             The results, or why there are none.
         """
         began = self._clock.now()
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[ask.job] = future
+        waiting = _Waiting(on_read)
+        self._waiting[ask.job] = waiting
         silent: set[ids.HostId] = set()
         keeper: records.HostRecord | None = None
         try:
             while len(silent) < SUBMIT_TRIES:
-                keeper = self._choose_keeper(ask.pool, silent)
                 passed = self._clock.now() - began
                 sent = msgspec.structs.replace(
                     ask,
                     due_ms=ask.due_ms - passed,
                     left_ms=ask.left_ms - passed,
                 )
-                if sent.left_ms <= 0.0:
-                    return _make_failed(ask, pieces.Failure.LATE)
-                if not await self._offer(keeper, sent):
-                    silent.add(keeper.host)
-                    continue
-                if not await self._wait(future):
-                    continue
-                if future.result().failure is not pieces.Failure.MOVED:
-                    return future.result()
+                # A keeper that has the job is kept, though another one may
+                # be the first choice by now: two would make it twice.
+                if keeper is None:
+                    if waiting.is_read:
+                        return _make_failed(ask, pieces.Failure.INPUT_GONE)
+                    if sent.left_ms <= 0.0:
+                        return _make_failed(ask, pieces.Failure.LATE)
+                    keeper = self._choose_keeper(ask.pool, silent)
+                if await self._offer(keeper, sent):
+                    if not await self._wait(waiting.made):
+                        continue
+                    made = waiting.made.result()
+                    if made.failure is not pieces.Failure.MOVED:
+                        return made
+                    waiting.expect_again()
                 silent.add(keeper.host)
-                future = asyncio.get_running_loop().create_future()
-                self._waiting[ask.job] = future
+                self._drop(keeper, ask.job)
+                keeper = None
             return _make_failed(ask, pieces.Failure.ERROR)
         finally:
             del self._waiting[ask.job]
-            if not future.done() and keeper is not None:
+            if not waiting.made.done() and keeper is not None:
                 self._drop(keeper, ask.job)
 
     async def _wait(self, future: asyncio.Future) -> bool:
@@ -141,7 +184,7 @@
         self, keeper: records.HostRecord, ask: piecemessages.PiecesAsk
     ) -> bool:
         if keeper.host == self._host:
-            taken = self._keeper.take(ask, self._hear_made)
+            taken = self._keeper.take(ask, self._hear)
             return self._note_taken(ask.pool, taken)
         try:
             taken = await self._peers.ask(keeper.peer_address, ask, ACCEPT_MS)
--- a/chervilshore/decisions/backlog.py
+++ b/chervilshore/decisions/backlog.py
@@ -22,15 +22,38 @@
 
     Parameters
     ----------
-    timely_ms : float
-        Milliseconds for those that can still reach their objective.
+    free_ms : float
+        Milliseconds until an endpoint is free.
+    levels : tuple
+        For each priority with waiting pieces, the most urgent first, the
+        milliseconds for pieces of that priority that can still reach their
+        objective.
     late_ms : float
         Milliseconds for all others, which go behind.
     """
 
-    timely_ms: float = 0.0
+    free_ms: float = 0.0
+    levels: tuple[tuple[int, float], ...] = ()
     late_ms: float = 0.0
 
+    def find_timely(self, priority: int) -> float:
+        """Tell how long timely pieces of a priority wait.
+
+        Less urgent pieces give way to them, and don't count.
+        """
+        ahead = [millis for level, millis in self.levels if level <= priority]
+        return ahead[-1] if ahead else self.free_ms
+
+    def drain(self, millis: float) -> "Waits":
+        """Tell what is left of the waits after some time."""
+        return Waits(
+            max(0.0, self.free_ms - millis),
+            tuple(
+                (level, max(0.0, wait - millis)) for level, wait in self.levels
+            ),
+            max(0.0, self.late_ms - millis),
+        )
+
 
 class Backlog:
     """Remembers what keepers said; queues are taken to drain meanwhile."""
@@ -48,10 +71,7 @@
         passed = now - moment
         if passed > KNOWN_MS:
             return Waits()
-        return Waits(
-            max(0.0, waits.timely_ms - passed),
-            max(0.0, waits.late_ms - passed),
-        )
+        return waits.drain(passed)
 
 
 class TimelyShare:
--- a/chervilshore/decisions/batches.py
+++ b/chervilshore/decisions/batches.py
@@ -5,6 +5,7 @@
 pieces of all hosts and fills a call whenever an endpoint is free.
 """
 
+import collections
 from collections import abc as collections_abc
 
 from chervilshore.decisions import backlog
@@ -32,6 +33,14 @@
 NEAR_SLACK_MS = 80.0
 """Milliseconds that must be left besides to wait for an endpoint there."""
 
+READ_SLACK_MS = 60.0
+"""Milliseconds after its beginning in which a call has read small inputs,
+with the way there and one packet that is sent again."""
+
+READ_LINKS = 2.0
+"""Links that inputs pass, the maker's and the reader's, one after the other
+at worst."""
+
 ROOM_PART = 0.97
 """The part of the room for results that is planned with, as their sizes are
 known only about."""
@@ -55,6 +64,7 @@
         self.batching = batching
         self.jobs: dict[str, piecejobs.Job] = {}
         self._makers: dict[ids.EndpointId, makers.Maker] = {}
+        self._failed: list[piecejobs.Job] = []
         self._timely = backlog.TimelyShare()
 
     def set_endpoints(
@@ -99,18 +109,21 @@
         ]
         whole = self.expect_ms(self.batching.most)
         if not usable:
-            return backlog.Waits(whole, whole)
-        timely = late = 0
+            return backlog.Waits(whole, (), whole)
+        timely: collections.Counter[int] = collections.Counter()
         for job in self.jobs.values():
             if now <= job.due:
-                timely += len(job.waiting)
-            else:
-                late += len(job.waiting)
+                timely[job.priority] += len(job.waiting)
         free = min(maker.count_left(now) for maker in usable)
         each = whole / self.batching.most / len(usable)
         spare = self._timely.count_spare(each, now)
+        levels = []
+        ahead = 0
+        for priority, pieces in sorted(timely.items()):
+            ahead += pieces
+            levels.append((priority, free + ahead * each))
         return backlog.Waits(
-            free + timely * each, free + (timely + late) * each / spare
+            free, tuple(levels), free + self.count_waiting() * each / spare
         )
 
     def expire(self, now: float) -> list[piecejobs.Job]:
@@ -162,23 +175,33 @@
             if now >= call.began + self._late_ms(call):
                 call.released = True
                 maker.note_late()
-                self._return_pieces(call)
+                # Pieces whose inputs are given up can only wait for it.
+                movable = [part for part in call.parts if not part.job.is_read]
+                self._failed += self._return_pieces(movable)
+
+    def take_failed(self) -> list[piecejobs.Job]:
+        """Take the jobs that have failed while calls were planned."""
+        failed, self._failed = self._failed, []
+        return failed
 
     def _return_pieces(
-        self, call: piecejobs.BatchCall, counts: bool = True
+        self,
+        parts: collections_abc.Iterable[piecejobs.Part],
+        counts: bool = True,
     ) -> list[piecejobs.Job]:
-        """Let a call's pieces wait again; tell which jobs have failed."""
+        """Let pieces wait again; tell which jobs have failed."""
         failed = []
-        for part in call.parts:
+        for part in parts:
             job = self.jobs.get(part.job.name)
             if job is not part.job:
                 continue
             missing = {one for one in part.pieces if not job.handles[one]}
             if not missing:
                 continue
+            job.unread |= missing
             if counts:
                 job.tries += 1
-            if job.tries >= MOST_TRIES:
+            if job.tries >= MOST_TRIES or job.is_read:
                 del self.jobs[job.name]
                 failed.append(job)
             else:
@@ -223,9 +246,10 @@
             fits = left
             if job.result_bytes:
                 fits = min(left, int(room // job.result_bytes))
-            pieces = tuple(sorted(job.waiting)[: max(0, fits)])
-            if not pieces:
+            if fits < (min(left, len(job.waiting)) if parts else 1):
+                # Results of half a job would take room from whole ones.
                 continue
+            pieces = tuple(sorted(job.waiting)[:fits])
             parts.append(piecejobs.Part(job, pieces))
             left -= len(pieces)
             room -= len(pieces) * job.result_bytes
@@ -260,6 +284,32 @@
             for other in self._makers.values()
         )
 
+    def expect_read_ms(self, call: piecejobs.BatchCall) -> float:
+        """Tell the milliseconds in which a call has read its inputs."""
+        size = sum(
+            len(part.pieces) * part.job.input_bytes for part in call.parts
+        )
+        return READ_SLACK_MS + READ_LINKS * size / self.batching.link_speed
+
+    def note_read(self, call: piecejobs.BatchCall) -> list[piecejobs.Job]:
+        """Learn that a call has read its inputs.
+
+        Returns
+        -------
+        list of Job
+            The jobs whose inputs no call has still to read.
+        """
+        read = []
+        for part in call.parts:
+            job = part.job
+            if call.released or self.jobs.get(job.name) is not job:
+                continue
+            job.unread.difference_update(part.pieces)
+            if job.inputs and not job.unread:
+                job.is_read = True
+                read.append(job)
+        return read
+
     def _end(self, call: piecejobs.BatchCall) -> makers.Maker | None:
         maker = self._makers.get(call.record.endpoint)
         if maker is None or maker.call is not call:
@@ -311,6 +361,7 @@
                     continue
                 job.handles[piece] = handle
                 job.waiting.discard(piece)
+                job.unread.discard(piece)
             if known and job.is_done:
                 del self.jobs[job.name]
                 done.append(job)
@@ -340,7 +391,7 @@
             # Less room is left there than it seemed.
             size = max(part.job.result_bytes for part in call.parts)
             maker.note_crowded(crowded * size, crowded == call.size, now)
-        return self._return_pieces(call, counts=not crowded)
+        return self._return_pieces(call.parts, counts=not crowded)
 
     def fail(
         self, call: piecejobs.BatchCall, full: bool, now: float
@@ -368,9 +419,16 @@
                 maker.note_full(now)
             else:
                 maker.note_lost(now)
-        if call.released:
-            return []
-        return self._return_pieces(call, counts=not full)
+        parts = [
+            part
+            for part in call.parts
+            if part.job.is_read or not call.released
+        ]
+        return self._return_pieces(parts, counts=not full)
+
+    def count_waiting(self) -> int:
+        """Count the pieces that wait for a call."""
+        return sum(len(job.waiting) for job in self.jobs.values())
 
     def count_room(self, endpoint: ids.EndpointId, now: float) -> float:
         """Tell the bytes of results that an endpoint can still keep."""
--- a/chervilshore/decisions/piecejobs.py
+++ b/chervilshore/decisions/piecejobs.py
@@ -33,6 +33,8 @@
         Bytes of one result, about.
     domain : DomainId
         Where the results will be read; empty when that is open.
+    input_bytes : int
+        Bytes of all inputs of a piece, about.
 
     Attributes
     ----------
@@ -40,6 +42,10 @@
         The results, empty where there is none yet.
     waiting : set of int
         Pieces that are in no call.
+    unread : set of int
+        Pieces whose inputs are still to be read.
+    is_read : bool
+        Whether its inputs have been given up as read.
     tries : int
         Calls that brought nothing for it.
     """
@@ -55,13 +61,17 @@
     deadline: float = 0.0
     result_bytes: int = 0
     domain: ids.DomainId = ids.DomainId("")
+    input_bytes: int = 0
     handles: list[str] = []
     waiting: set[int] = set()
+    unread: set[int] = set()
+    is_read: bool = False
     tries: int = 0
 
     def __post_init__(self) -> None:
         self.handles = [""] * self.count
         self.waiting = set(range(self.count))
+        self.unread = set(self.waiting)
 
     @property
     def is_done(self) -> bool:
--- a/chervilshore/decisions/schedule.py
+++ b/chervilshore/decisions/schedule.py
@@ -41,8 +41,8 @@
         Its pieces.
     after : tuple of int
         The positions of the steps whose results it needs.
-    result_bytes : int
-        Bytes of one result, about.
+    result_bytes, input_bytes : int
+        Bytes of one result and of all inputs of a piece, about.
     path_ms : float
         Milliseconds from the beginning of its call to the first event.
     wait_ms : float
@@ -55,6 +55,7 @@
     after: tuple[int, ...]
     result_bytes: int
     path_ms: float
+    input_bytes: int = 0
     wait_ms: float = 0.0
 
 
@@ -134,6 +135,11 @@
                 if other in paths
             ),
             result_bytes=pipeline.preparations[index].result_bytes,
+            input_bytes=sum(
+                counts[other] * pipeline.preparations[other].result_bytes
+                for other in pipeline.preparations[index].after
+                if other in paths
+            ),
             path_ms=paths[index],
             wait_ms=waits[index],
         )
@@ -146,13 +152,15 @@
     return max((step.wait_ms + step.path_ms for step in steps), default=0.0)
 
 
-def count_readers(steps: collections_abc.Sequence[Step]) -> dict[int, int]:
-    """Count for each stage the steps that need its results."""
-    counts = dict.fromkeys((step.stage for step in steps), 0)
+def find_readers(
+    steps: collections_abc.Sequence[Step],
+) -> dict[int, set[int]]:
+    """Tell for each stage the stages that need its results."""
+    readers: dict[int, set[int]] = {step.stage: set() for step in steps}
     for step in steps:
         for other in step.after:
-            counts[other] += 1
-    return counts
+            readers[other].add(step.stage)
+    return readers
 
 
 def find_last(steps: collections_abc.Sequence[Step]) -> list[int]:
--- a/chervilshore/piecemessages.py
+++ b/chervilshore/piecemessages.py
@@ -30,8 +30,8 @@
     due_ms, left_ms : float
         Milliseconds within which the call must begin to reach the
         objective, and to be of use at all.
-    result_bytes : int
-        Bytes of one result, about.
+    result_bytes, input_bytes : int
+        Bytes of one result and of all inputs of a piece, about.
     domain : DomainId
         Where the results will be read; empty when that is open.
     """
@@ -48,6 +48,7 @@
     left_ms: float
     result_bytes: int
     domain: ids.DomainId
+    input_bytes: int = 0
 
 
 class PiecesTaken(messages.Message, frozen=True, tag="wt"):
@@ -80,6 +81,18 @@
     failure: pieces.Failure | None = None
 
 
+class PiecesRead(messages.Message, frozen=True, tag="wr"):
+    """Says that the inputs of a job have been read by all its calls.
+
+    Parameters
+    ----------
+    job : str
+        The job.
+    """
+
+    job: str
+
+
 class PiecesDrop(messages.Message, frozen=True, tag="wd"):
     """Says that a job is not needed any more."""
 
--- a/chervilshore/platform/documents.py
+++ b/chervilshore/platform/documents.py
@@ -59,6 +59,7 @@
     headroom_mb: float = 0.0
     """Room for results at one worker."""
     handle_s: float = 0.0
+    link_mbps: float = 1000.0
 
 
 class _Engine(msgspec.Struct):
@@ -181,6 +182,7 @@
             piece_ms=pieces.item_ms,
             room_bytes=pieces.headroom_mb * BYTES_PER_MB,
             keep_ms=pieces.handle_s * 1000.0,
+            link_mbps=pieces.link_mbps,
         ),
     )
 
--- a/chervilshore/rules/model.py
+++ b/chervilshore/rules/model.py
@@ -38,6 +38,8 @@
         Bytes of results that an endpoint keeps at once.
     keep_ms : float
         Milliseconds for which an endpoint keeps a result.
+    link_mbps : float
+        Megabits a second at which an endpoint reads inputs.
     """
 
     most: int = 1
@@ -45,6 +47,12 @@
     piece_ms: float = 0.0
     room_bytes: float = 0.0
     keep_ms: float = 0.0
+    link_mbps: float = 1000.0
+
+    @property
+    def link_speed(self) -> float:
+        """Bytes in a millisecond at which an endpoint reads inputs."""
+        return self.link_mbps * 125.0
 
 
 class Preparation(msgspec.Struct, frozen=True):
--- a/chervilshore/wire.py
+++ b/chervilshore/wire.py
@@ -41,6 +41,7 @@
     piecemessages.PiecesAsk,
     piecemessages.PiecesTaken,
     piecemessages.PiecesMade,
+    piecemessages.PiecesRead,
     piecemessages.PiecesDrop,
     piecemessages.PiecesFree,
     catalogmessages.CatalogAsk,
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -67,6 +67,8 @@
         The items of each call for pieces.
     freed : list of str
         Handles that were given up.
+    busy : int
+        Calls for pieces that are worked on.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         self.calls: list[list[dict]] = []
         self.freed: list[str] = []
         self.left = 0
+        self.busy = 0
         self.address = ""
         self._events = events
         self._millis = millis
@@ -138,7 +141,9 @@
             self.faults.shed -= 1
             return self._refuse(503)
         self.calls.append(call["items"])
+        self.busy += 1
         await asyncio.sleep(self._millis / 1000.0)
+        self.busy -= 1
         if self.faults.gone:
             self.faults.gone -= 1
             made = [{"reason": "gone"} for _ in call["items"]]
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -261,7 +261,7 @@
     for number in range(30):
         planner.add(make_job(f"late{number}", due=-1.0))
     waits = planner.estimate_waits(0.0)
-    assertions.assert_that(waits.timely_ms, matchers.Equals(0.0))
+    assertions.assert_that(waits.find_timely(5), matchers.Equals(0.0))
     assertions.assert_that(waits.late_ms, matchers.GreaterThan(1000.0))
 
 
@@ -327,3 +327,129 @@
             done, _ = planner.finish(call, ["h"] * call.size, now)
             open_jobs -= {job.name for job in done}
     assertions.assert_that(open_jobs, matchers.Equals(set()))
+
+
+def test_inputs_are_read_when_all_calls_of_a_job_have_begun(planner):
+    planner.set_endpoints([make_record("w1")])
+    job = make_job("j", count=20, inputs=("10.0.0.2:80/1",))
+    planner.add(job)
+    (first,) = planner.plan(0.0)
+    assertions.assert_that(planner.note_read(first), matchers.Equals([]))
+    end_call(planner, first, 400.0)
+    (second,) = planner.plan(400.0)
+    assertions.assert_that(planner.note_read(second), matchers.Equals([job]))
+
+
+def test_inputs_of_pieces_that_go_elsewhere_are_still_needed(planner):
+    job = make_job("j", count=20, inputs=("10.0.0.2:80/1",))
+    planner.add(job)
+    lost, other = planner.plan(0.0)
+    planner.note_read(lost)
+    planner.fail(lost, False, 100.0)
+    assertions.assert_that(planner.note_read(other), matchers.Equals([]))
+
+
+def test_large_inputs_take_longer_to_read(planner):
+    planner.add(make_job("small", count=15, inputs=("h",)))
+    (small,) = planner.plan(0.0)
+    planner.add(make_job("large", count=15, inputs=("h",), input_bytes=10**6))
+    (large,) = planner.plan(1.0)
+    expected = 2.0 * 15 * 10**6 * 8 / 1e9 * 1000.0
+    assertions.assert_that(
+        planner.expect_read_ms(large) - planner.expect_read_ms(small),
+        matchers.Equals(expected),
+    )
+
+
+def test_a_job_is_not_cut_in_two_to_fill_the_last_room(planner):
+    """Pattern: a queue of requests that each need several pieces.
+
+    A job that is cut is ready no sooner than its second call, and its first
+    results take room until then.
+    """
+    planner.set_endpoints([make_record("w1")])
+    size = int(BATCHING.room_bytes / 11)
+    for number in range(4):
+        planner.add(
+            make_job(f"j{number}", 4, 1000.0 + number, result_bytes=size)
+        )
+    planner.add(make_job("small", 2, 2000.0, result_bytes=size))
+    (call,) = planner.plan(0.0)
+    assertions.assert_that(
+        list_jobs(call), matchers.Equals(["j0", "j1", "small"])
+    )
+
+
+def test_the_first_job_goes_on_however_little_room_is_left(planner):
+    planner.set_endpoints([make_record("w1")])
+    planner.add(make_job("large", count=12, result_bytes=300_000))
+    (call,) = planner.plan(0.0)
+    assertions.assert_that(call.size, matchers.Equals(5))
+
+
+def test_urgent_work_does_not_wait_for_what_gives_way(planner):
+    """Pattern: a crowd of less urgent requests, all still timely.
+
+    A host that counted them would refuse urgent requests for which there
+    is time.
+    """
+    for number in range(40):
+        planner.add(make_job(f"slack{number}", due=2000.0, priority=2))
+    planner.add(make_job("urgent", due=2000.0, priority=0))
+    waits = planner.estimate_waits(0.0)
+    call_ms = planner.expect_ms(BATCHING.most)
+    assertions.assert_that(
+        [waits.find_timely(level) < call_ms for level in (0, 1, 2)],
+        matchers.Equals([True, True, False]),
+    )
+
+
+def test_pieces_whose_inputs_are_given_up_are_not_called_for_again(planner):
+    planner.set_endpoints([make_record("w1")])
+    job = make_job("j", inputs=("10.0.0.2:80/1",))
+    planner.add(job)
+    (call,) = planner.plan(0.0)
+    planner.note_read(call)
+    assertions.assert_that(
+        planner.fail(call, False, 100.0), matchers.Equals([job])
+    )
+    assertions.assert_that(planner.jobs, matchers.Equals({}))
+
+
+def test_pieces_that_were_read_wait_for_their_slow_call(planner):
+    """Pattern: an endpoint turns slow while it works on a call."""
+    planner.set_endpoints([make_record("w1")])
+    job = make_job("j", inputs=("10.0.0.2:80/1",), due=1e9, deadline=1e9)
+    planner.add(job)
+    (call,) = planner.plan(0.0)
+    planner.note_read(call)
+    late = planner.next_moment(1.0)
+    planner.set_endpoints([make_record("w1"), make_record("w2")])
+    assertions.assert_that(planner.plan(late), matchers.Equals([]))
+    done, _ = end_call(planner, call, late + 500.0)
+    assertions.assert_that(done, matchers.Equals([job]))
+
+
+def test_a_slow_call_that_is_lost_ends_the_jobs_that_it_has_read(planner):
+    planner.set_endpoints([make_record("w1")])
+    job = make_job("j", inputs=("10.0.0.2:80/1",), due=1e9, deadline=1e9)
+    planner.add(job)
+    (call,) = planner.plan(0.0)
+    planner.note_read(call)
+    planner.plan(planner.next_moment(1.0))
+    assertions.assert_that(
+        planner.fail(call, False, 5000.0), matchers.Equals([job])
+    )
+
+
+def test_a_job_that_failed_too_often_is_told_of(planner):
+    """Pattern: every endpoint of a pool is slow."""
+    job = make_job("j", count=1, due=1e9, deadline=1e9)
+    planner.add(job)
+    now = 0.0
+    for number in range(batches.MOST_TRIES):
+        planner.set_endpoints([make_record(f"w{number}")])
+        planner.plan(now)
+        now = planner.next_moment(now + 1.0)
+        planner.plan(now)
+    assertions.assert_that(planner.take_failed(), matchers.Equals([job]))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -240,6 +240,22 @@
     )
 
 
+async def test_results_are_given_up_while_their_reader_works(deployment):
+    host = await helpers.serve_stages(deployment, second_ms=600.0)
+    headers = {
+        "Chervilshore-Pieces": "2,3",
+        "Chervilshore-Piece-Key": "k1",
+    }
+    asking = asyncio.ensure_future(
+        deployment.ask(host, "/say/", headers=headers)
+    )
+    first, second = (deployment.workers[name] for name in ("c0", "s0"))
+    await deployment.wait(lambda: len(first.freed) == 2)
+    assertions.assert_that(second.busy, matchers.Equals(1))
+    response, _ = await asking
+    assertions.assert_that(response.status, matchers.Equals(200))
+
+
 @pytest.mark.parametrize("worker", ["s0", "m0"])
 async def test_results_that_vanish_are_made_again(deployment, worker):
     """Pattern: a maker dies, or is cut off from who reads its results."""
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -79,7 +79,8 @@
     steps = plan((1, 4, 6))
     assertions.assert_that(schedule.find_last(steps), matchers.Equals([2]))
     assertions.assert_that(
-        schedule.count_readers(steps), matchers.Equals({0: 1, 1: 1, 2: 0})
+        schedule.find_readers(steps),
+        matchers.Equals({0: {1}, 1: {2}, 2: set()}),
     )
 
 
@@ -115,15 +116,16 @@
 
 def test_queues_are_taken_to_drain_until_more_is_heard():
     known = backlog.Backlog()
-    known.note(DESK, backlog.Waits(500.0, 2000.0), 0.0)
+    known.note(DESK, backlog.Waits(500.0, ((1, 800.0),), 2000.0), 0.0)
     assertions.assert_that(
-        known.find(DESK, 700.0), matchers.Equals(backlog.Waits(0.0, 1300.0))
+        known.find(DESK, 700.0),
+        matchers.Equals(backlog.Waits(0.0, ((1, 100.0),), 1300.0)),
     )
 
 
 def test_old_word_of_a_queue_says_nothing():
     known = backlog.Backlog()
-    known.note(DESK, backlog.Waits(500.0, 60_000.0), 0.0)
+    known.note(DESK, backlog.Waits(500.0, (), 60_000.0), 0.0)
     assertions.assert_that(
         known.find(DESK, backlog.KNOWN_MS + 1.0),
         matchers.Equals(backlog.Waits()),
