Split ordering, waits and freeing from the planner and keeper; free what dropped jobs have made

Change: BatchKeeper.drop gives up what was made; decisions/joborder, controllers/freeing and backlog.estimate_waits hold what was moved, without change. A gateway test in which a caller leaves between two calls failed before.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -12,6 +12,7 @@
 from chervilshore import clock as clocks
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
+from chervilshore.controllers import freeing
 from chervilshore.decisions import backlog
 from chervilshore.decisions import batches
 from chervilshore.decisions import piecejobs
@@ -21,7 +22,6 @@
 from chervilshore import messages
 from chervilshore import metrics as metric_types
 from chervilshore import piecemessages
-from chervilshore import records
 
 CALL_FACTOR = 6.0
 """Times the expected time for which a call is awaited: slow endpoints have
@@ -30,12 +30,6 @@
 CALL_SLACK_MS = 500.0
 """Milliseconds added to that."""
 
-FREE_MS = 20.0
-"""Milliseconds for which handles are collected before they are given up."""
-
-FREE_LIMIT_MS = 1000.0
-"""Milliseconds to wait until an endpoint has given results up."""
-
 KEPT_MS = 5000.0
 """Milliseconds for which a result is told again to a host that asks."""
 
@@ -53,9 +47,13 @@
     def __init__(self, planner: batches.BatchPlanner) -> None:
         self.planner = planner
         self.reports: dict[str, Report] = {}
-        self.freed: dict[ids.EndpointId, list[str]] = {}
         self.wake = asyncio.Event()
 
+    def note_freed(self, endpoint: ids.EndpointId, handles: list[str]) -> None:
+        """Plan with the room of results that are given up."""
+        self.planner.note_freed(endpoint, handles)
+        self.wake.set()
+
 
 class BatchKeeper(mode.Service):
     """Plans and makes the calls of preparing pools.
@@ -91,6 +89,7 @@
         self._directory = directory
         self._configuration = configuration
         self._client = client
+        self._freer = freeing.ResultFreer(clock, directory, client)
         self._metrics = metrics
         self._keeps: dict[ids.PoolName, _Keep] = {}
         self._ended: dict[str, tuple[float, piecemessages.PiecesMade]] = {}
@@ -111,6 +110,7 @@
 
     async def on_stop(self) -> None:
         """End what runs."""
+        self._freer.stop()
         for task in tuple(self._running):
             task.cancel()
 
@@ -163,54 +163,18 @@
         pool = self._pool_of.pop(job, None)
         if pool is not None:
             keep = self._keeps[pool]
-            keep.planner.drop(job)
+            dropped = keep.planner.drop(job)
             keep.reports.pop(job, None)
+            if dropped is not None:
+                self.free(pool, filter(None, dropped.handles))
 
     def free(
         self, pool: ids.PoolName, handles: collections_abc.Iterable[str]
     ) -> None:
-        """Give results up; those of other keepers lapse by themselves."""
+        """Give results up, and plan with their room."""
         keep = self._find_keep(pool)
-        if keep is None:
-            return
-        for handle in handles:
-            record = keep.planner.find_maker(handle)
-            record = record or self._find_maker(pool, handle)
-            if record is None:
-                continue
-            collected = keep.freed.setdefault(record.endpoint, [])
-            collected.append(handle)
-            if len(collected) == 1:
-                self._start(self._free_soon(keep, record))
-
-    def _find_maker(
-        self, pool: ids.PoolName, handle: str
-    ) -> records.EndpointRecord | None:
-        address = handle.partition("/")[0]
-        for record in self._directory.endpoints(pool):
-            if record.address == address:
-                return record
-        return None
-
-    async def _free_soon(
-        self, keep: _Keep, record: records.EndpointRecord
-    ) -> None:
-        await self._clock.sleep(FREE_MS)
-        handles = keep.freed.pop(record.endpoint, [])
-        try:
-            await self._client.free(record, handles, FREE_LIMIT_MS)
-        except exceptions.EndpointError as error:
-            # They lapse by themselves after a while.
-            events.log_event(
-                _LOGGER,
-                events.Event.RESULTS_NOT_FREED,
-                endpoint=record.endpoint,
-                count=len(handles),
-                error=error,
-            )
-            return
-        keep.planner.note_freed(record.endpoint, handles)
-        keep.wake.set()
+        if keep is not None:
+            self._freer.free(pool, handles, keep.note_freed)
 
     def _find_keep(self, pool: ids.PoolName) -> _Keep | None:
         rule = self._configuration.rules.pools.get(pool)
@@ -384,7 +348,7 @@
         if failure and any(job.handles):
             pool = self._pool_of.get(job.name)
             if pool is not None:
-                self.free(pool, [one for one in job.handles if one])
+                self.free(pool, filter(None, job.handles))
         self._ended[job.name] = (self._clock.now(), made)
         self._pool_of.pop(job.name, None)
         report = keep.reports.pop(job.name, None)
--- a/chervilshore/decisions/backlog.py
+++ b/chervilshore/decisions/backlog.py
@@ -1,9 +1,12 @@
 """What a host knows of the queues of preparing pools."""
 
+import collections
+from collections import abc as collections_abc
 import math
 
 import msgspec
 
+from chervilshore.decisions import piecejobs
 from chervilshore import ids
 
 KNOWN_MS = 3000.0
@@ -55,6 +58,45 @@
         )
 
 
+def estimate_waits(
+    jobs: collections_abc.Iterable[piecejobs.Job],
+    free_ms: float,
+    piece_ms: float,
+    spare: float,
+    now: float,
+) -> Waits:
+    """Tell for how long new pieces wait.
+
+    Parameters
+    ----------
+    jobs : iterable of Job
+        What the pool has to do.
+    free_ms : float
+        Milliseconds until an endpoint is free.
+    piece_ms : float
+        Milliseconds in which the whole pool makes one piece.
+    spare : float
+        The part of the pool that is left for late work.
+    now : float
+        The time in milliseconds.
+    """
+    timely: collections.Counter[int] = collections.Counter()
+    late = 0
+    for job in jobs:
+        if now <= job.due:
+            timely[job.priority] += len(job.waiting)
+        else:
+            late += len(job.waiting)
+    levels = []
+    ahead = 0
+    for priority, waiting in sorted(timely.items()):
+        ahead += waiting
+        levels.append((priority, free_ms + ahead * piece_ms))
+    return Waits(
+        free_ms, tuple(levels), free_ms + (ahead + late) * piece_ms / spare
+    )
+
+
 class Backlog:
     """Remembers what keepers said; queues are taken to drain meanwhile."""
 
--- a/chervilshore/decisions/batches.py
+++ b/chervilshore/decisions/batches.py
@@ -5,19 +5,16 @@
 pieces of all hosts and fills a call whenever an endpoint is free.
 """
 
-import collections
 from collections import abc as collections_abc
 
 from chervilshore.decisions import backlog
+from chervilshore.decisions import joborder
 from chervilshore.decisions import makers
 from chervilshore.decisions import piecejobs
 from chervilshore import ids
 from chervilshore import records
 from chervilshore.rules import model
 
-PRIORITY_MS = 300.0
-"""Milliseconds by which one step of priority moves a piece ahead or back."""
-
 LATE_FACTOR = 2.0
 """Times the expected time after which a call's pieces go elsewhere too."""
 
@@ -27,12 +24,6 @@
 MOST_TRIES = 3
 """Calls that one piece may be part of."""
 
-NEAR_BYTES = 200_000
-"""Bytes of a result from which it should be made near its reader."""
-
-NEAR_SLACK_MS = 80.0
-"""Milliseconds that must be left besides to wait for an endpoint there."""
-
 READ_SLACK_MS = 60.0
 """Milliseconds after its beginning in which a call has read small inputs,
 with the way there and one packet that is sent again."""
@@ -99,8 +90,7 @@
 
     def expect_ms(self, pieces: int, speed: float = 1.0) -> float:
         """Tell the milliseconds that a call with so many pieces takes."""
-        batching = self.batching
-        return speed * (batching.call_ms + batching.piece_ms * pieces)
+        return speed * self.batching.expect_ms(pieces)
 
     def estimate_waits(self, now: float) -> backlog.Waits:
         """Tell for how long new jobs wait for their call, about."""
@@ -110,20 +100,13 @@
         whole = self.expect_ms(self.batching.most)
         if not usable:
             return backlog.Waits(whole, (), whole)
-        timely: collections.Counter[int] = collections.Counter()
-        for job in self.jobs.values():
-            if now <= job.due:
-                timely[job.priority] += len(job.waiting)
-        free = min(maker.count_left(now) for maker in usable)
         each = whole / self.batching.most / len(usable)
-        spare = self._timely.count_spare(each, now)
-        levels = []
-        ahead = 0
-        for priority, pieces in sorted(timely.items()):
-            ahead += pieces
-            levels.append((priority, free + ahead * each))
-        return backlog.Waits(
-            free, tuple(levels), free + self.count_waiting() * each / spare
+        return backlog.estimate_waits(
+            self.jobs.values(),
+            min(maker.count_left(now) for maker in usable),
+            each,
+            self._timely.count_spare(each, now),
+            now,
         )
 
     def expire(self, now: float) -> list[piecejobs.Job]:
@@ -141,7 +124,7 @@
         """Fill a call for each endpoint that is free."""
         self._release_late(now)
         calls = []
-        waiting = self._sort(now)
+        waiting = joborder.sort_jobs(self.jobs.values(), now)
         for maker in self._list_free(now):
             if not waiting:
                 break
@@ -208,20 +191,6 @@
                 job.waiting |= missing
         return failed
 
-    def _sort(self, now: float) -> list[piecejobs.Job]:
-        """Order the jobs: those that can reach their objective first."""
-
-        def weigh(job: piecejobs.Job) -> tuple[bool, int, float]:
-            if now <= job.due:
-                return False, 0, job.due + PRIORITY_MS * job.priority
-            # What earlier steps have made would be lost first.
-            by_time = job.deadline + PRIORITY_MS * job.priority
-            return True, -job.stage, by_time
-
-        return sorted(
-            (job for job in self.jobs.values() if job.waiting), key=weigh
-        )
-
     def _list_free(self, now: float) -> list[makers.Maker]:
         free = [
             maker
@@ -237,11 +206,12 @@
         batching = self.batching
         room = ROOM_PART * batching.room_bytes - maker.count_used(now)
         left = batching.most
+        others = self._makers.values()
         parts = []
         for job in waiting:
             if left <= 0:
                 break
-            if self._waits_for_near(maker, job, now):
+            if joborder.waits_for_near(maker, job, others, now):
                 continue
             fits = left
             if job.result_bytes:
@@ -266,24 +236,6 @@
         maker.reserve(call, batching.keep_ms, now)
         return call
 
-    def _waits_for_near(
-        self, maker: makers.Maker, job: piecejobs.Job, now: float
-    ) -> bool:
-        """Tell whether a job should wait for an endpoint near its reader.
-
-        Large results are made where they will be read while that costs
-        the request nothing.
-        """
-        domain = maker.record.domain
-        if job.result_bytes < NEAR_BYTES or domain == job.domain:
-            return False
-        return any(
-            other.record.domain == job.domain
-            and other.is_usable(now)
-            and now + other.count_left(now) + NEAR_SLACK_MS <= job.due
-            for other in self._makers.values()
-        )
-
     def expect_read_ms(self, call: piecejobs.BatchCall) -> float:
         """Tell the milliseconds in which a call has read its inputs."""
         size = sum(
@@ -292,13 +244,7 @@
         return READ_SLACK_MS + READ_LINKS * size / self.batching.link_speed
 
     def note_read(self, call: piecejobs.BatchCall) -> list[piecejobs.Job]:
-        """Learn that a call has read its inputs.
-
-        Returns
-        -------
-        list of Job
-            The jobs whose inputs no call has still to read.
-        """
+        """Learn that a call has read its inputs; tell whose are done with."""
         read = []
         for part in call.parts:
             job = part.job
@@ -437,13 +383,6 @@
             return 0.0
         return self.batching.room_bytes - maker.count_used(now)
 
-    def find_maker(self, handle: str) -> records.EndpointRecord | None:
-        """Tell which endpoint has a result."""
-        for maker in self._makers.values():
-            if handle in maker.results:
-                return maker.record
-        return None
-
     def note_freed(
         self,
         endpoint: ids.EndpointId,
--- a/chervilshore/decisions/schedule.py
+++ b/chervilshore/decisions/schedule.py
@@ -174,4 +174,4 @@
         return 0.0
     batching = pool.batching
     size = min(batching.most, max(count, FILL_PART * batching.most))
-    return batching.call_ms + batching.piece_ms * size
+    return batching.expect_ms(size)
--- a/chervilshore/rules/model.py
+++ b/chervilshore/rules/model.py
@@ -49,6 +49,10 @@
     keep_ms: float = 0.0
     link_mbps: float = 1000.0
 
+    def expect_ms(self, pieces: float) -> float:
+        """Tell the milliseconds that a call with so many pieces takes."""
+        return self.call_ms + self.piece_ms * pieces
+
     @property
     def link_speed(self) -> float:
         """Bytes in a millisecond at which an endpoint reads inputs."""
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -198,7 +198,7 @@
     return host, found
 
 
-async def serve_stages(deployment, second_ms=5.0, **worker):
+async def serve_stages(deployment, first_ms=5.0, second_ms=5.0, **worker):
     """Start a host before two services in a row and a model worker."""
     stages = [
         {"service": "cut", "after": [], "size_bytes": 1000},
@@ -208,13 +208,13 @@
         [make_route("say", "llm", kind="stream", stages=stages)],
         [
             make_service("llm", engine={"slots": 8}),
-            make_service("cut", pieces=make_pieces()),
+            make_service("cut", pieces=make_pieces(call_ms=first_ms)),
             make_service("sew", pieces=make_pieces(call_ms=second_ms)),
         ],
     )
     host = await deployment.add_host()
     await deployment.add_worker("m0", "llm", events=3)
-    await deployment.add_worker("c0", "cut", **worker)
+    await deployment.add_worker("c0", "cut", **({"millis": first_ms} | worker))
     await deployment.add_worker("s0", "sew", millis=second_ms)
     await deployment.wait_ready(host, 3)
     return host
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -256,6 +256,22 @@
     assertions.assert_that(response.status, matchers.Equals(200))
 
 
+async def test_results_are_given_up_when_their_caller_leaves(deployment):
+    """Pattern: callers give up between two calls for one request."""
+    host = await helpers.serve_stages(deployment, first_ms=300.0)
+    headers = {
+        "Chervilshore-Pieces": "12,1",
+        "Chervilshore-Piece-Key": "k1",
+    }
+    asking = asyncio.ensure_future(
+        deployment.ask(host, "/say/", headers=headers)
+    )
+    worker = deployment.workers["c0"]
+    await deployment.wait(lambda: len(worker.calls) == 2)
+    asking.cancel()
+    await deployment.wait(lambda: len(worker.freed) == 8)
+
+
 @pytest.mark.parametrize("worker", ["s0", "m0"])
 async def test_results_that_vanish_are_made_again(deployment, worker):
     """Pattern: a maker dies, or is cut off from who reads its results."""
