Do a step where its inputs are, when those are the most that moves

Only results of 200 kB and more were kept near.

Change: the host tells the keeper where a job is best done and how many bytes move otherwise, by its inputs or its last reader; the log of an endpoint names its domain.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -376,5 +376,6 @@
         deadline=now + ask.left_ms,
         result_bytes=ask.result_bytes,
         domain=ask.domain,
+        far_bytes=ask.far_bytes,
         input_bytes=ask.input_bytes,
     )
--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -341,6 +341,7 @@
                 events.Event.ENDPOINT_LISTED,
                 endpoint=endpoint,
                 pool=record.pool,
+                domain=record.domain,
                 state=record.state.value,
                 cold_ms=record.cold_ms,
                 revision=state.revision,
--- a/chervilshore/controllers/preparing.py
+++ b/chervilshore/controllers/preparing.py
@@ -1,6 +1,7 @@
 """Has the pieces made that go before a request."""
 
 import asyncio
+from collections import abc as collections_abc
 import itertools
 import logging
 
@@ -10,6 +11,7 @@
 from chervilshore import clock as clocks
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import submitting
+from chervilshore.decisions import joborder
 from chervilshore.decisions import placing
 from chervilshore.decisions import schedule
 from chervilshore import events
@@ -216,7 +218,15 @@
         inputs: list[str] = []
         for task in needed:
             inputs += await asyncio.shield(task)
-        ask = self._make_ask(exchange, step, tuple(inputs), home)
+        domain, far_bytes = joborder.choose_domain(
+            self._find_domains(
+                inputs, [prepared.pools[o] for o in step.after]
+            ),
+            step.count * step.input_bytes,
+            ids.DomainId("") if readers[step.stage] else home,
+            step.count * step.result_bytes,
+        )
+        ask = self._make_ask(exchange, step, tuple(inputs), domain, far_bytes)
 
         def let_inputs_go() -> None:
             # Their room is wanted for the results of other requests.
@@ -241,12 +251,27 @@
         let_inputs_go()
         return made.handles
 
+    def _find_domains(
+        self,
+        handles: collections_abc.Sequence[str],
+        pools: collections_abc.Iterable[ids.PoolName],
+    ) -> list[ids.DomainId]:
+        """Tell where results are; those of endpoints that left are nowhere."""
+        domains = {
+            record.address: record.domain
+            for pool in pools
+            for record in self._directory.endpoints(pool)
+        }
+        addresses = (handle.partition("/")[0] for handle in handles)
+        return [domains[one] for one in addresses if one in domains]
+
     def _make_ask(
         self,
         exchange: base.Exchange,
         step: schedule.Step,
         inputs: tuple[str, ...],
-        home: ids.DomainId,
+        domain: ids.DomainId,
+        far_bytes: int,
     ) -> piecemessages.PiecesAsk:
         now = self._clock.now()
         objective = exchange.arrived + exchange.pipeline.objective_ms
@@ -266,7 +291,8 @@
             left_ms=exchange.arrived + limit - now - step.path_ms,
             result_bytes=step.result_bytes,
             input_bytes=step.input_bytes,
-            domain=home,
+            domain=domain,
+            far_bytes=far_bytes,
         )
 
     def release(self, prepared: Prepared) -> None:
--- a/chervilshore/decisions/joborder.py
+++ b/chervilshore/decisions/joborder.py
@@ -1,15 +1,17 @@
 """In which order jobs are called for, and where."""
 
+import collections
 from collections import abc as collections_abc
 
 from chervilshore.decisions import makers
 from chervilshore.decisions import piecejobs
+from chervilshore import ids
 
 PRIORITY_MS = 300.0
 """Milliseconds by which one step of priority moves a piece ahead or back."""
 
 NEAR_BYTES = 200_000
-"""Bytes of a result from which it should be made near its reader."""
+"""Bytes between domains from which a job should wait for its own domain."""
 
 NEAR_SLACK_MS = 80.0
 """Milliseconds that must be left besides to wait for an endpoint there."""
@@ -44,10 +46,10 @@
     others: collections_abc.Iterable[makers.Maker],
     now: float,
 ) -> bool:
-    """Tell whether a job should wait for an endpoint near its reader.
+    """Tell whether a job should wait for an endpoint in its domain.
 
-    Large results are made where they will be read while that costs the
-    request nothing.
+    Large inputs and results stay in a domain while that costs the request
+    nothing.
 
     Parameters
     ----------
@@ -61,7 +63,7 @@
         The time in milliseconds.
     """
     domain = maker.record.domain
-    if job.result_bytes < NEAR_BYTES or domain == job.domain:
+    if job.far_bytes < NEAR_BYTES or domain == job.domain:
         return False
     return any(
         other.record.domain == job.domain
@@ -69,3 +71,36 @@
         and now + other.count_left(now) + NEAR_SLACK_MS <= job.due
         for other in others
     )
+
+
+def choose_domain(
+    inputs: collections_abc.Sequence[ids.DomainId],
+    input_bytes: int,
+    home: ids.DomainId,
+    result_bytes: int,
+) -> tuple[ids.DomainId, int]:
+    """Choose the domain in which a job should be done.
+
+    Parameters
+    ----------
+    inputs : sequence of DomainId
+        Where each input is.
+    input_bytes : int
+        Bytes of inputs that all its pieces read.
+    home : DomainId
+        Where its results will be read; empty when that is open.
+    result_bytes : int
+        Bytes of all its results.
+
+    Returns
+    -------
+    tuple
+        The domain, and the bytes that go to or from another one when the
+        job is done elsewhere.
+    """
+    if home and (result_bytes >= input_bytes or not inputs):
+        return home, result_bytes
+    if not inputs:
+        return home, 0
+    ((domain, count),) = collections.Counter(inputs).most_common(1)
+    return domain, input_bytes * count // len(inputs)
--- a/chervilshore/decisions/piecejobs.py
+++ b/chervilshore/decisions/piecejobs.py
@@ -32,7 +32,9 @@
     result_bytes : int
         Bytes of one result, about.
     domain : DomainId
-        Where the results will be read; empty when that is open.
+        Where it is best done; empty when that is open.
+    far_bytes : int
+        Bytes that go between domains when it is done elsewhere.
     input_bytes : int
         Bytes of all inputs of a piece, about.
 
@@ -61,6 +63,7 @@
     deadline: float = 0.0
     result_bytes: int = 0
     domain: ids.DomainId = ids.DomainId("")
+    far_bytes: int = 0
     input_bytes: int = 0
     handles: list[str] = []
     waiting: set[int] = set()
--- a/chervilshore/piecemessages.py
+++ b/chervilshore/piecemessages.py
@@ -33,7 +33,9 @@
     result_bytes, input_bytes : int
         Bytes of one result and of all inputs of a piece, about.
     domain : DomainId
-        Where the results will be read; empty when that is open.
+        Where it is best done; empty when that is open.
+    far_bytes : int
+        Bytes that go between domains when it is done elsewhere.
     """
 
     job: str
@@ -48,6 +50,7 @@
     left_ms: float
     result_bytes: int
     domain: ids.DomainId
+    far_bytes: int = 0
     input_bytes: int = 0
 
 
