Add make demo DEPLOYMENT=platform: a small site before stand-ins, counted at them

The site (store, workers, daemons as processes with the settings that the deploy template renders) moves from the soak to the stand-ins; the soak keeps its proxies.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 test: environment ## Run the tests.
 	$(BIN)/python -m pytest
 
-demo: environment ## Serve a real deployment on loopback and check its promises (DEPLOYMENT=kelvinside or taawuniyat).
+demo: environment ## Serve a real deployment on loopback and check its promises (DEPLOYMENT=kelvinside, taawuniyat or platform).
 	$(BIN)/python -m measure.demo --deployment $(DEPLOYMENT)
 
 measure: environment ## Measure the promises under load and faults; ARGS="--only NAME" picks one case.
--- a/measure/demo.py
+++ b/measure/demo.py
@@ -12,6 +12,7 @@
 from measure import deployment as deployments
 from measure import load as loads
 from measure import plans
+from measure import platform_demo
 
 OUT_SECONDS = 2.0
 """Seconds after acceptance in which a domain must have got its last work."""
@@ -19,6 +20,9 @@
 ORDER_SECONDS = 20.0
 """Seconds in which an order must have reached all engines of a pool."""
 
+PLATFORM = "platform"
+"""The deployment that stands before the users' platform."""
+
 RATE = 60.0
 """Requests a second of the traffic behind the checks."""
 
@@ -292,10 +296,15 @@
     """Run the demo for the deployment named on the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
-        "--deployment", choices=sorted(plans.PLANS), default="kelvinside"
+        "--deployment",
+        choices=[*sorted(plans.PLANS), PLATFORM],
+        default="kelvinside",
     )
     arguments = parser.parse_args()
-    broken = asyncio.run(show(plans.PLANS[arguments.deployment]))
+    if arguments.deployment == PLATFORM:
+        broken = asyncio.run(platform_demo.show())
+    else:
+        broken = asyncio.run(show(plans.PLANS[arguments.deployment]))
     sys.exit(1 if broken else 0)
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,8 +8,8 @@
 
 import aiohttp
 
-KEY = "key-of-a-team"
-EVENTS = 12
+from standins import site
+
 REFUSED = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
@@ -59,14 +59,14 @@
     Kind(
         "/say/",
         once=True,
-        events=EVENTS,
+        events=site.EVENTS,
         headers={"Chervilshore-Prompt-Prefix": "a:10,b:5"},
     ),
-    Kind("/resume/", once=False, events=EVENTS),
+    Kind("/resume/", once=False, events=site.EVENTS),
     Kind(
         "/staged/",
         once=True,
-        events=EVENTS,
+        events=site.EVENTS,
         headers={
             "Chervilshore-Pieces": "1,2",
             "Chervilshore-Piece-Key": "k",
@@ -162,7 +162,7 @@
             "Host": "shop.example",
             "Chervilshore-Attempt-Id": attempt,
             "Chervilshore-Deadline-Ms": str(BUDGET_MS),
-            "Chervilshore-Key": KEY,
+            "Chervilshore-Key": site.KEY,
         } | kind.headers
         try:
             async with session.post(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 
 from soak import deployment as deployments
 from soak import proxy
+from standins import site
 
 MODES = (
     proxy.Mode.DELAY,
@@ -141,7 +142,7 @@
         await self._deployment.configure()
 
     async def _evacuate(self) -> None:
-        zone = self._random.choice(deployments.ZONES)
+        zone = self._random.choice(site.ZONES)
         store = self._deployment.store
         await store.write("evacuations", zone, {})
         await self._hold()
--- /dev/null
+++ b/tests/test_settingsfile.py
@@ -0,0 +1,33 @@
+"""The settings template, filled in as the users' platform does."""
+
+import msgspec
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore import settings
+from standins import settingsfile
+from standins import site
+
+
+async def test_the_template_makes_settings_that_hold(tmp_path):
+    host = site.Host("h0", "a", tmp_path)
+    seeds = ["127.0.0.1:7003", "127.0.0.1:7013"]
+    await host.prepare("127.0.0.1:7100", [7001, 7002, 7003], seeds)
+    text = (tmp_path / "h0.json").read_text()
+    options = settings.load(msgspec.json.decode(text), {})
+    assertions.assert_that(
+        (options.http_address, options.peer_address, options.seeds),
+        matchers.Equals(("127.0.0.1:7001", "127.0.0.1:7003", tuple(seeds))),
+    )
+    assertions.assert_that(options.retry_window_ms, matchers.Equals(10_000.0))
+
+
+def test_values_are_written_as_text_and_as_json():
+    text = settingsfile.render(
+        '{"a": {{a|json}}, "b": "{{b.c}}", "d": "{{d}}", "e": {{d.1}}}',
+        {"a": 'x"y', "b": {"c": 1.5}, "d": [1, 2]},
+    )
+    assertions.assert_that(
+        msgspec.json.decode(text),
+        matchers.Equals({"a": 'x"y', "b": "1.5", "d": "1,2", "e": 2}),
+    )
