Read changes of endpoints 600 ms apart at most

Change: the pause after changes of endpoints is 600 ms; the first change after a quiet time is still read at once, and configuration and domains keep 200.

The test of a load of changes failed before (9 calls or more, bound 5).

--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -26,6 +26,11 @@
 """Milliseconds after changes before the next watch, so that one call brings
 several; a tenth of the time in which a leaving endpoint must be left."""
 
+ENDPOINTS_SETTLE_MS = 600.0
+"""The same for endpoints, whose entries change one after the other when many
+start or flap: all hosts would call at each. Less than a third of the time in
+which a leaving endpoint must be left."""
+
 LONELY_MS = 5000.0
 """Milliseconds between two readings of the list of hosts while no other
 host is known; after that hosts hear of each other from their peers."""
@@ -207,6 +212,8 @@
 
     async def _follow(self, kind: str) -> None:
         state = self.kinds[kind]
+        of_endpoints = kind == self._decoders.endpoints
+        settle = ENDPOINTS_SETTLE_MS if of_endpoints else SETTLE_MS
         wait = RETRY_MS
         listed = False
         while not self.should_stop:
@@ -220,7 +227,7 @@
                     if changes.changes:
                         wait = RETRY_MS
                         self.apply(kind)
-                        await self._clock.sleep(SETTLE_MS)
+                        await self._clock.sleep(settle)
                         continue
                 else:
                     listing = await self._store.list(kind)
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,6 +1,7 @@
 """A stand-in of the users' metadata store, with faults."""
 
 import asyncio
+import collections
 
 from aiohttp import web
 import msgspec
@@ -38,12 +39,15 @@
         The revision of the last change.
     history_from : int
         The first revision from which changes are still told.
+    watches : Counter
+        Calls that waited for changes, by kind.
     """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.revision = 1
         self.history_from = 0
+        self.watches: collections.Counter[str] = collections.Counter()
         self._kinds: dict[str, dict[str, dict]] = {}
         self._log: list[tuple[int, str, dict, bool]] = []
         self._changed = asyncio.Condition()
@@ -126,6 +130,7 @@
         )
 
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
+        self.watches[kind] += 1
         since = int(request.query["watch"])
         wait = int(request.query.get("wait_ms", "0")) / 1000.0
         if since < self.history_from:
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -1,5 +1,7 @@
 """A forwarding host whose store is away, turns it away or forgets."""
 
+import asyncio
+
 from testtools import assertions
 from testtools import matchers
 
@@ -64,3 +66,21 @@
     await deployment.wait_ready(other, 1)
     response, _ = await deployment.ask(other, "/look/")
     assertions.assert_that(response.status, matchers.Equals(200))
+
+
+async def test_many_changes_of_endpoints_cost_few_calls(deployment):
+    """Pattern: endpoints go down and up by turns, and many hosts watch."""
+    host, (worker,) = await helpers.serve_plain(deployment)
+    before = deployment.store.watches["servers"]
+    for number in range(30):
+        entry = worker.describe("ledger", "a", version=f"v{number}")
+        await deployment.store.write("servers", "w0", entry)
+        await asyncio.sleep(0.04)
+    await deployment.wait(
+        lambda: (
+            host._catalog.kinds["servers"].revision
+            == deployment.store.revision
+        )
+    )
+    spent = deployment.store.watches["servers"] - before
+    assertions.assert_that(spent, matchers.LessThan(6))
