--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -171,6 +171,7 @@
         self._times = times
         self._shedding = shed
         self._metrics = counters
+        self._labels = metrics.EndpointLabels()
 
     async def run(self, work: Work, hedge: bool = False) -> dict:
         """Make one attempt.
@@ -352,6 +353,12 @@
             self._times.note(pool, millis, now)
         self._metrics.count(metrics.Metric.ATTEMPTS, pool, outcome.value)
         self._metrics.observe(metrics.Metric.STAGE_SECONDS, millis, pool)
+        self._metrics.observe(
+            metrics.Metric.ENDPOINT_SECONDS,
+            millis,
+            self._labels.choose(slot.record.endpoint),
+            outcome.value,
+        )
 
     def _classify(self, error: exceptions.EndpointError) -> records.Outcome:
         for kind, outcome in _OUTCOMES:
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -253,6 +253,8 @@
             await self.add_runtime_dependency(service)
         await self._listen(self.ingress.serve, self._options.http_address)
         await self._listen(self._show, self._options.ready_address)
+        if self._options.metrics_address:
+            await self._listen(self._show, self._options.metrics_address)
 
     async def _listen(self, handler, address: str) -> None:
         runner = web.ServerRunner(
--- a/chervilshore/ingress.py
+++ b/chervilshore/ingress.py
@@ -256,6 +256,9 @@
         pipeline = exchange.pipeline.name if known else UNKNOWN_LABEL
         number = answer.code.value.number
         self._metrics.count(metrics.Metric.REQUESTS, pipeline, str(number))
+        self._metrics.observe(
+            metrics.Metric.ENDED_SECONDS, millis, str(number)
+        )
         if known:
             self._metrics.observe(
                 metrics.Metric.REQUEST_SECONDS,
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -64,6 +64,27 @@
         return team if team in self._named else OTHER_TEAMS
 
 
+MOST_ENDPOINT_LABELS = 200
+"""Endpoints that have a label of their own; more than most sites have at
+once, though each start of one gives it a new name."""
+
+OTHER_ENDPOINTS = "other"
+"""The label of all other endpoints."""
+
+
+class EndpointLabels:
+    """Bounds the labels that stand for endpoints: the first ones have one."""
+
+    def __init__(self) -> None:
+        self._named: set[ids.EndpointId] = set()
+
+    def choose(self, endpoint: ids.EndpointId) -> str:
+        """Choose the label of an endpoint."""
+        if len(self._named) < MOST_ENDPOINT_LABELS:
+            self._named.add(endpoint)
+        return endpoint if endpoint in self._named else OTHER_ENDPOINTS
+
+
 class MetricKind(enum.Enum):
     """How a metric is collected."""
 
@@ -119,6 +140,11 @@
         ("class",),
         "Time from arrival to the end of the answer.",
     )
+    ENDED_SECONDS = _histogram(
+        "chervilshore_request_ended_seconds",
+        ("code",),
+        "Time from arrival to the end of the answer, by what ended it.",
+    )
     TEAM_SECONDS = _histogram(
         "chervilshore_team_request_seconds",
         ("team",),
@@ -129,6 +155,11 @@
         ("pool",),
         "Time of one attempt at an endpoint.",
     )
+    ENDPOINT_SECONDS = _histogram(
+        "chervilshore_endpoint_seconds",
+        ("endpoint", "outcome"),
+        "Time of one attempt by endpoint and outcome.",
+    )
     ATTEMPTS = _counter(
         "chervilshore_attempts_total",
         ("pool", "outcome"),
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -100,6 +100,13 @@
         "its metrics",
         "",
     ),
+    Setting(
+        "metrics_address",
+        settingkinds.OPTIONAL_ADDRESS,
+        "where a forwarding host shows its metrics to those who must not "
+        "reach the address for balancers",
+        "",
+    ),
     Setting(
         "capacity",
         settingkinds.real(0.001, 1_000_000.0),
--- a/standins/site.py
+++ b/standins/site.py
@@ -124,8 +124,11 @@
 
     async def describe(self, store: str, seeds: list[str]) -> str:
         """Write the settings as the platform does."""
+        # Each host has a number of its own, as machines do.
+        port = int(self.address.rpartition(":")[2])
         fields = {
             "node_name": self.name,
+            "ip": f"127.{port >> 8}.{port & 255}.1",
             "zone": self.zone,
             "listen": {
                 "front": self.address,
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -167,20 +167,20 @@
             return response, await response.read()
 
 
-async def serve_plain(deployment, count=1, limits=None, **route):
+async def serve_plain(deployment, count=1, limits=None, host=None, **route):
     """Start a host before plain workers."""
     await deployment.configure(
         [make_route("look", "ledger", **route)],
         [make_service("ledger")],
         limits=limits,
     )
-    host = await deployment.add_host()
+    found_host = await deployment.add_host(**(host or {}))
     found = [
         await deployment.add_worker(f"w{number}", "ledger")
         for number in range(count)
     ]
-    await deployment.wait_ready(host, count)
-    return host, found
+    await deployment.wait_ready(found_host, count)
+    return found_host, found
 
 
 async def serve_stream(deployment, count=1, events=5, **route):
--- /dev/null
+++ b/tests/test_gateway_metrics.py
@@ -0,0 +1,52 @@
+"""The metrics of a forwarding host."""
+
+import aiohttp
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore import ids
+from chervilshore import metrics
+from measure import deployment as deployments
+from tests import gateway_helpers as helpers
+
+
+async def read_metrics(address):
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f"http://{address}/metrics") as response:
+            return await response.text()
+
+
+async def test_times_are_told_by_endpoint_and_cause(deployment):
+    (port,) = deployments.find_ports(1)
+    address = f"127.0.0.1:{port}"
+    host, (worker,) = await helpers.serve_plain(
+        deployment, host={"metrics_address": address}
+    )
+    worker.faults.fail = 1
+    await deployment.ask(host, "/look/")
+    await deployment.ask(host, "/look/")
+    await deployment.ask(host, "/nowhere/")
+    text = await read_metrics(address)
+    for line in (
+        'chervilshore_endpoint_seconds_count{endpoint="w0",outcome="ok"} 1',
+        'chervilshore_request_ended_seconds_count{code="0"} 1',
+        'chervilshore_request_ended_seconds_count{code="1004"} 1',
+    ):
+        assertions.assert_that(text, matchers.Contains(line))
+    assertions.assert_that(
+        text, matchers.Contains('endpoint="w0",outcome="rejected"')
+    )
+
+
+def test_labels_of_endpoints_are_bounded():
+    """Pattern: endpoints restart all day, each time under a new name."""
+    labels = metrics.EndpointLabels()
+    found = {
+        labels.choose(ids.EndpointId(f"e{number}")) for number in range(1000)
+    }
+    assertions.assert_that(
+        found, matchers.HasLength(metrics.MOST_ENDPOINT_LABELS + 1)
+    )
+    assertions.assert_that(
+        labels.choose(ids.EndpointId("e0")), matchers.Equals("e0")
+    )
