Write the log lines of one turn of the loop with one call

Change: lines are written once a turn, records carry no place in the code, and the text is made where it is read. Tests: one write for twenty lines of a turn (failed before), lines after the loop has ended.

--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -127,16 +127,32 @@
     spec = event.value
     if not logger.isEnabledFor(spec.level):
         return
-    words = "".join(f" {name}={value}" for name, value in fields.items())
-    logger.log(
+    # Where it was logged is told by the event; to look for it costs more
+    # than all the rest.
+    record = logger.makeRecord(
+        logger.name,
         spec.level,
+        "",
+        0,
         "%d %s%s",
-        spec.number,
-        spec.text,
-        words,
+        (spec.number, spec.text, _Words(fields)),
+        None,
         extra={
             "event": spec.number,
             "event_text": spec.text,
             "fields": fields,
         },
     )
+    logger.handle(record)
+
+
+class _Words:
+    """Fields as text, made only where somebody reads it."""
+
+    def __init__(self, fields: dict) -> None:
+        self._fields = fields
+
+    def __str__(self) -> str:
+        return "".join(
+            f" {name}={value}" for name, value in self._fields.items()
+        )
--- a/chervilshore/logs.py
+++ b/chervilshore/logs.py
@@ -1,6 +1,7 @@
 """Log lines as JSON on standard output, bounded and never blocking."""
 
 import asyncio
+import atexit
 import collections
 import logging
 import os
@@ -91,6 +92,7 @@
         self._pending: collections.deque[bytes] = collections.deque()
         self._bytes = 0
         self._waits = False
+        self._soon = False
         mode = os.fstat(descriptor).st_mode
         self._may_block = stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode)
         if self._may_block:
@@ -104,11 +106,27 @@
         self._pending.append(line)
         self._bytes += len(line)
         if not self._waits:
-            self._flush()
+            self._flush_soon()
 
-    def _flush(self) -> None:
+    def _flush_soon(self) -> None:
+        """Write once for all lines of a turn of the loop."""
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            # There is no loop before its start and after its end.
+            self.flush()
+            return
+        if not self._soon:
+            self._soon = True
+            loop.call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Write what can be written without waiting."""
+        self._soon = False
         while self._pending:
-            line = self._pending[0]
+            line = b"".join(self._pending)
+            self._pending.clear()
+            self._pending.append(line)
             try:
                 written = os.write(self._descriptor, line)
             except BlockingIOError:
@@ -116,7 +134,7 @@
                 return
             except OSError:
                 # Nobody reads any more; the count tells how much was lost.
-                self.dropped += len(self._pending)
+                self.dropped += line.count(b"\n")
                 self._pending.clear()
                 self._bytes = 0
                 break
@@ -135,7 +153,7 @@
         except RuntimeError:
             # Before and after the loop the next line tries again.
             return
-        loop.add_writer(self._descriptor, self._flush)
+        loop.add_writer(self._descriptor, self.flush)
         self._waits = True
 
     def _stop_waiting(self) -> None:
@@ -267,7 +285,9 @@
     clock : Clock
         Tells the time of each line.
     """
-    handler = JsonHandler(LineWriter(sys.stdout.fileno()), clock)
+    writer = LineWriter(sys.stdout.fileno())
+    atexit.register(writer.flush)
+    handler = JsonHandler(writer, clock)
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,5 +1,6 @@
 """Log lines: whole stories, bounded, and no wait for a reader."""
 
+import asyncio
 import logging
 import os
 
@@ -140,3 +141,31 @@
     assertions.assert_that(
         logger.handlers[0]._writer.dropped, matchers.GreaterThan(0)
     )
+
+
+async def test_lines_of_one_turn_are_written_at_once(
+    logger, pipe, monkeypatch
+):
+    """Pattern: each request of a busy host logs several lines."""
+    written = []
+    write = os.write
+    monkeypatch.setattr(
+        os, "write", lambda *words: written.append(words) or write(*words)
+    )
+    for number in range(20):
+        tell_story(logger, f"r{number}", lines=0)
+    await asyncio.sleep(0)
+    assertions.assert_that(written, matchers.HasLength(1))
+    assertions.assert_that(read_lines(pipe), matchers.HasLength(20))
+
+
+def test_lines_after_the_end_of_a_loop_are_written(logger, pipe):
+    async def log():
+        tell_story(logger, "within", lines=0)
+
+    loop = asyncio.new_event_loop()
+    loop.call_soon(loop.stop)
+    loop.run_until_complete(log())
+    loop.close()
+    tell_story(logger, "after", lines=0)
+    assertions.assert_that(read_lines(pipe), matchers.HasLength(2))
