--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -10,6 +10,7 @@
 from chervilshore.controllers import decoders as decoding
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import membership as memberships
+from chervilshore.decisions import backoff
 from chervilshore.decisions import kinds
 from chervilshore import events
 from chervilshore import exceptions
@@ -128,7 +129,7 @@
         return self._endpoints.get(endpoint)
 
     def cold_until(self, endpoint: ids.EndpointId) -> float:
-        """Tell the moment until which an endpoint is cold."""
+        """Tell until when an endpoint is cold; see `Directory.cold_until`."""
         return self._cold_until.get(endpoint, 0.0)
 
     @property
@@ -180,13 +181,12 @@
         """Tell the others where this host is."""
         me = self._membership.me
         content = self._decoders.write_host(me)
-        wait = RETRY_MS
+        pauses = backoff.Backoff(RETRY_MS, MOST_RETRY_MS)
         while not self.should_stop:
             try:
                 await self._store.put(self._decoders.hosts, me.host, content)
             except exceptions.PlatformError:
-                await self._clock.sleep(wait)
-                wait = min(MOST_RETRY_MS, wait * 2.0)
+                await self._clock.sleep(pauses.take())
             else:
                 self._written = True
                 return
@@ -194,14 +194,13 @@
     async def _find_hosts(self) -> None:
         """Read the list of hosts until one of them has been met."""
         kind = self._decoders.hosts
-        wait = RETRY_MS
+        pauses = backoff.Backoff(RETRY_MS, MOST_RETRY_MS)
         while not self.should_stop:
             try:
                 listing = await self._store.list(kind)
             except exceptions.PlatformError as error:
                 self._note_lost(kind, error)
-                await self._clock.sleep(wait)
-                wait = min(MOST_RETRY_MS, wait * 2.0)
+                await self._clock.sleep(pauses.take())
                 continue
             self._note_regained(kind)
             self.kinds[kind].replace(listing, self._clock.now())
@@ -214,7 +213,7 @@
         state = self.kinds[kind]
         of_endpoints = kind == self._decoders.endpoints
         settle = ENDPOINTS_SETTLE_MS if of_endpoints else SETTLE_MS
-        wait = RETRY_MS
+        pauses = backoff.Backoff(RETRY_MS, MOST_RETRY_MS)
         listed = False
         while not self.should_stop:
             try:
@@ -225,7 +224,7 @@
                     self._note_regained(kind)
                     state.merge(changes, self._clock.now())
                     if changes.changes:
-                        wait = RETRY_MS
+                        pauses.reset()
                         self.apply(kind)
                         await self._clock.sleep(settle)
                         continue
@@ -239,10 +238,9 @@
                 continue
             except exceptions.PlatformError as error:
                 self._note_lost(kind, error)
-                await self._clock.sleep(wait)
-                wait = min(MOST_RETRY_MS, wait * 2.0)
+                await self._clock.sleep(pauses.take())
                 continue
-            wait = RETRY_MS
+            pauses.reset()
             self.apply(kind)
 
     def _note_lost(self, kind: str, error: exceptions.PlatformError) -> None:
--- a/chervilshore/controllers/directory.py
+++ b/chervilshore/controllers/directory.py
@@ -28,6 +28,10 @@
     ) -> records.EndpointRecord | None:
         """Find an endpoint; nothing when it is not listed any more."""
 
+    def cold_until(self, endpoint: ids.EndpointId) -> float:
+        """Tell the moment until which an endpoint is known to be cold."""
+        return 0.0
+
 
 class StaticDirectory(Directory):
     """A directory that is told what there is.
