--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -5,7 +5,6 @@
 from collections import abc
 import contextlib
 import getpass
-import os
 import pathlib
 import sys
 
@@ -16,20 +15,20 @@
 from chervilshore.clients import admin as admin_clients
 from chervilshore.clients import platform as platforms
 from chervilshore import clock as clocks
+from chervilshore import cmdarguments
 from chervilshore import commands
 from chervilshore.decisions import orders
 from chervilshore import edits
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import instructions
+from chervilshore import logreports
 from chervilshore import operations
 from chervilshore import reports
 from chervilshore.rules import guards
 from chervilshore import traces
 
-PLATFORM_VARIABLE = "CHERVILSHORE_PLATFORM"
 PLATFORM_MS = 1000.0
-TIMEOUT_S = 10.0
 
 
 class CommandLine:
@@ -68,7 +67,7 @@
         int
             How the tool ends; see `reports.ExitCode`.
         """
-        arguments = make_parser().parse_args(words)
+        arguments = cmdarguments.make_parser().parse_args(words)
         try:
             report = await self._run_command(arguments)
         except exceptions.ChervilshoreError as error:
@@ -88,9 +87,8 @@
             return commands.check(*_read_file(arguments.file))
         if arguments.command == "format":
             return _format(arguments)
-        if arguments.command == "trace":
-            logs = map(_read_file, arguments.file)
-            return traces.trace(arguments.request, logs)
+        if getattr(arguments, "logs", None):
+            return _tell_from_logs(arguments)
         async with contextlib.AsyncExitStack() as stack:
             session = await stack.enter_async_context(aiohttp.ClientSession())
             platform = self._platform or _connect(arguments, stack)
@@ -197,135 +195,6 @@
 _ORDER_COMMANDS = {"order": _order, "orders": _orders}
 
 
-def make_parser() -> argparse.ArgumentParser:
-    """Make the tool's command line."""
-    common = argparse.ArgumentParser(add_help=False)
-    common.add_argument(
-        "--json", action="store_true", help="print one JSON object"
-    )
-    common.add_argument(
-        "--platform",
-        metavar="ADDRESS",
-        default=os.environ.get(PLATFORM_VARIABLE),
-        help="IP number and port of the platform's object API "
-        f"({PLATFORM_VARIABLE})",
-    )
-    change = _make_change_parser()
-    parser = argparse.ArgumentParser(
-        prog="chervilshore", description="Control the configuration."
-    )
-    add = parser.add_subparsers(
-        dest="command", required=True, metavar="COMMAND"
-    ).add_parser
-    one = add("check", parents=[common], help="check a rules file")
-    one.add_argument("file", help="the file; - reads from standard input")
-    one = add("format", parents=[common], help="write it in the usual form")
-    one.add_argument("file", help="the file; - reads from standard input")
-    one.add_argument(
-        "--write", action="store_true", help="rewrite the file itself"
-    )
-    one = add("diff", parents=[common], help="compare with what is accepted")
-    one.add_argument("file", help="the file; - reads from standard input")
-    one = add("apply", parents=[common, change], help="have a file accepted")
-    one.add_argument("file", help="the file; - reads from standard input")
-    one.add_argument(
-        "--generation",
-        type=int,
-        metavar="N",
-        help="the generation that was edited; the file's first line says it",
-    )
-    one.add_argument(
-        "--merge",
-        action="store_true",
-        help="join it with later edits of other rules",
-    )
-    one = add("show", parents=[common], help="print the accepted rules")
-    one.add_argument("--generation", type=int, metavar="N")
-    one = add("history", parents=[common], help="who changed what and why")
-    one.add_argument("--most", type=int, default=20, metavar="N")
-    one = add(
-        "rollback",
-        parents=[common, change],
-        help="have an earlier generation's rules accepted anew",
-    )
-    one.add_argument("generation", type=int)
-    one = add(
-        "domain",
-        parents=[common, change],
-        help="take a failure domain out or back in",
-    )
-    one.add_argument("state", choices=("out", "in"))
-    one.add_argument("name")
-    one = add("trace", parents=[common], help="what became of a request")
-    one.add_argument("request", help="its id")
-    one.add_argument("file", nargs="+", help="log files; - reads input")
-    add("status", parents=[common], help="hosts, domains, endpoints, limits")
-    add("refusals", parents=[common], help="which requests were refused")
-    one = add("explain", parents=[common], help="which rules would decide")
-    one.add_argument(
-        "field", nargs="+", help="pipeline=NAME and team=NAME of a request"
-    )
-    one = add("prune", parents=[common], help="remove old generations")
-    one.add_argument(
-        "--keep",
-        type=_parse_keep,
-        required=True,
-        metavar="N",
-        help="newest generations that stay",
-    )
-    one = add("settle", parents=[common], help="ask for a change's outcome")
-    one.add_argument("generation", type=int)
-    one.add_argument("change")
-    _add_order_commands(add, common)
-    return parser
-
-
-def _add_order_commands(add, common: argparse.ArgumentParser) -> None:
-    one = add("order", parents=[common], help="give engines an order, once")
-    one.add_argument("pool")
-    one.add_argument("kind", choices=[kind.value for kind in orders.OrderKind])
-    one.add_argument("argument", help="the model, adapter, version or role")
-    one.add_argument(
-        "--endpoint",
-        action="append",
-        default=[],
-        help="an engine; may be given again; else all of the pool",
-    )
-    one.add_argument("--reason", required=True, help="why it is given")
-    one.add_argument("--author", help="who gives it; else the user's name")
-    one.add_argument(
-        "--order", default="", help="its id, to submit the same one again"
-    )
-    one = add("orders", parents=[common], help="what became of orders")
-    one.add_argument("pool")
-
-
-def _make_change_parser() -> argparse.ArgumentParser:
-    change = argparse.ArgumentParser(add_help=False)
-    change.add_argument("--reason", required=True, help="why it is changed")
-    change.add_argument(
-        "--author", default=None, help="who changes it; else the user's name"
-    )
-    change.add_argument(
-        "--allow",
-        action="append",
-        default=[],
-        choices=[guard.value for guard in guards.Guard],
-        help="override a guard; may be given again",
-    )
-    change.add_argument(
-        "--timeout",
-        type=float,
-        default=TIMEOUT_S,
-        metavar="S",
-        help="seconds to wait for the platform, and then for the hosts",
-    )
-    change.add_argument(
-        "--dry-run", action="store_true", help="only say what it would do"
-    )
-    return change
-
-
 def _make_edit(arguments: argparse.Namespace, **fields) -> edits.Edit:
     fields.setdefault("document", None)
     return edits.Edit(
@@ -346,13 +215,6 @@
         raise exceptions.RulesError(f"{name}: {error}") from error
 
 
-def _parse_keep(text: str) -> int:
-    kept = int(text)
-    if kept < 1:
-        raise ValueError(text)
-    return kept
-
-
 def _write_file(file: str, text: str) -> None:
     if file == "-":
         return
@@ -372,12 +234,21 @@
     return reports.Report(f"{arguments.file}: {word}", report.data)
 
 
+def _tell_from_logs(arguments: argparse.Namespace) -> reports.Report:
+    logs = map(_read_file, arguments.logs)
+    if arguments.command == "trace":
+        return traces.trace(arguments.request, logs)
+    if arguments.command == "status":
+        return logreports.describe_hosts(logs)
+    return logreports.count_refusals(logs)
+
+
 def _connect(
     arguments: argparse.Namespace, stack: contextlib.AsyncExitStack
 ) -> platforms.Platform:
     if not arguments.platform:
         raise exceptions.SettingsError(
-            f"--platform ({PLATFORM_VARIABLE}) is required"
+            f"--platform ({cmdarguments.PLATFORM_VARIABLE}) is required"
         )
     # The module is loaded here so that checking a file needs no network.
     from chervilshore.clients import rest
--- /dev/null
+++ b/chervilshore/logreports.py
@@ -0,0 +1,144 @@
+"""What hosts refused and how they are, told from their log lines."""
+
+import collections
+from collections import abc as collections_abc
+
+from chervilshore import events
+from chervilshore import reports
+from chervilshore import results
+from chervilshore import traces
+
+Logs = collections_abc.Iterable[tuple[str, str]]
+"""The text of each log, and where it comes from."""
+
+MOST_DETAIL = 40
+"""Characters of what a host said that are told apart."""
+
+_NUMBERS = {event.value.number: event for event in events.Event}
+
+
+def count_refusals(logs: Logs) -> reports.Report:
+    """Count the requests that were refused or failed, by cause.
+
+    Parameters
+    ----------
+    logs : iterable of tuple
+        The text of each log, and where it comes from.
+    """
+    counts: collections.Counter[tuple[int, str, str]] = collections.Counter()
+    for entry in _read_entries(logs):
+        fields = entry.fields
+        ended = _NUMBERS.get(fields.get("event"))
+        if ended is events.Event.REQUEST_FORWARDED and fields.get("code"):
+            detail = _strip_numbers(str(fields.get("detail", "")))
+            pipeline = str(fields.get("pipeline", ""))
+            counts[fields["code"], pipeline, detail] += 1
+    rows = []
+    for (number, pipeline, detail), count in counts.most_common():
+        code = results.BY_NUMBER.get(number)
+        rows.append(
+            {
+                "number": number,
+                "name": code.name if code else "",
+                "family": code.value.family.value if code else "",
+                "pipeline": pipeline,
+                "detail": detail,
+                "count": count,
+            }
+        )
+    lines = [f"{sum(counts.values())} refused or failed in these logs:"]
+    lines += [
+        f"{row['count']:6d}  {row['number']} {row['name']}  "
+        f"{row['pipeline']}  {row['detail']}".rstrip()
+        for row in rows
+    ]
+    return reports.Report("\n".join(lines), {"refusals": rows})
+
+
+def describe_hosts(logs: Logs) -> reports.Report:
+    """Tell what each host believed when its log ends.
+
+    Parameters
+    ----------
+    logs : iterable of tuple
+        The text of each log, and where it comes from.
+    """
+    hosts: dict[str, _HostState] = {}
+    for entry in _read_entries(logs):
+        hosts.setdefault(entry.source, _HostState()).note(entry.fields)
+    rows = [
+        {"host": source} | state.describe()
+        for source, state in sorted(hosts.items())
+    ]
+    lines = [
+        f"{row['host']}: generation {row['generation']}, "
+        f"{row['starts']} starts, {row['endpoints']} endpoints, "
+        f"cannot read {', '.join(row['unread']) or 'nothing'}, "
+        f"down {', '.join(row['down']) or 'nobody'}"
+        for row in rows
+    ]
+    return reports.Report("\n".join(lines), {"hosts": rows})
+
+
+class _HostState:
+    """What a host's lines tell of its beliefs."""
+
+    def __init__(self) -> None:
+        self._starts = 0
+        self._forget()
+
+    def _forget(self) -> None:
+        self._generation = 0
+        self._endpoints: set[str] = set()
+        self._unread: set[str] = set()
+        self._down: set[str] = set()
+
+    def note(self, fields: dict) -> None:
+        """Learn from a line, in the order of the log."""
+        event = _NUMBERS.get(fields.get("event"))
+        if event is events.Event.STARTED:
+            self._starts += 1
+            self._forget()
+        elif event is events.Event.GENERATION_IN_FORCE:
+            self._generation = fields["generation"]
+        elif event is events.Event.ENDPOINT_LISTED:
+            self._endpoints.add(fields["endpoint"])
+        elif event is events.Event.ENDPOINT_GONE:
+            self._endpoints.discard(fields["endpoint"])
+        elif event is events.Event.STORE_UNREAD:
+            self._unread.add(fields["kind"])
+        elif event is events.Event.STORE_READ:
+            self._unread.discard(fields["kind"])
+        elif event is events.Event.HOST_DOWN:
+            self._down.add(fields["host"])
+        elif event is events.Event.HOST_ALIVE:
+            self._down.discard(fields["host"])
+
+    def describe(self) -> dict:
+        """Write what is believed."""
+        return {
+            "starts": self._starts,
+            "generation": self._generation,
+            "endpoints": len(self._endpoints),
+            "unread": sorted(self._unread),
+            "down": sorted(self._down),
+        }
+
+
+def _read_entries(logs: Logs) -> collections_abc.Iterator[traces.Entry]:
+    for text, source in logs:
+        for line in text.splitlines():
+            entry = traces.read_entry(line, source)
+            if entry is not None:
+                yield entry
+
+
+def _strip_numbers(detail: str) -> str:
+    """Leave out what differs from one refusal to the next of its kind."""
+    words = detail.split()
+    kept = ["N" if _is_number(word) else word for word in words]
+    return " ".join(kept)[:MOST_DETAIL]
+
+
+def _is_number(word: str) -> bool:
+    return word.replace(".", "", 1).isdigit()
--- a/chervilshore/traces.py
+++ b/chervilshore/traces.py
@@ -55,21 +55,31 @@
     """
     found = []
     for line in lines:
-        if request not in line:
+        entry = read_entry(line, source) if request in line else None
+        if entry is None:
             continue
-        before, brace, rest = line.partition("{")
-        try:
-            fields = _LINE.decode(brace + rest)
-        except msgspec.DecodeError:
-            # A line that was cut, or that another program has written.
-            continue
-        concerns = fields.get("request") == request
-        if concerns or request in fields.get("requests", ()):
-            name = " ".join([source, *before.split()[-1:]])
-            found.append(Entry(name, fields))
+        concerns = entry.fields.get("request") == request
+        if concerns or request in entry.fields.get("requests", ()):
+            found.append(entry)
     return found
 
 
+def read_entry(line: str, source: str) -> Entry | None:
+    """Read a line of a log.
+
+    Returns
+    -------
+    Entry or None
+        Nothing for a line that was cut, or that another program wrote.
+    """
+    before, brace, rest = line.partition("{")
+    try:
+        fields = _LINE.decode(brace + rest)
+    except msgspec.DecodeError:
+        return None
+    return Entry(" ".join([source, *before.split()[-1:]]), fields)
+
+
 def sort_entries(entries: list[Entry]) -> list[Entry]:
     """Put the lines of several hosts in order.
 
--- /dev/null
+++ b/tests/test_logreports.py
@@ -0,0 +1,83 @@
+"""What the tool tells from the log lines of hosts."""
+
+import msgspec
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore import cmdline
+from chervilshore import logreports
+from chervilshore import results
+
+
+def make_line(event, **fields):
+    return msgspec.json.encode({"event": event, "time_ms": 1} | fields)
+
+
+def make_end(code, detail="", pipeline="report"):
+    return make_line(7006, code=code, detail=detail, pipeline=pipeline)
+
+
+def join(*lines):
+    return b"\n".join(lines).decode()
+
+
+def test_refusals_are_counted_by_cause():
+    overloaded = results.Code.OVERLOADED.value.number
+    log = join(
+        make_end(0),
+        make_end(overloaded, "pieces wait for 4029 ms"),
+        make_end(overloaded, "pieces wait for 17 ms"),
+        make_end(results.Code.DRAINING.value.number),
+        b"cut in the mid",
+    )
+    report = logreports.count_refusals([(log, "one"), (log, "two")])
+    assertions.assert_that(
+        [(row["name"], row["count"]) for row in report.data["refusals"]],
+        matchers.Equals([("OVERLOADED", 4), ("DRAINING", 2)]),
+    )
+    assertions.assert_that(
+        report.text, matchers.Contains("pieces wait for N ms")
+    )
+
+
+def test_a_host_is_described_as_its_last_life_was():
+    log = join(
+        make_line(1001),
+        make_line(2001, generation=3),
+        make_line(3013, endpoint="e1"),
+        make_line(1001),
+        make_line(2001, generation=4),
+        make_line(3013, endpoint="e1"),
+        make_line(3013, endpoint="e2"),
+        make_line(3014, endpoint="e1"),
+        make_line(3009, kind="config"),
+        make_line(3009, kind="servers"),
+        make_line(3010, kind="config"),
+        make_line(3005, host="h2"),
+    )
+    (row,) = logreports.describe_hosts([(log, "h1")]).data["hosts"]
+    assertions.assert_that(
+        row,
+        matchers.Equals(
+            {
+                "host": "h1",
+                "starts": 2,
+                "generation": 4,
+                "endpoints": 1,
+                "unread": ["servers"],
+                "down": ["h2"],
+            }
+        ),
+    )
+
+
+@pytest.mark.parametrize("command", ["refusals", "status"])
+async def test_the_tool_reads_logs_without_a_platform(tmp_path, command):
+    path = tmp_path / "h1.log"
+    path.write_text(join(make_line(1001), make_end(1021)))
+    shown = []
+    tool = cmdline.CommandLine(write=shown.append)
+    status = await tool.run([command, "--logs", str(path)])
+    assertions.assert_that(status, matchers.Equals(0))
+    assertions.assert_that(shown, matchers.HasLength(1))
