--- a/standins/workers.py
+++ b/standins/workers.py
@@ -132,7 +132,10 @@
             return web.json_response({})
         if request.path == "/stage-run":
             return await self._run_pieces(msgspec.json.decode(body))
-        self.seen.append(headers | {":path": request.raw_path})
+        peer = request.transport.get_extra_info("peername")
+        self.seen.append(
+            headers | {":path": request.raw_path, ":peer": str(peer)}
+        )
         self.bodies.append(body)
         return await self._run(request, headers)
 
