Leave alone what another call has taken over from a slow one

Cause (found by reading, no run): when a call took too long its pieces went to another one; if the first was lost later, jobs whose inputs the second had read were ended as failed, and a first call that came back without results had its pieces called for once more.

Change: a call remembers which jobs have moved. Two tests failed before.

--- a/chervilshore/decisions/batches.py
+++ b/chervilshore/decisions/batches.py
@@ -160,6 +160,7 @@
                 maker.note_late()
                 # Pieces whose inputs are given up can only wait for it.
                 movable = [part for part in call.parts if not part.job.is_read]
+                call.moved.update(part.job.name for part in movable)
                 self._failed += self._return_pieces(movable)
 
     def take_failed(self) -> list[piecejobs.Job]:
@@ -337,7 +338,7 @@
             # Less room is left there than it seemed.
             size = max(part.job.result_bytes for part in call.parts)
             maker.note_crowded(crowded * size, crowded == call.size, now)
-        return self._return_pieces(call.parts, counts=not crowded)
+        return self._return_pieces(call.own_parts, counts=not crowded)
 
     def fail(
         self, call: piecejobs.BatchCall, full: bool, now: float
@@ -365,12 +366,7 @@
                 maker.note_full(now)
             else:
                 maker.note_lost(now)
-        parts = [
-            part
-            for part in call.parts
-            if part.job.is_read or not call.released
-        ]
-        return self._return_pieces(parts, counts=not full)
+        return self._return_pieces(call.own_parts, counts=not full)
 
     def count_waiting(self) -> int:
         """Count the pieces that wait for a call."""
--- a/chervilshore/decisions/piecejobs.py
+++ b/chervilshore/decisions/piecejobs.py
@@ -103,7 +103,9 @@
     expected_ms : float
         Milliseconds that it should take.
     released : bool
-        Whether its pieces wait for another call, as it takes too long.
+        Whether it takes too long, and no more is expected of it.
+    moved : set of str
+        Jobs whose pieces wait for another call since then.
     """
 
     record: records.EndpointRecord
@@ -111,6 +113,12 @@
     began: float
     expected_ms: float
     released: bool = False
+    moved: set[str] = msgspec.field(default_factory=set)
+
+    @property
+    def own_parts(self) -> list[Part]:
+        """The parts that no other call has taken over."""
+        return [part for part in self.parts if part.job.name not in self.moved]
 
     @property
     def size(self) -> int:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -453,3 +453,31 @@
         now = planner.next_moment(now + 1.0)
         planner.plan(now)
     assertions.assert_that(planner.take_failed(), matchers.Equals([job]))
+
+
+def test_a_lost_slow_call_leaves_alone_what_another_has_taken_over(planner):
+    """Pattern: an endpoint turns slow, its pieces move, and it dies."""
+    planner.set_endpoints([make_record("w1")])
+    job = make_job("j", inputs=("10.0.0.2:80/1",), due=1e9, deadline=1e9)
+    planner.add(job)
+    (slow,) = planner.plan(0.0)
+    planner.set_endpoints([make_record("w1"), make_record("w2")])
+    (other,) = planner.plan(planner.next_moment(1.0))
+    planner.note_read(other)
+    assertions.assert_that(
+        planner.fail(slow, False, 5000.0), matchers.Equals([])
+    )
+    done, _ = end_call(planner, other, 5100.0)
+    assertions.assert_that(done, matchers.Equals([job]))
+
+
+def test_a_slow_call_without_results_calls_for_no_piece_twice(planner):
+    planner.set_endpoints([make_record("w1")])
+    job = make_job("j", due=1e9, deadline=1e9)
+    planner.add(job)
+    (slow,) = planner.plan(0.0)
+    planner.set_endpoints([make_record("w1"), make_record("w2")])
+    planner.plan(planner.next_moment(1.0))
+    planner.finish(slow, [""] * 4, 5000.0)
+    planner.retry_missing(slow, 0, 5000.0)
+    assertions.assert_that(job.waiting, matchers.Equals(set()))
