--- a/standins/site.py
+++ b/standins/site.py
@@ -110,6 +110,7 @@
         self.ready_address = ""
         self.control_address = ""
         self.process: asyncio.subprocess.Process | None = None
+        self._restarting = asyncio.Lock()
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
 
@@ -190,9 +191,10 @@
             return await self.process.wait()
 
     async def restart(self, number: signal.Signals) -> None:
-        """End the process by a signal and start it anew."""
-        await self.end(number)
-        await self.start()
+        """End the process by a signal and start it anew, once at a time."""
+        async with self._restarting:
+            await self.end(number)
+            await self.start()
 
     async def stop(self) -> None:
         """End the process at once."""
