Begin a batch job only when all its results fit beside those still promised

Results of a job are read only when all exist, so unfinished jobs blocked each other until they expired; their work was thrown away.

Change: decisions/callfilling chooses the items of a call. A job that is not begun takes space only if all its results fit into the pool beside what begun jobs still need, and begun jobs go first. A job that can never fit ends when it is due instead of holding space until its deadline.

--- a/chervilshore/decisions/batchjobs.py
+++ b/chervilshore/decisions/batchjobs.py
@@ -76,6 +76,16 @@
         self.waiting = set(range(self.count))
         self.unread = set(self.waiting)
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether some of its items are in a call or have their result."""
+        return len(self.waiting) < self.count
+
+    @property
+    def holds_space(self) -> bool:
+        """Whether results of a begun job use space until all are made."""
+        return self.is_begun and self.result_bytes > 0
+
     @property
     def is_done(self) -> bool:
         """Whether every item has its result."""
--- a/chervilshore/decisions/batchplanner.py
+++ b/chervilshore/decisions/batchplanner.py
@@ -10,6 +10,7 @@
 from chervilshore.decisions import backlog
 from chervilshore.decisions import batchendpoints
 from chervilshore.decisions import batchjobs
+from chervilshore.decisions import callfilling
 from chervilshore.decisions import jobscheduling
 from chervilshore import ids
 from chervilshore import records
@@ -32,9 +33,6 @@
 """Links that inputs pass one after the other in the worst case: that of the
 endpoint which has the result and that of the reader."""
 
-SPACE_FRACTION = 0.97
-"""Fraction of the space for results that plans use, as sizes are estimates."""
-
 
 class BatchPlanner:
     """Plans the calls of one batch pool.
@@ -111,25 +109,37 @@
         )
 
     def expire(self, now: float) -> list[batchjobs.Job]:
-        """Remove and return the jobs with items that wait too long."""
+        """Remove and return the jobs with items that wait too long.
+
+        A job whose results need more space than the whole pool has waits
+        until it is due, as endpoints may return.
+        """
         expired = [
             job
             for job in self.jobs.values()
-            if job.waiting and now >= job.deadline
+            if job.waiting and now >= self._expiry(job)
         ]
         for job in expired:
             del self.jobs[job.name]
         return expired
 
+    def _expiry(self, job: batchjobs.Job) -> float:
+        if callfilling.can_ever_fit(job, len(self._endpoints), self.batching):
+            return job.deadline
+        return min(job.due, job.deadline)
+
     def plan(self, now: float) -> list[batchjobs.BatchCall]:
         """Start a call for each free endpoint, and return the calls."""
         self._requeue_overdue(now)
         calls = []
         waiting = jobscheduling.sort_jobs(self.jobs.values(), now)
+        space = callfilling.SpacePlan(
+            self._endpoints.values(), waiting, self.batching, now
+        )
         for endpoint in self._list_free(now):
             if not waiting:
                 break
-            call = self._fill(endpoint, waiting, now)
+            call = self._fill(endpoint, waiting, space, now)
             if call is not None:
                 calls.append(call)
             waiting = [job for job in waiting if job.waiting]
@@ -144,7 +154,9 @@
                 times.append(call.started_at + self._overdue_ms(call))
             elif endpoint.backoff_until > now:
                 times.append(endpoint.backoff_until)
-        times += [job.deadline for job in self.jobs.values() if job.waiting]
+        times += [
+            self._expiry(job) for job in self.jobs.values() if job.waiting
+        ]
         return min((time for time in times if time > now), default=None)
 
     def _overdue_ms(self, call: batchjobs.BatchCall) -> float:
@@ -213,46 +225,32 @@
         self,
         endpoint: batchendpoints.BatchEndpoint,
         waiting: list[batchjobs.Job],
+        space: callfilling.SpacePlan,
         now: float,
     ) -> batchjobs.BatchCall | None:
         """Start a call with waiting items; None when no item suits it."""
-        batching = self.batching
-        space = (
-            SPACE_FRACTION * batching.result_space_bytes
-            - endpoint.used_bytes(now)
+        parts = callfilling.choose_parts(
+            endpoint,
+            waiting,
+            self._endpoints.values(),
+            space,
+            self.batching.max_items,
+            now,
         )
-        remaining_items = batching.max_items
-        others = self._endpoints.values()
-        parts = []
-        for job in waiting:
-            if remaining_items <= 0:
-                break
-            if jobscheduling.waits_for_local(endpoint, job, others, now):
-                continue
-            fits = remaining_items
-            if job.result_bytes:
-                fits = min(remaining_items, int(space // job.result_bytes))
-            if fits < (min(remaining_items, len(job.waiting)) if parts else 1):
-                # Results of half a job would use space that whole jobs need.
-                continue
-            indexes = tuple(sorted(job.waiting)[:fits])
-            parts.append(batchjobs.CallPart(job, indexes))
-            remaining_items -= len(indexes)
-            space -= len(indexes) * job.result_bytes
         if not parts:
             return None
         for part in parts:
             part.job.waiting -= set(part.item_indexes)
             if now <= part.job.due:
                 self._timely.record_items(len(part.item_indexes), now)
-        size = batching.max_items - remaining_items
+        size = sum(len(part.item_indexes) for part in parts)
         call = batchjobs.BatchCall(
             endpoint.record,
             parts,
             now,
             self.expect_ms(size, endpoint.slowdown),
         )
-        endpoint.reserve(call, batching.result_ttl_ms, now)
+        endpoint.reserve(call, self.batching.result_ttl_ms, now)
         return call
 
     def estimate_read_ms(self, call: batchjobs.BatchCall) -> float:
