Keep the inputs of a batch call until it ends if it may have waited

Inputs were freed 60 ms after the send, as a call reads them when it begins. Ruled out: results that expired (they were under a second old), restarted endpoints (none).

Change: inputs are freed early only at an endpoint whose last call began when it was sent (all results, no longer than expected), and never by an owner that leaves. decisions/inputrelease holds the rule.

Tests of early release now complete a call at the endpoint first; the simulation in test_resultspace frees inputs when their reader ends, as submitters do, with its bound unchanged.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -107,7 +107,7 @@
         """Drain: refuse new jobs, and return unstarted ones to submitters."""
         self._leaving = True
         for state in self._pool_states.values():
-            for job in state.planner.pop_unstarted_jobs():
+            for job in state.planner.leave():
                 self._end_job(state, job, batches.Failure.MOVED)
 
     def _handle_job_request(
--- a/chervilshore/decisions/batchendpoints.py
+++ b/chervilshore/decisions/batchendpoints.py
@@ -46,6 +46,9 @@
         usual one.
     backoff_until : float
         The time until which it gets no call.
+    begins_calls_at_once : bool
+        Whether its last call began when it was sent. If not, it is slow or
+        also runs calls of another owner.
     results : dict
         For each result that uses space, its expiry time and its bytes. The
         key is its handle, or the name of an item that is in a call.
@@ -56,6 +59,7 @@
         self.call: batchjobs.BatchCall | None = None
         self.slowdown = 1.0
         self.backoff_until = 0.0
+        self.begins_calls_at_once = False
         self.results: dict[str, tuple[float, int]] = {}
         self._failures = 0
 
--- a/chervilshore/decisions/batchplanner.py
+++ b/chervilshore/decisions/batchplanner.py
@@ -11,6 +11,7 @@
 from chervilshore.decisions import batchendpoints
 from chervilshore.decisions import batchjobs
 from chervilshore.decisions import callfilling
+from chervilshore.decisions import inputrelease
 from chervilshore.decisions import jobscheduling
 from chervilshore import ids
 from chervilshore import records
@@ -25,14 +26,6 @@
 MAX_FAILED_CALLS = 3
 """Failed calls after which a job fails."""
 
-READ_SLACK_MS = 60.0
-"""Time from the start of a call until it has read small inputs, including
-the network latency and one retransmitted packet."""
-
-READ_LINKS = 2.0
-"""Links that inputs pass one after the other in the worst case: that of the
-endpoint which has the result and that of the reader."""
-
 
 class BatchPlanner:
     """Plans the calls of one batch pool.
@@ -46,11 +39,14 @@
     ----------
     jobs : dict of str to Job
         The unfinished jobs by name.
+    leaving : bool
+        Whether another owner already runs calls at the same endpoints.
     """
 
     def __init__(self, batching: model.Batching) -> None:
         self.batching = batching
         self.jobs: dict[str, batchjobs.Job] = {}
+        self.leaving = False
         self._endpoints: dict[
             ids.EndpointId, batchendpoints.BatchEndpoint
         ] = {}
@@ -78,11 +74,13 @@
         """Remove and return a job; results of its running calls are unused."""
         return self.jobs.pop(name, None)
 
-    def pop_unstarted_jobs(self) -> list[batchjobs.Job]:
-        """Remove and return the jobs of which all items are waiting."""
-        found = [
-            job for job in self.jobs.values() if len(job.waiting) == job.count
-        ]
+    def leave(self) -> list[batchjobs.Job]:
+        """Leave the pool to another owner, but finish the begun jobs.
+
+        Removes and returns the jobs that are not begun.
+        """
+        self.leaving = True
+        found = [job for job in self.jobs.values() if not job.is_begun]
         for job in found:
             del self.jobs[job.name]
         return found
@@ -255,31 +253,23 @@
 
     def estimate_read_ms(self, call: batchjobs.BatchCall) -> float:
         """Return the milliseconds in which a call has read its inputs."""
-        size = sum(
-            len(part.item_indexes) * part.job.input_bytes
-            for part in call.parts
-        )
-        return (
-            READ_SLACK_MS + READ_LINKS * size / self.batching.link_bytes_per_ms
-        )
+        return inputrelease.estimate_read_ms(call, self.batching)
 
     def record_inputs_read(
         self, call: batchjobs.BatchCall
     ) -> list[batchjobs.Job]:
-        """Record that a call has read its inputs.
+        """Record that a call has read its inputs, unless it may still wait.
 
         Returns the jobs of which all inputs are read now; they may be freed.
         """
-        read = []
-        for part in call.parts:
-            job = part.job
-            if call.overdue or self.jobs.get(job.name) is not job:
-                continue
-            job.unread.difference_update(part.item_indexes)
-            if job.inputs and not job.unread:
-                job.inputs_released = True
-                read.append(job)
-        return read
+        endpoint = self._endpoints.get(call.record.endpoint)
+        if (
+            self.leaving
+            or endpoint is None
+            or not endpoint.begins_calls_at_once
+        ):
+            return []
+        return inputrelease.mark_read(call, self.jobs)
 
     def _end(
         self, call: batchjobs.BatchCall
@@ -314,6 +304,9 @@
         endpoint = self._end(call)
         if endpoint is not None:
             usual_ms = self.expect_ms(call.size)
+            endpoint.begins_calls_at_once = inputrelease.began_at_once(
+                call, handles, now
+            )
             endpoint.record_duration((now - call.started_at) / usual_ms, now)
         done, unused = [], []
         position = 0
--- a/tests/batch_helpers.py
+++ b/tests/batch_helpers.py
@@ -42,3 +42,10 @@
 
 def list_jobs(call):
     return [part.job.name for part in call.parts]
+
+
+def run_first_calls(planner):
+    """Complete a call at each free endpoint, to show that it has no other."""
+    planner.add(make_job("first", 15, due=-1.0))
+    for call in planner.plan(0.0):
+        end_call(planner, call, call.expected_ms)
--- a/tests/test_batchplanner.py
+++ b/tests/test_batchplanner.py
@@ -302,6 +302,7 @@
 
 def test_inputs_are_released_when_all_calls_of_a_job_have_read_them(planner):
     planner.set_endpoints([make_record("w1")])
+    batch_helpers.run_first_calls(planner)
     job = make_job("j", count=20, inputs=("10.0.0.2:80/1",))
     planner.add(job)
     (first,) = planner.plan(0.0)
@@ -378,6 +379,7 @@
 
 def test_a_failed_call_ends_a_job_whose_inputs_are_released(planner):
     planner.set_endpoints([make_record("w1")])
+    batch_helpers.run_first_calls(planner)
     job = make_job("j", inputs=("10.0.0.2:80/1",))
     planner.add(job)
     (call,) = planner.plan(0.0)
@@ -391,6 +393,7 @@
 def test_items_with_released_inputs_stay_in_their_overdue_call(planner):
     """An endpoint becomes slow during a call that has read its inputs."""
     planner.set_endpoints([make_record("w1")])
+    batch_helpers.run_first_calls(planner)
     job = make_job("j", inputs=("10.0.0.2:80/1",), due=1e9, deadline=1e9)
     planner.add(job)
     (call,) = planner.plan(0.0)
@@ -404,6 +407,7 @@
 
 def test_a_failed_overdue_call_ends_jobs_whose_inputs_are_released(planner):
     planner.set_endpoints([make_record("w1")])
+    batch_helpers.run_first_calls(planner)
     job = make_job("j", inputs=("10.0.0.2:80/1",), due=1e9, deadline=1e9)
     planner.add(job)
     (call,) = planner.plan(0.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -248,11 +248,14 @@
         "Chervilshore-Pieces": "2,3",
         "Chervilshore-Piece-Key": "k1",
     }
+    # The first call might wait behind one of another owner.
+    await deployment.send(host, "/say/", headers=headers)
+    first, second = (deployment.workers[name] for name in ("c0", "s0"))
+    await deployment.wait_until(lambda: len(first.freed_handles) == 2)
     sending = asyncio.ensure_future(
         deployment.send(host, "/say/", headers=headers)
     )
-    first, second = (deployment.workers[name] for name in ("c0", "s0"))
-    await deployment.wait_until(lambda: len(first.freed_handles) == 2)
+    await deployment.wait_until(lambda: len(first.freed_handles) == 4)
     assertions.assert_that(second.active_batch_calls, matchers.Equals(1))
     response, _ = await sending
     assertions.assert_that(response.status, matchers.Equals(200))
--- a/tests/test_resultspace.py
+++ b/tests/test_resultspace.py
@@ -97,6 +97,7 @@
                 )
             else:
                 self.done += 1
+                self._free([job])
 
     def _free(self, jobs):
         for job in jobs:
