--- /dev/null
+++ b/chervilshore/clients/connectionpool.py
@@ -0,0 +1,151 @@
+"""Pools of idle HTTP/1.1 connections."""
+
+import asyncio
+
+from chervilshore.clients import connections
+from chervilshore import clock as clocks
+from chervilshore import exceptions
+from chervilshore import ids
+
+
+class ConnectionPool:
+    """Pool of idle connections, by address.
+
+    Parameters
+    ----------
+    clock : Clock
+        Measures idle times.
+
+    Attributes
+    ----------
+    connect_ms : float
+        Milliseconds to wait for a connection; may be changed at any time.
+    opened : int
+        Connections opened so far.
+    """
+
+    def __init__(self, clock: clocks.Clock, connect_ms: float = 500.0) -> None:
+        self._clock = clock
+        self.connect_ms = connect_ms
+        self._idle_by_address: dict[
+            ids.Address, list[connections.Connection]
+        ] = {}
+        self.opened = 0
+
+    async def acquire(
+        self,
+        address: ids.Address,
+        max_idle_ms: float = connections.DEFAULT_IDLE_MS,
+    ) -> connections.Connection:
+        """Return an idle connection from the pool, or open a new one.
+
+        The caller passes it to `release` after a complete exchange and
+        closes it otherwise.
+
+        Parameters
+        ----------
+        max_idle_ms : float
+            Milliseconds after which an idle connection is not reused.
+
+        Raises
+        ------
+        exceptions.EndpointUnreached
+            No connection could be opened in time.
+        """
+        idle_connections = self._idle_by_address.get(address, [])
+        now = self._clock.now()
+        while idle_connections:
+            connection = idle_connections.pop()
+            idle_ms = now - connection.idle_since
+            if (
+                idle_ms <= min(max_idle_ms, connection.idle_ms)
+                and connection.is_open()
+            ):
+                return connection
+            connection.close()
+        return await self._open(address)
+
+    async def _open(self, address: ids.Address) -> connections.Connection:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self.connect_ms / 1000.0):
+                loop = asyncio.get_running_loop()
+                _, connection = await loop.create_connection(
+                    connections.Connection, host, int(port)
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            raise exceptions.EndpointUnreached(
+                f"{address}: {type(error).__name__} {error}"
+            ) from error
+        self.opened += 1
+        return connection
+
+    def release(
+        self,
+        address: ids.Address,
+        connection: connections.Connection,
+        head: connections.ResponseHead,
+    ) -> None:
+        """Return a connection after its exchange; close it if not reusable."""
+        if not connection.prepare_reuse(head):
+            connection.close()
+            return
+        connection.idle_since = self._clock.now()
+        self._idle_by_address.setdefault(address, []).append(connection)
+
+    async def fetch(
+        self,
+        address: ids.Address,
+        request: connections.Request,
+        timeout_ms: float,
+        max_bytes: int = 1_000_000,
+    ) -> tuple[connections.ResponseHead, bytes]:
+        """Send a request and read the complete response.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            Milliseconds for the exchange, without the time to connect.
+        max_bytes : int
+            Largest response body.
+
+        Returns
+        -------
+        tuple of ResponseHead and bytes
+            The head and the body.
+
+        Raises
+        ------
+        exceptions.EndpointUnreached
+            No byte of the request was sent.
+        exceptions.EndpointBroken
+            The response was lost, incomplete, too large or too late.
+        """
+        connection = await self.acquire(address)
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                connection.send(request)
+                head = await connection.read_head()
+                content = bytearray()
+                async for data in connection.read_body():
+                    content += data
+                    if len(content) > max_bytes:
+                        raise exceptions.EndpointBroken("body too large")
+        except TimeoutError as error:
+            connection.close()
+            raise exceptions.EndpointBroken(f"{address}: timeout") from error
+        except BaseException:
+            connection.close()
+            raise
+        self.release(address, connection, head)
+        return head, bytes(content)
+
+    def close_idle(self, address: ids.Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle_by_address.pop(address, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle_by_address):
+            self.close_idle(address)
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 import mode
 
-from chervilshore.clients import connections
+from chervilshore.clients import connectionpool
 from chervilshore.clients import zeromq
 from chervilshore import clock as clocks
 from chervilshore.controllers import batching
@@ -179,7 +179,7 @@
         notice_log = noticelog.NoticeLog(
             self._clock, self._notices, self._metrics
         )
-        self._connections = connections.ConnectionPool(
+        self._connections = connectionpool.ConnectionPool(
             self._clock, options.connect_ms
         )
         self._batch_service = batching.BatchService(
--- a/chervilshore/platform/batches.py
+++ b/chervilshore/platform/batches.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from chervilshore.clients import batches
+from chervilshore.clients import connectionpool
 from chervilshore.clients import connections
 from chervilshore import exceptions
 from chervilshore import notices
@@ -51,7 +52,7 @@
     """Runs batch items at the platform's endpoints."""
 
     def __init__(
-        self, pool: connections.ConnectionPool, notice_sink: notices.Sink
+        self, pool: connectionpool.ConnectionPool, notice_sink: notices.Sink
     ) -> None:
         self._pool = pool
         self._notice_sink = notice_sink
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from chervilshore.clients import connectionpool
 from chervilshore.clients import connections
 from chervilshore.clients import endpoints
 from chervilshore import clock as clocks
@@ -30,7 +31,7 @@
 
     def __init__(
         self,
-        pool: connections.ConnectionPool,
+        pool: connectionpool.ConnectionPool,
         clock: clocks.Clock,
         notice_sink: notices.Sink,
     ) -> None:
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chervilshore.clients import connectionpool
 from chervilshore.clients import connections
 from chervilshore import clock as clocks
 from chervilshore import exceptions
@@ -75,7 +76,9 @@
         self._address = address
         self.timeout_ms = timeout_ms
         self._counters = counters
-        self._pool = connections.ConnectionPool(clock, connect_ms=timeout_ms)
+        self._pool = connectionpool.ConnectionPool(
+            clock, connect_ms=timeout_ms
+        )
 
     async def close(self) -> None:
         """See `ObjectStore.close`."""
