Log requests whose endpoint ends, with hashes of the parts of their prompts

Event 4114 says for each request that was cut whether its endpoint also refuses connections, and what the prompt has in common with others, as one-way hashes.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -80,6 +80,24 @@
         self.opened += 1
         return connection
 
+    async def is_refused(
+        self, address: ids.Address, timeout_ms: float
+    ) -> bool:
+        """Return whether nothing listens at an address.
+
+        A connection that is opened for this is kept for later use. Without
+        an answer in time it is not known whether something listens.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / clocks.MILLIS_PER_SECOND):
+                connection = await self._open(address)
+        except exceptions.EndpointUnreached as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        except TimeoutError:
+            return False
+        self._keep(address, connection)
+        return False
+
     def release(
         self,
         address: ids.Address,
@@ -90,6 +108,11 @@
         if not connection.prepare_reuse(head):
             connection.close()
             return
+        self._keep(address, connection)
+
+    def _keep(
+        self, address: ids.Address, connection: connections.Connection
+    ) -> None:
         connection.idle_since = self._clock.now()
         self._idle_by_address.setdefault(address, []).append(connection)
 
--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -99,6 +99,7 @@
         self._pending_bytes = 0
         self._busy = False
         self._usable = True
+        self._ended = False
         self._error: Exception | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -120,11 +121,13 @@
     def eof_received(self) -> None:
         """Handle the end of the server's data."""
         self._usable = False
+        self._ended = True
         self._parse(b"")
 
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the end of the connection, with or without an error."""
         self._usable = False
+        self._ended = True
         if error is not None or self._error is None:
             self._error = error or ConnectionResetError("closed")
         self._state_changed.set()
@@ -157,15 +160,17 @@
 
         Raises
         ------
+        exceptions.EndpointLost
+            The connection ended.
         exceptions.EndpointBroken
-            The connection ended, or its data is not a response.
+            Its data is not a response.
         """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
-                raise exceptions.EndpointBroken("no valid response")
+                raise self._make_error("no valid response")
             headers = [
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in event.headers
@@ -181,18 +186,18 @@
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
-                raise exceptions.EndpointBroken("incomplete response body")
+                raise self._make_error("incomplete response body")
 
     async def _next_event(self):
         while True:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
-                raise exceptions.EndpointBroken(str(error)) from error
+                raise self._make_error(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
             if self._error is not None:
-                raise exceptions.EndpointBroken(
+                raise self._make_error(
                     f"{type(self._error).__name__} {self._error}"
                 )
             if self._pending_bytes > MAX_PENDING_BYTES:
@@ -201,6 +206,12 @@
             self._state_changed.clear()
             await self._state_changed.wait()
 
+    def _make_error(self, text: str) -> exceptions.EndpointBroken:
+        """Return the error of an incomplete response."""
+        if self._ended:
+            return exceptions.EndpointLost(text)
+        return exceptions.EndpointBroken(text)
+
     def prepare_reuse(self, head: ResponseHead) -> bool:
         """Prepare the connection for another exchange.
 
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -106,6 +106,10 @@
     ENDPOINT_PAUSED = EventSpec(4113, _INFO, "endpoint asks for a pause")
     ENDPOINT_LEAVES = EventSpec(4112, _INFO, "endpoint says that it leaves")
 
+    REQUEST_LOST = EventSpec(
+        4114, _WARNING, "endpoint closed connection of request"
+    )
+
     # Claims: 5000 to 5999.
     CLAIM_LOG_LOADED = EventSpec(5001, _INFO, "claim log loaded")
     CLAIM_LOG_UNWRITABLE = EventSpec(5002, _WARNING, "claim log not writable")
--- a/chervilshore/exceptions.py
+++ b/chervilshore/exceptions.py
@@ -146,6 +146,10 @@
     """The call was sent; its response was lost, incomplete or late."""
 
 
+class EndpointLost(EndpointBroken):
+    """The endpoint closed the connection before its response was complete."""
+
+
 class AnswerMismatch(EndpointBroken):
     """The response belongs to another request, stage or attempt."""
 
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -54,7 +54,7 @@
 
     Parameters
     ----------
-    endpoint : EndpointId
+    record : EndpointRecord
         The endpoint that was called.
     outcome : Outcome
         How the attempt ended.
@@ -71,13 +71,13 @@
 
     def __init__(
         self,
-        endpoint: ids.EndpointId,
+        record: records.EndpointRecord,
         outcome: records.Outcome,
         text_chunks: list[str],
         cause: exceptions.EndpointError,
     ) -> None:
-        super().__init__(f"{endpoint}: {cause}")
-        self.endpoint = endpoint
+        super().__init__(f"{record.endpoint}: {cause}")
+        self.record = record
         self.outcome = outcome
         self.text_chunks = text_chunks
         self.response = getattr(cause, "response", None)
@@ -304,7 +304,7 @@
                 state.possible_runs += 1
             self._log_mismatch(state.exchange, error)
             raise AttemptError(
-                slot.record.endpoint, outcome, text_chunks, error
+                slot.record, outcome, text_chunks, error
             ) from error
         finally:
             self._record_result(state, slot, outcome, reply, started)
--- a/chervilshore/filters/stage.py
+++ b/chervilshore/filters/stage.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from chervilshore import clock as clocks
+from chervilshore.controllers import quarantine as quarantines
 from chervilshore.decisions import retries
 from chervilshore import exceptions
 from chervilshore.filters import attempt
@@ -27,6 +28,9 @@
         Limits the retries.
     hedging : Hedging or None
         Decides when a hedge is started; None for no hedges.
+    quarantine : Quarantine or None
+        Records the endpoints that end while they run a request; None to
+        record nothing.
     """
 
     def __init__(
@@ -35,11 +39,13 @@
         runner: attempt.AttemptRunner,
         budget: retries.RetryPolicy,
         hedging: retries.Hedging | None = None,
+        quarantine: quarantines.Quarantine | None = None,
     ) -> None:
         self._clock = clock
         self._runner = runner
         self._budget = budget
         self._hedging = hedging
+        self._quarantine = quarantine
 
     async def run(
         self, exchange: base.Exchange, index: int, value: dict
@@ -74,8 +80,16 @@
             try:
                 return await self._run_attempt(state)
             except attempt.AttemptError as error:
+                await self._record_loss(exchange, error)
                 self._check_retry(state, error)
 
+    async def _record_loss(
+        self, exchange: base.Exchange, error: attempt.AttemptError
+    ) -> None:
+        is_lost = isinstance(error.__cause__, exceptions.EndpointLost)
+        if is_lost and self._quarantine is not None:
+            await self._quarantine.record_loss(exchange, error.record)
+
     async def _run_attempt(self, state: attempt.StageState) -> dict:
         hedge_delay_ms = self._choose_hedge_delay(state)
         if hedge_delay_ms is None:
@@ -156,7 +170,7 @@
             self._fail(
                 broken if may_have_run else results.Code.NO_ENDPOINT, error
             )
-        state.excluded |= {error.endpoint}
+        state.excluded |= {error.record.endpoint}
 
     def _keep_text(
         self, state: attempt.StageState, error: attempt.AttemptError
--- a/chervilshore/forwarded.py
+++ b/chervilshore/forwarded.py
@@ -105,6 +105,9 @@
         Whether the head of the answer has been sent to the caller.
     last_event_id : int or None
         The id of the last event that was sent to the caller.
+    begun_at : float or None
+        Time in milliseconds at which the endpoint of the current attempt
+        sent its first complete event.
     on_head_sent : callable
         Called once the head has been sent, on the first event.
     """
@@ -112,6 +115,7 @@
     def __init__(self) -> None:
         self.head_sent = False
         self.last_event_id: int | None = None
+        self.begun_at: float | None = None
         self.on_head_sent: collections_abc.Callable[[], None] = _do_nothing
 
     @abc.abstractmethod
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -16,6 +16,7 @@
 from chervilshore.controllers import immediateslots
 from chervilshore.controllers import membership
 from chervilshore.controllers import noticelog
+from chervilshore.controllers import quarantine
 from chervilshore.controllers import submitting
 from chervilshore.decisions import affinity
 from chervilshore.decisions import deadlines
@@ -233,7 +234,12 @@
             *_split_retry_budget(self._options, self._max_known_hosts)
         )
         self._membership.listen(lambda *unused: self._update_shares())
-        runner = stage.StageRunner(self._clock, attempts, self._budget)
+        runner = stage.StageRunner(
+            self._clock,
+            attempts,
+            self._budget,
+            quarantine=quarantine.Quarantine(self._clock, self._connections),
+        )
         self._cutoff = cutoff.CutoffFilter(self._clock)
         steps = (
             outcome.OutcomeFilter(),
--- a/chervilshore/ids.py
+++ b/chervilshore/ids.py
@@ -77,5 +77,8 @@
 Engines reject an order whose token is lower than one that they have seen.
 """
 
+Fingerprint = typing.NewType("Fingerprint", str)
+"""A hash, in hexadecimal, of something that several requests may hold."""
+
 Address = typing.NewType("Address", str)
 """IP address and port, as in ``127.0.0.1:7000``."""
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -99,11 +99,14 @@
     ) -> None:
         """Relay each event as soon as it is complete."""
         relay = call.relay
+        relay.begun_at = None
         splitter = eventstreams.EventSplitter()
         async for data in connection.read_body():
             complete_events = splitter.feed(data)
             if not complete_events:
                 continue
+            if relay.begun_at is None:
+                relay.begun_at = self._clock.now()
             if not relay.head_sent:
                 await relay.send_head(response)
             await relay.write(complete_events)
