--- a/standins/workers.py
+++ b/standins/workers.py
@@ -41,6 +41,9 @@
         Whether answers say that the worker leaves.
     retry_after : str
         Value of Retry-After on refusals; empty for none.
+    crash_part : str
+        Part of a prompt, other than its last one, that ends the worker when
+        it begins to answer; empty for none.
     """
 
     shed: int = 0
@@ -55,6 +58,7 @@
     limit: str = ""
     leaving: bool = False
     retry_after: str = ""
+    crash_part: str = ""
 
 
 class Worker:
@@ -75,6 +79,10 @@
         Attempt ids of the requests that ran, one entry for each run.
     received : list of dict
         The headers of all requests, with names in lower case.
+    received_at : list of float
+        When they arrived, in seconds of the event loop.
+    on_crash : callable
+        Called when a request ends the worker.
     bodies : list of bytes
         The bodies of all requests.
     batch_calls : list of list
@@ -94,6 +102,8 @@
         self.faults = WorkerFaults()
         self.runs: list[str] = []
         self.received: list[dict[str, str]] = []
+        self.received_at: list[float] = []
+        self.on_crash = lambda: None
         self.bodies: list[bytes] = []
         self.batch_calls: list[list[dict]] = []
         self.freed_handles: list[str] = []
@@ -104,13 +114,15 @@
         self._millis = millis
         self._handles = itertools.count()
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
 
     async def start(self, host: str = "127.0.0.1") -> str:
         """Listen; return the address as ``host:port``."""
         server = web.Server(self._serve, handler_cancellation=True)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, 0).start()
+        self._site = web.TCPSite(self._runner, host, 0)
+        await self._site.start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
         return self.address
@@ -119,6 +131,14 @@
         """Stop listening and close every connection."""
         await self._runner.cleanup()
 
+    async def crash(self) -> None:
+        """Stop listening and reset every connection at once."""
+        await self._site.stop()
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        self.on_crash()
+
     def describe(self, service: str, zone: str, **changes) -> dict:
         """Return the store entry by which the worker registers."""
         return {
@@ -154,6 +174,7 @@
         self.received.append(
             headers | {":path": request.raw_path, ":peer": str(peer)}
         )
+        self.received_at.append(asyncio.get_running_loop().time())
         self.bodies.append(body)
         return await self._run(request, headers)
 
@@ -245,6 +266,11 @@
             request.transport.write(b"HTTP/1.1 200 OK\r\n\r\nextra")
         return response
 
+    def _holds_crash_part(self, headers: dict[str, str]) -> bool:
+        prefix = headers.get("chervilshore-prompt-prefix", "")
+        names = [part.partition(":")[0] for part in prefix.split(",")]
+        return self.faults.crash_part in names[:-1]
+
     async def _stream(
         self,
         request: web.BaseRequest,
@@ -255,6 +281,9 @@
             headers=response_headers | {"Content-Type": "text/event-stream"}
         )
         await response.prepare(request)
+        if self._holds_crash_part(headers):
+            await self.crash()
+            return response
         last_event_id = int(headers.get("last-event-id", "0"))
         for number in range(last_event_id + 1, self._events + 1):
             if number == self.faults.cut_after + 1:
--- /dev/null
+++ b/tests/test_gateway_crashes.py
@@ -0,0 +1,168 @@
+"""Forwarding hosts and requests that end the endpoints which run them.
+
+The load: a part of prompts, or a request, that comes again at all hosts beside
+sound requests, in a pool whose endpoints come back under new names.
+"""
+
+import asyncio
+import itertools
+
+from testtools import assertions
+from testtools import matchers
+
+from tests import gateway_helpers as helpers
+
+CRASH_PART = "bad0"
+CRASHES = 5
+"""Ended endpoints after which a part must be known on all hosts."""
+
+SPREAD_SECONDS = 1.0
+"""Seconds in which all hosts must know; the users allow three or more."""
+
+MAX_LATER_ARRIVALS = 3
+"""Requests that may reach endpoints after that, by the users' rule."""
+
+DAY_SECONDS = 6.0
+RESTART_SECONDS = 0.4
+LISTED_SECONDS = 0.2
+"""Seconds for which the store still lists an endpoint that has ended."""
+
+STEP_SECONDS = 0.02
+SOUND_SHARE = 0.9
+
+
+class CrashingPool:
+    """Endpoints that end under some requests and start again."""
+
+    def __init__(self, deployment, service, **options):
+        self.crashed_at = []
+        self._deployment = deployment
+        self._service = service
+        self._options = options
+        self._numbers = itertools.count()
+        self._tasks = set()
+
+    async def start(self):
+        """Start an endpoint under a new name."""
+        name = f"{self._service}{next(self._numbers)}"
+        worker = await self._deployment.add_worker(
+            name, self._service, **self._options
+        )
+        worker.faults.crash_part = CRASH_PART
+        worker.on_crash = lambda: self._replace(name)
+
+    def _replace(self, name):
+        self.crashed_at.append(asyncio.get_running_loop().time())
+        task = asyncio.ensure_future(self._restart(name))
+        self._tasks.add(task)
+
+    async def _restart(self, name):
+        await asyncio.sleep(LISTED_SECONDS)
+        await self._deployment.store.remove("servers", name)
+        await asyncio.sleep(RESTART_SECONDS - LISTED_SECONDS)
+        await self.start()
+
+    def arrivals_after(self, moment, is_meant):
+        """Count the requests that arrived later, of those that are meant."""
+        return sum(
+            at > moment and is_meant(headers)
+            for worker in self._deployment.workers.values()
+            for at, headers in zip(
+                worker.received_at, worker.received, strict=True
+            )
+        )
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+
+
+async def serve_hosts(deployment, route, service, endpoints):
+    """Start three hosts that know each other and the endpoints."""
+    await deployment.configure([route], [service])
+    first = await deployment.add_host(retry_slack="400")
+    for _ in range(2):
+        await deployment.add_host(
+            seeds=first._options.peer_address, retry_slack="400"
+        )
+    for host in deployment.hosts:
+        await deployment.wait_ready(host, endpoints)
+        await deployment.wait_until(
+            lambda host=host: len(host._catalog.hosts()) == 3
+        )
+
+
+async def play(deployment, send_sound, send_crashing):
+    """Send both kinds to all hosts in turn; return their statuses.
+
+    The statuses of sound requests are those of the second half.
+    """
+    statuses = {True: [], False: []}
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+
+    async def record(is_sound, host, number):
+        send = send_sound if is_sound else send_crashing
+        response = await send(host, number)
+        is_late = loop.time() - started > DAY_SECONDS / 2
+        if is_late or not is_sound:
+            statuses[is_sound].append(response.status)
+
+    async with asyncio.TaskGroup() as tasks:
+        for number in itertools.count():
+            host = deployment.hosts[number % len(deployment.hosts)]
+            tasks.create_task(record(number % 4 != 0, host, number))
+            await asyncio.sleep(STEP_SECONDS)
+            if loop.time() - started > DAY_SECONDS:
+                break
+    return statuses[True], statuses[False]
+
+
+# Requests with one part in their prompts end each endpoint that answers them,
+# one after the other, for as long as they come (incident, BUDGET).
+async def test_part_that_crashes_endpoints_is_held_back_on_all_hosts(
+    deployment,
+):
+    pool = CrashingPool(deployment, "llm", events=3)
+    for _ in range(5):
+        await pool.start()
+    await serve_hosts(
+        deployment,
+        helpers.make_route("say", "llm", kind="stream", resumable=True),
+        helpers.make_service("llm", engine={"slots": 8}),
+        endpoints=5,
+    )
+
+    async def send(host, parts):
+        headers = {"Chervilshore-Prompt-Prefix": parts}
+        try:
+            async with deployment.open(host, "/say/", headers=headers) as got:
+                await got.read()
+                return got
+        except OSError:
+            return got
+
+    def send_sound(host, number):
+        return send(host, f"f0:500,5{number % 9}:50,a{number}:10")
+
+    def send_crashing(host, number):
+        return send(host, f"f0:500,{CRASH_PART}:50,a{number}:10")
+
+    sound, crashing = await play(deployment, send_sound, send_crashing)
+    await pool.stop()
+    later = 0
+    if len(pool.crashed_at) >= CRASHES:
+        later = pool.arrivals_after(
+            pool.crashed_at[CRASHES - 1] + SPREAD_SECONDS,
+            lambda headers: (
+                CRASH_PART in headers["chervilshore-prompt-prefix"]
+            ),
+        )
+    assertions.assert_that(
+        later, matchers.Not(matchers.GreaterThan(MAX_LATER_ARRIVALS))
+    )
+    assertions.assert_that(
+        sound.count(200) / len(sound),
+        matchers.Not(matchers.LessThan(SOUND_SHARE)),
+    )
+    assertions.assert_that(set(crashing[-20:]), matchers.Equals({503}))
