--- a/standins/workers.py
+++ b/standins/workers.py
@@ -41,6 +41,8 @@
         Whether answers say that the worker leaves.
     retry_after : str
         Value of Retry-After on refusals; empty for none.
+    crash_body : bytes
+        Body of requests that end the worker when they begin; empty for none.
     crash_part : str
         Part of a prompt, other than its last one, that ends the worker when
         it begins to answer; empty for none.
@@ -58,6 +60,7 @@
     limit: str = ""
     leaving: bool = False
     retry_after: str = ""
+    crash_body: bytes = b""
     crash_part: str = ""
 
 
@@ -234,6 +237,8 @@
         if faults.reset:
             faults.reset -= 1
             request.transport.abort()
+        if faults.crash_body and faults.crash_body == self.bodies[-1]:
+            await self.crash()
         answered_id = "someone-else" if faults.cross else attempt
         response_headers = {
             "Chervilshore-Attempt-Id": answered_id,
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -13,9 +13,13 @@
 from tests import gateway_helpers as helpers
 
 CRASH_PART = "bad0"
-CRASHES = 5
+CRASH_BODY = b"the same each time"
+PART_CRASHES = 5
 """Ended endpoints after which a part must be known on all hosts."""
 
+REQUEST_CRASHES = 3
+"""Ended endpoints after which a request must be known on all hosts."""
+
 SPREAD_SECONDS = 1.0
 """Seconds in which all hosts must know; the users allow three or more."""
 
@@ -49,6 +53,7 @@
             name, self._service, **self._options
         )
         worker.faults.crash_part = CRASH_PART
+        worker.faults.crash_body = CRASH_BODY
         worker.on_crash = lambda: self._replace(name)
 
     def _replace(self, name):
@@ -62,13 +67,28 @@
         await asyncio.sleep(RESTART_SECONDS - LISTED_SECONDS)
         await self.start()
 
-    def arrivals_after(self, moment, is_meant):
-        """Count the requests that arrived later, of those that are meant."""
+    def count_later(self, crashes, is_crashing):
+        """Count the arrivals that the users' rule counts.
+
+        Parameters
+        ----------
+        crashes : int
+            Ended endpoints after which the cause must be known.
+        is_crashing : callable
+            Gets headers and body of a request; returns whether it is one
+            that ends endpoints.
+        """
+        if len(self.crashed_at) < crashes:
+            return 0
+        known_at = self.crashed_at[crashes - 1] + SPREAD_SECONDS
         return sum(
-            at > moment and is_meant(headers)
+            at > known_at and is_crashing(headers, body)
             for worker in self._deployment.workers.values()
-            for at, headers in zip(
-                worker.received_at, worker.received, strict=True
+            for at, headers, body in zip(
+                worker.received_at,
+                worker.received,
+                worker.bodies,
+                strict=True,
             )
         )
 
@@ -150,14 +170,50 @@
 
     sound, crashing = await play(deployment, send_sound, send_crashing)
     await pool.stop()
-    later = 0
-    if len(pool.crashed_at) >= CRASHES:
-        later = pool.arrivals_after(
-            pool.crashed_at[CRASHES - 1] + SPREAD_SECONDS,
-            lambda headers: (
-                CRASH_PART in headers["chervilshore-prompt-prefix"]
-            ),
-        )
+    later = pool.count_later(
+        PART_CRASHES,
+        lambda headers, _: CRASH_PART in headers["chervilshore-prompt-prefix"],
+    )
+    assertions.assert_that(
+        later, matchers.Not(matchers.GreaterThan(MAX_LATER_ARRIVALS))
+    )
+    assertions.assert_that(
+        sound.count(200) / len(sound),
+        matchers.Not(matchers.LessThan(SOUND_SHARE)),
+    )
+    assertions.assert_that(set(crashing[-20:]), matchers.Equals({503}))
+
+
+# A request that comes again and again ends each endpoint that runs it, and its
+# retries end more (incident, BUDGET).
+async def test_request_that_crashes_endpoints_is_held_back_on_all_hosts(
+    deployment,
+):
+    pool = CrashingPool(deployment, "ledger")
+    for _ in range(3):
+        await pool.start()
+    await serve_hosts(
+        deployment,
+        helpers.make_route("look", "ledger"),
+        helpers.make_service("ledger"),
+        endpoints=3,
+    )
+
+    async def send(host, body):
+        response, _ = await deployment.send(host, "/look/1", data=body)
+        return response
+
+    def send_sound(host, number):
+        return send(host, f"body {number}".encode())
+
+    def send_crashing(host, number):
+        return send(host, CRASH_BODY)
+
+    sound, crashing = await play(deployment, send_sound, send_crashing)
+    await pool.stop()
+    later = pool.count_later(
+        REQUEST_CRASHES, lambda _, body: body == CRASH_BODY
+    )
     assertions.assert_that(
         later, matchers.Not(matchers.GreaterThan(MAX_LATER_ARRIVALS))
     )
