Hold back a request that ends endpoints, on all hosts

Cause: as for parts of prompts, nothing was kept by what a request is, and its path, caller and body had no identity on the hosts.

--- a/chervilshore/decisions/crashevidence.py
+++ b/chervilshore/decisions/crashevidence.py
@@ -14,6 +14,7 @@
 
 from chervilshore.decisions import crashverdicts
 from chervilshore.decisions import gossip
+from chervilshore import fingerprints
 from chervilshore import ids
 
 RETENTION_MS = 14_400_000.0
@@ -128,6 +129,8 @@
         """Add the facts of another host."""
         digest = self._digest
         for one in findings:
+            if fingerprints.read_kind(one.fingerprint) is None:
+                continue
             at = now - max(0, one.age_ms)
             self._add(one.crash, one.fingerprint, at, one.cleared, now)
         if self._digest != digest:
--- a/chervilshore/filters/quarantine.py
+++ b/chervilshore/filters/quarantine.py
@@ -21,8 +21,8 @@
         self, exchange: base.Exchange, proceed: base.Proceed
     ) -> base.Answer:
         """Refuse the request or pass it on; see `Filter.handle`."""
-        exchange.fingerprints = fingerprints.make_part_fingerprints(
-            exchange.forwarded_request.parts
+        exchange.fingerprints = fingerprints.make_fingerprints(
+            exchange.forwarded_request, exchange.team
         )
         with self._holds.admit(exchange):
             return await proceed(exchange)
--- a/chervilshore/ids.py
+++ b/chervilshore/ids.py
@@ -78,7 +78,7 @@
 """
 
 Fingerprint = typing.NewType("Fingerprint", str)
-"""A hash, in hexadecimal, of something that several requests may hold."""
+"""A kind and a hash, as in ``part:06a3de68262c742d``; see `fingerprints`."""
 
 CrashId = typing.NewType("CrashId", str)
 """One process run of an endpoint that has ended: its name and instance."""
--- a/tests/quarantine_helpers.py
+++ b/tests/quarantine_helpers.py
@@ -113,6 +113,13 @@
 class World:
     """Hosts and the endpoints of a pool.
 
+    Parameters
+    ----------
+    seed : int
+        Seed of all that is random.
+    crash_kind : Kind
+        Whether a part of prompts or one same request ends endpoints.
+
     Attributes
     ----------
     crashed_at : list of float
@@ -124,7 +131,8 @@
         When sound requests came, and whether they were held back.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, crash_kind):
+        self.crash_kind = crash_kind
         self.rng = random.Random(seed)
         self.network = memory.MemoryNetwork(virtual.LoopClock())
         count = self.rng.randrange(3, 10)
@@ -190,7 +198,11 @@
         number = next(self._numbers)
         session = f"s{int(self.rng.expovariate(5.0 / SESSIONS)) % SESSIONS}"
         names = ["first", session, f"own{number}"]
-        if is_crashing:
+        target = f"/say/{number}"
+        if is_crashing and self.crash_kind is fingerprints.Kind.REQUEST:
+            names = ["first", "session of it", "own of it"]
+            target = "/say/bad"
+        elif is_crashing:
             names.insert(self.rng.randrange(3), CRASH_PART)
         parts = tuple(forwarded.PromptPart(name, 10) for name in names)
         exchange = base.Exchange(
@@ -200,11 +212,13 @@
             raw=b"",
             arrived_at=0.0,
             forwarded_request=forwarded.ForwardedRequest(
-                "POST", "/say/", "shop.example", "/say/", [], parts=parts
+                "POST", target, "shop.example", target, [], parts=parts
             ),
             relay=Relay(),
         )
-        exchange.fingerprints = fingerprints.make_part_fingerprints(parts)
+        exchange.fingerprints = fingerprints.make_fingerprints(
+            exchange.forwarded_request, exchange.team
+        )
         return exchange
 
     async def serve(self, host, is_crashing):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,25 +1,27 @@
 """Requests that end endpoints are held back on all hosts, and no others.
 
-Seeded schedules on virtual time; the load is a part of prompts that ends each
-endpoint which begins to answer it, among endpoints that end by themselves,
-restarts of hosts and cuts between them. The full number of schedules runs by
-`SCHEDULES=1000 python -m pytest tests/test_quarantine.py`.
+Seeded schedules on virtual time. The load is a part of prompts, or a request,
+that ends each endpoint which begins to answer it, among endpoints that end by
+themselves, restarts of hosts and cuts between them. The full number of
+schedules runs by `SCHEDULES=1000 python -m pytest tests/test_quarantine.py`.
 """
 
 import asyncio
 import os
 
+import pytest
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore import fingerprints
 from tests import quarantine_helpers as helpers
 from tests import virtual
 
 SCHEDULES = int(os.environ.get("SCHEDULES", "30"))
 
 DAY_SECONDS = 40.0
-CRASHES = 5
-"""Ended endpoints after which a part must be known, by the users' rule."""
+CRASHES = {fingerprints.Kind.PART: 5, fingerprints.Kind.REQUEST: 3}
+"""Ended endpoints after which a cause must be known, by the users' rules."""
 
 MAX_LATER_ARRIVALS = 3
 SOUND_SHARE = 0.9
@@ -67,12 +69,11 @@
                 host.troubled_at = world.now()
 
 
-async def run_day(seed, crashing_per_s, has_troubles=True):
+async def run_day(seed, crashing_per_s, crash_kind=fingerprints.Kind.PART):
     """Play a day; return its world."""
-    world = helpers.World(seed)
+    world = helpers.World(seed, crash_kind)
     await world.start(world.rng.randrange(3, 9))
-    if has_troubles:
-        world.spawn(cause_troubles(world))
+    world.spawn(cause_troubles(world))
     await send_requests(world, crashing_per_s)
     await asyncio.sleep(3.0)
     return world
@@ -80,9 +81,10 @@
 
 def count_later(world):
     """Count the arrivals that the users' rule counts."""
-    if len(world.crashed_at) < CRASHES:
+    crashes = CRASHES[world.crash_kind]
+    if len(world.crashed_at) < crashes:
         return 0
-    known_at = world.crashed_at[CRASHES - 1] + helpers.STABLE_SECONDS
+    known_at = world.crashed_at[crashes - 1] + helpers.STABLE_SECONDS
     return sum(calm and at > known_at for at, calm in world.arrivals)
 
 
@@ -91,22 +93,26 @@
     return (0.3, 1.0, 4.0, 10.0)[seed % 4]
 
 
-# Requests with one part in their prompts reach endpoint after endpoint for as
-# long as they come, as no host learns what ended the last (incident, BUDGET).
-def test_crashing_part_reaches_few_endpoints_once_it_is_known():
+# Requests with one part in their prompts, or one request that comes again,
+# reach endpoint after endpoint for as long as they come, as no host learns
+# what ended the last (incidents, BUDGET).
+@pytest.mark.parametrize("kind", fingerprints.Kind)
+def test_cause_reaches_few_endpoints_once_it_is_known(kind):
     later = {}
     for seed in range(SCHEDULES):
-        world = virtual.run(run_day(seed, choose_rate(seed)))
+        world = virtual.run(run_day(seed, choose_rate(seed), kind))
         if count_later(world) > MAX_LATER_ARRIVALS:
             later[seed] = count_later(world)
     assertions.assert_that(later, matchers.Equals({}))
 
 
-def test_sound_requests_are_sent_while_a_part_is_held_back():
+@pytest.mark.parametrize("kind", fingerprints.Kind)
+def test_sound_requests_are_sent_while_the_cause_is_held_back(kind):
     low = {}
     for seed in range(SCHEDULES):
-        world = virtual.run(run_day(seed, choose_rate(seed)))
-        known_at = world.crashed_at[CRASHES - 1 :][:1] or [DAY_SECONDS]
+        world = virtual.run(run_day(seed, choose_rate(seed), kind))
+        crashes = CRASHES[kind]
+        known_at = world.crashed_at[crashes - 1 :][:1] or [DAY_SECONDS]
         sent = [
             not held
             for at, held in world.sound
