Cut events that never end, and search each byte of a stream once

Callers saw: a host stands still, as an endpoint that sends one event without end takes all its processor time.

Cause: the buffer of an incomplete event had no bound and was searched from its start at each read: 0.24 s for 1 MB, 29.6 s for 16 MB.

Change: an event of over 1 MB is an error of its endpoint, logged as 4118 with the reason, and the search goes on where it stopped: 0.006 s for 1 MB, 0.097 s for 16 MB in chunks of 64 KB.

--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -114,6 +114,10 @@
     HOLD_ENDED = EventSpec(4116, _INFO, "requests no longer held back")
     HOLD_TRIED = EventSpec(4117, _INFO, "held request sent as a trial")
 
+    RESPONSE_CUT = EventSpec(
+        4118, _WARNING, "response of endpoint exceeds a bound"
+    )
+
     # Claims: 5000 to 5999.
     CLAIM_LOG_LOADED = EventSpec(5001, _INFO, "claim log loaded")
     CLAIM_LOG_UNWRITABLE = EventSpec(5002, _WARNING, "claim log not writable")
--- a/chervilshore/eventstreams.py
+++ b/chervilshore/eventstreams.py
@@ -2,6 +2,15 @@
 
 import re
 
+from chervilshore import exceptions
+
+MAX_EVENT_BYTES = 1_000_000
+"""Size from which an event without an end counts as endless; events of
+generated text are of some hundred bytes."""
+
+_END_BYTES = 4
+"""Length of the longest end of an event."""
+
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,15})[ ]*(?=[\r\n])")
 
@@ -18,16 +27,30 @@
     def __init__(self) -> None:
         self.last_event_id: int | None = None
         self._buffer = bytearray()
+        self._searched = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the bytes of the events that are complete."""
+        """Add bytes and return the bytes of the events that are complete.
+
+        Raises
+        ------
+        exceptions.ResponseTooLarge
+            An event is too large.
+        """
         self._buffer += data
         end = 0
-        for match in _EVENT_END.finditer(self._buffer):
+        # An end that was cut may begin shortly before the new bytes.
+        start = max(0, self._searched - _END_BYTES + 1)
+        for match in _EVENT_END.finditer(self._buffer, start):
             self._record_event_id(bytes(self._buffer[end : match.end()]))
             end = match.end()
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
+        self._searched = len(self._buffer)
+        if self._searched > MAX_EVENT_BYTES:
+            raise exceptions.ResponseTooLarge(
+                f"event of over {MAX_EVENT_BYTES} bytes"
+            )
         return complete
 
     @property
--- a/chervilshore/exceptions.py
+++ b/chervilshore/exceptions.py
@@ -150,6 +150,10 @@
     """The endpoint closed the connection before its response was complete."""
 
 
+class ResponseTooLarge(EndpointBroken):
+    """The response exceeds a bound; its end was not awaited."""
+
+
 class AnswerMismatch(EndpointBroken):
     """The response belongs to another request, stage or attempt."""
 
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -1,11 +1,13 @@
 """Forwards requests to endpoints and their responses to the callers."""
 
 import asyncio
+import logging
 
 from chervilshore.clients import connectionpool
 from chervilshore.clients import connections
 from chervilshore.clients import endpoints
 from chervilshore import clock as clocks
+from chervilshore import events
 from chervilshore import eventstreams
 from chervilshore import exceptions
 from chervilshore import forwarded
@@ -20,6 +22,8 @@
 """Milliseconds after which an idle connection is not reused for a request
 that must not be repeated: endpoints close idle ones after a few seconds."""
 
+_LOGGER = logging.getLogger(__name__)
+
 EVENT_STREAM = "text/event-stream"
 
 MAX_BODY_BYTES = 16_000_000
@@ -57,6 +61,17 @@
                 head = await connection.read_head()
                 headers.pass_notice(record, head, self._notice_sink)
                 response = await self._read_response(connection, head, call)
+        except exceptions.ResponseTooLarge as error:
+            connection.close()
+            events.log_event(
+                _LOGGER,
+                events.Event.RESPONSE_CUT,
+                request=call.binding.request,
+                endpoint=record.endpoint,
+                pool=record.pool,
+                detail=str(error),
+            )
+            raise
         except TimeoutError as error:
             connection.close()
             raise exceptions.EndpointBroken("response timed out") from error
@@ -89,7 +104,9 @@
         async for data in connection.read_body():
             content += data
             if len(content) > MAX_BODY_BYTES:
-                raise exceptions.EndpointBroken("response body too large")
+                raise exceptions.ResponseTooLarge(
+                    f"body of over {MAX_BODY_BYTES} bytes"
+                )
         response.body = bytes(content)
         return response
 
--- a/tests/test_eventstreams.py
+++ b/tests/test_eventstreams.py
@@ -2,10 +2,12 @@
 
 import hypothesis
 from hypothesis import strategies
+import testtools
 from testtools import assertions
 from testtools import matchers
 
 from chervilshore import eventstreams
+from chervilshore import exceptions
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
@@ -30,3 +32,13 @@
     assertions.assert_that(complete, matchers.Equals(b"id: 1\ndata: a\n\n"))
     assertions.assert_that(splitter.last_event_id, matchers.Equals(1))
     assertions.assert_that(splitter.at_event_boundary, matchers.Is(False))
+
+
+# An event that never ends took the whole buffer, and was searched from its
+# start at each read: 30 s of processor time for 16 MB.
+def test_event_without_an_end_is_cut_at_a_bound():
+    splitter = eventstreams.EventSplitter()
+    most = eventstreams.MAX_EVENT_BYTES
+    splitter.feed(b"id: 1\ndata: a\n\n" + b"x" * most)
+    with testtools.ExpectedException(exceptions.ResponseTooLarge):
+        splitter.feed(b"x")
