Bound the 1xx heads before a response

An endpoint that sends 1xx heads without end was read until the deadline of the request: 26 MB in a test (bound 8).

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -153,7 +153,9 @@
                 async for data in connection.read_body():
                     content += data
                     if len(content) > max_bytes:
-                        raise exceptions.EndpointBroken("body too large")
+                        raise exceptions.ResponseTooLarge(
+                            f"body of over {max_bytes} bytes"
+                        )
         except TimeoutError as error:
             connection.close()
             raise exceptions.EndpointBroken(f"{address}: timeout") from error
--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -38,6 +38,13 @@
 MAX_HEAD_BYTES = 262_144
 """Largest response head in bytes."""
 
+MAX_INFORMATIONAL = 16
+"""Largest number of 1xx heads before a response."""
+
+TOO_LARGE_HINT = 431
+"""Status that the parser suggests if a head, a trailer or the header of a
+chunk is too large."""
+
 Headers = list[tuple[str, str]]
 
 
@@ -162,10 +169,12 @@
         ------
         exceptions.EndpointLost
             The connection ended.
+        exceptions.ResponseTooLarge
+            The head, or those of 1xx responses before it, exceed a bound.
         exceptions.EndpointBroken
             Its data is not a response.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -176,6 +185,9 @@
                 for name, value in event.headers
             ]
             return ResponseHead(event.status_code, headers)
+        raise exceptions.ResponseTooLarge(
+            f"over {MAX_INFORMATIONAL} informational responses"
+        )
 
     async def read_body(self) -> collections_abc.AsyncIterator[bytes]:
         """Yield the body as it arrives; raise `EndpointBroken` if cut."""
@@ -193,6 +205,8 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
+                if error.error_status_hint == TOO_LARGE_HINT:
+                    raise exceptions.ResponseTooLarge(str(error)) from error
                 raise self._make_error(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
