Bound the bodies that the other HTTP clients read

The same class elsewhere: endpoints of the project's own interface, engines, the object API and the status of hosts were read whole, whatever their length. A body of over 16 MB is now a failed response. The test of it failed with 64 MB taken (bound 32) and passes.

--- a/chervilshore/clients/admin.py
+++ b/chervilshore/clients/admin.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from chervilshore.clients import bodies
 from chervilshore import exceptions
 from chervilshore import ids
 
@@ -126,6 +127,6 @@
         try:
             async with self._session.get(url, timeout=timeout) as response:
                 response.raise_for_status()
-                return decode_status(await response.read())
+                return decode_status(await bodies.read_body(response))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise exceptions.PeerError(f"{address}: {error}") from error
--- a/chervilshore/clients/endpoints.py
+++ b/chervilshore/clients/endpoints.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from chervilshore.clients import bodies
 from chervilshore import exceptions
 from chervilshore import forwarded
 from chervilshore import ids
@@ -220,7 +221,7 @@
     async def _check_status(self, response: aiohttp.ClientResponse) -> None:
         if response.status < 300:
             return
-        detail = (await response.text())[:200]
+        detail = (await bodies.read_text(response))[:200]
         if response.status == BUSY_STATUS:
             raise exceptions.EndpointBusy(detail)
         if response.status < 500:
@@ -235,7 +236,7 @@
         call: Call,
     ) -> tuple[dict, Reply]:
         async with self._post(record, path, body, call) as response:
-            content = await response.read()
+            content = await bodies.read_body(response)
             decoded = msgspec.json.decode(content, type=dict)
             return decoded, make_reply(response)
 
--- a/chervilshore/clients/engines.py
+++ b/chervilshore/clients/engines.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from chervilshore.clients import bodies
 from chervilshore import clock as clocks
 from chervilshore.decisions import orders
 from chervilshore import exceptions
@@ -108,7 +109,7 @@
             async with self._session.get(
                 url, timeout=_make_timeout(timeout_ms)
             ) as response:
-                body = await response.read()
+                body = await bodies.read_body(response)
                 if response.status != 200:
                     raise exceptions.EndpointBroken(f"{response.status}")
             return msgspec.json.decode(body, type=orders.EngineState)
@@ -136,7 +137,7 @@
                 headers={"Content-Type": "application/json"},
                 timeout=_make_timeout(timeout_ms),
             ) as response:
-                text = await response.text()
+                text = await bodies.read_text(response)
                 status = response.status
         except aiohttp.ClientConnectorError as error:
             raise exceptions.EndpointUnreached(repr(error)) from error
--- a/chervilshore/clients/rest.py
+++ b/chervilshore/clients/rest.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from chervilshore.clients import bodies
 from chervilshore.clients import platform
 from chervilshore import exceptions
 from chervilshore import ids
@@ -126,7 +127,7 @@
                 data=value,
                 timeout=aiohttp.ClientTimeout(total=seconds),
             ) as response:
-                content = await response.read()
+                content = await bodies.read_body(response)
         except aiohttp.ClientConnectorError as error:
             self._count_call(method, "unavailable")
             raise exceptions.PlatformUnavailable(key) from error
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -1,10 +1,13 @@
 """Clients of endpoints, against the stand-ins and their faults."""
 
 from aiohttp import test_utils
+from aiohttp import web
 import pytest
+import testtools
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.clients import bodies
 from chervilshore.clients import completions
 from chervilshore.clients import endpoints
 from chervilshore.clients import models
@@ -156,3 +159,32 @@
             record, make_call({"n": 1}, path="/do")
         )
     assertions.assert_that(standin.counts.overruns, matchers.Equals(1))
+
+
+# A body without an end was read into memory until the deadline.
+async def test_body_without_an_end_is_cut_at_a_bound(sessions):
+    sent = 0
+
+    async def answer(request):
+        nonlocal sent
+        binding = request.headers[endpoints.BINDING_HEADER]
+        response = web.StreamResponse(
+            headers={endpoints.BINDING_HEADER: binding}
+        )
+        await response.prepare(request)
+        while sent < 4 * bodies.MAX_BODY_BYTES:
+            await response.write(b"x" * bodies.BLOCK_BYTES)
+            sent += bodies.BLOCK_BYTES
+        return response
+
+    server = test_utils.RawTestServer(answer)
+    await server.start_server()
+    record = helpers.make_record("e1", address=f"127.0.0.1:{server.port}")
+    with testtools.ExpectedException(exceptions.EndpointBroken):
+        await models.EncoderClient(sessions).call(
+            record, make_call({"input": "hello"})
+        )
+    await server.close()
+    assertions.assert_that(
+        sent, matchers.Not(matchers.GreaterThan(2 * bodies.MAX_BODY_BYTES))
+    )
