Show what is held back in the status of a host and in traces

GET at the ready address lists held fingerprints with the endpoints that ended and the time until a trial; a trace says that an endpoint closed the connection of a request and whether it ended.

--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -327,6 +327,7 @@
                 "ready": ready,
                 "leaving": self._is_leaving,
                 "catalog": self._catalog.describe(),
+                "held": self._quarantine.describe(),
             },
             status=200 if ready else 503,
         )
--- a/chervilshore/traces.py
+++ b/chervilshore/traces.py
@@ -137,6 +137,12 @@
                 f"The keeper {fields['keeper']} of pool {fields['pool']} "
                 "did not answer."
             )
+        elif event is events.Event.REQUEST_LOST:
+            ending = "and ended" if fields["ended"] else "and runs on"
+            words.append(
+                f"Endpoint {fields['endpoint']} closed its connection "
+                f"{ending}."
+            )
         elif event is events.Event.BATCH_JOB_ENDED and fields.get("failure"):
             words.append(
                 f"Stage {fields['stage']} at pool {fields['pool']} brought "
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -145,6 +145,12 @@
             )
         )
 
+    async def read_status(self, host):
+        """Return what a host says of its state."""
+        url = f"http://{host.ready_address}/"
+        async with self._session.get(url) as response:
+            return await response.json()
+
     @contextlib.asynccontextmanager
     async def open(self, host, path, method="POST", headers=(), **options):
         """Send a request and yield its answer before the body is read."""
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -170,6 +170,9 @@
 
     sound, crashing = await play(deployment, send_sound, send_crashing)
     await pool.stop()
+    for host in deployment.hosts:
+        status = await deployment.read_status(host)
+        assertions.assert_that(status["held"], matchers.HasLength(1))
     later = pool.count_later(
         PART_CRASHES,
         lambda headers, _: CRASH_PART in headers["chervilshore-prompt-prefix"],
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -143,3 +143,24 @@
     code = await tool.run(["trace", REQUEST, str(path)])
     assertions.assert_that(code, matchers.Equals(0))
     assertions.assert_that(lines[0], matchers.Contains("1 lines"))
+
+
+def test_ended_endpoint_of_a_held_request_is_named():
+    log = "\n".join(
+        [
+            write_line(
+                events.Event.REQUEST_LOST,
+                1,
+                request=REQUEST,
+                endpoint="e1",
+                ended=True,
+            ),
+            write_end_line(2, 1023, detail="4 endpoints ended under part:bad"),
+        ]
+    )
+    entries = traces.find_entries(REQUEST, log.splitlines(), "h1")
+    text = traces.explain(entries)
+    assertions.assert_that(
+        text, matchers.Contains("Endpoint e1 closed its connection and ended")
+    )
+    assertions.assert_that(text, matchers.Contains("under part:bad"))
