Wait a whole hold after each trial of a held request

A trial without a result, such as one that a full endpoint refuses, was followed by the next one at once: 30 instead of 1 in a test, and each reaches an endpoint.

--- a/chervilshore/controllers/quarantine.py
+++ b/chervilshore/controllers/quarantine.py
@@ -104,6 +104,7 @@
         self._has_news = asyncio.Event()
         self._held: set[ids.Fingerprint] = set()
         self._trials: dict[ids.Fingerprint, ids.RequestId] = {}
+        self._tried_at: dict[ids.Fingerprint, float] = {}
 
     async def on_start(self) -> None:
         """Register the message handlers."""
@@ -157,11 +158,18 @@
             verdict = self._evidence.verdicts.get(fingerprint)
             if verdict is None or fingerprint in self._trials:
                 continue
-            if now < holds.trial_at(verdict):
+            tried_at = self._tried_at.get(fingerprint, float("-inf"))
+            # A trial without a result, such as one at a full endpoint, must
+            # not be followed by the next one at once.
+            if now < max(
+                holds.trial_at(verdict),
+                tried_at + holds.choose_hold_ms(verdict),
+            ):
                 continue
             hosts = [one.host for one in self._directory.hosts()]
             if holds.choose_trial_host(hosts, fingerprint) == self._host:
                 self._trials[fingerprint] = exchange.request
+                self._tried_at[fingerprint] = now
                 events.log_event(
                     _LOGGER,
                     events.Event.HOLD_TRIED,
@@ -224,6 +232,7 @@
         for fingerprint in verdicts.keys() - self._held:
             self._log_hold(fingerprint, verdicts[fingerprint])
         for fingerprint in self._held - verdicts.keys():
+            self._tried_at.pop(fingerprint, None)
             events.log_event(
                 _LOGGER, events.Event.HOLD_ENDED, fingerprint=fingerprint
             )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,6 +13,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore import exceptions
 from chervilshore import fingerprints
 from tests import quarantine_helpers as helpers
 from tests import virtual
@@ -132,3 +133,31 @@
         if any(is_held for _, is_held in world.sound):
             held[seed] = sum(is_held for _, is_held in world.sound)
     assertions.assert_that(held, matchers.Equals({}))
+
+
+def test_trial_without_a_result_is_not_followed_by_another_at_once():
+    """The load: an endpoint that is full refuses the only trial."""
+
+    async def count_trials():
+        world = helpers.World(1, fingerprints.Kind.PART)
+        await world.start(1)
+        exchange = world.make_exchange(True)
+        for host in world.hosts:
+            for number in range(4):
+                await host.quarantine.record_loss(
+                    exchange, helpers.Endpoint(f"gone{number}").record
+                )
+                await asyncio.sleep(0.1)
+        trials = 0
+        await asyncio.sleep(100.0)
+        for _ in range(30):
+            for host in world.hosts:
+                try:
+                    with host.quarantine.admit(exchange):
+                        trials += 1
+                except exceptions.RefusalError:
+                    continue
+            await asyncio.sleep(0.1)
+        return trials
+
+    assertions.assert_that(virtual.run(count_trials()), matchers.Equals(1))
