--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -22,13 +22,13 @@
 """Milliseconds after which an idle connection is not reused for a request
 that must not be repeated: endpoints close idle ones after a few seconds."""
 
-_LOGGER = logging.getLogger(__name__)
-
 EVENT_STREAM = "text/event-stream"
 
 MAX_BODY_BYTES = 16_000_000
 """Largest response body that is not a stream."""
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class ForwardClient(endpoints.EndpointClient):
     """Calls endpoints with forwarded requests."""
