Read the store by two hosts of a large domain for the others

A follower asks the store as soon as its reader does not answer, or has not heard from the store. Readers keep the latest changes, also across a listing when the store has forgotten its history.

Tests: a domain of 20 hosts, readers killed, cut off from the store or from their peers.

--- a/chervilshore/catalogmessages.py
+++ b/chervilshore/catalogmessages.py
@@ -1,4 +1,4 @@
-"""Messages by which a host that cannot reach the store asks its peers."""
+"""Messages by which hosts read the store for one another."""
 
 import msgspec
 
@@ -39,3 +39,53 @@
     """Returns the requested kinds of which the replier has a newer state."""
 
     snapshots: tuple[KindSnapshot, ...]
+
+
+class KindChanges(msgspec.Struct, frozen=True, array_like=True):
+    """What has changed of one kind.
+
+    Parameters
+    ----------
+    kind : str
+        The kind.
+    revision : int
+        The revision of the store up to which the changes are complete.
+    changes : tuple
+        Name, revision and content of each changed object, and whether it was
+        removed; None if the receiver has to ask the store.
+    """
+
+    kind: str
+    revision: int
+    changes: tuple[tuple[str, int, bytes, bool], ...] | None = ()
+
+
+class ReadRequest(messages.Message, frozen=True, tag="vw"):
+    """Asks a reader of the store what changes.
+
+    Parameters
+    ----------
+    revisions : dict of str to int
+        The sender's revision of each kind that it follows.
+    wait_ms : float
+        Milliseconds to wait for a change.
+    """
+
+    revisions: dict[str, int]
+    wait_ms: float = 0.0
+
+
+class ReadReply(messages.Message, frozen=True, tag="vx"):
+    """Tells what has changed.
+
+    Parameters
+    ----------
+    age_ms : float or None
+        Milliseconds since the store last answered the sender; None if the
+        sender cannot tell what is in the store.
+    kinds : tuple of KindChanges
+        The kinds that have changed.
+    """
+
+    age_ms: float | None
+    kinds: tuple[KindChanges, ...] = ()
--- a/chervilshore/decisions/owners.py
+++ b/chervilshore/decisions/owners.py
@@ -28,10 +28,18 @@
     HostRecord or None
         The host; None if `hosts` is empty.
     """
-    if not hosts:
-        return None
-    min_capacity = MIN_CAPACITY_FRACTION * max(host.capacity for host in hosts)
-    eligible = {
-        host.host: host for host in hosts if host.capacity >= min_capacity
-    }
-    return eligible[rendezvous.choose(eligible, key)]
+    eligible = {host.host: host for host in filter_by_capacity(hosts)}
+    chosen = rendezvous.choose(eligible, key)
+    return None if chosen is None else eligible[chosen]
+
+
+def filter_by_capacity(
+    hosts: collections_abc.Collection[records.HostRecord],
+) -> list[records.HostRecord]:
+    """Return the hosts whose capacity is not far below the greatest one."""
+    greatest = max((host.capacity for host in hosts), default=0.0)
+    return [
+        host
+        for host in hosts
+        if host.capacity >= MIN_CAPACITY_FRACTION * greatest
+    ]
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -77,6 +77,9 @@
         3017, _WARNING, "store was restored from a copy"
     )
     WATCH_REPLACED = EventSpec(3016, _INFO, "watch of the store replaced")
+    STORE_SOURCE = EventSpec(
+        3018, _INFO, "store is read through another host or directly"
+    )
 
     # Grants, routing and limits: 4000 to 4999.
     OWNERSHIP_STARTED = EventSpec(4001, _INFO, "host became owner of endpoint")
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -19,6 +19,7 @@
 from chervilshore.controllers import membership
 from chervilshore.controllers import noticelog
 from chervilshore.controllers import quarantine
+from chervilshore.controllers import sharedstore
 from chervilshore.controllers import streams
 from chervilshore.controllers import submitting
 from chervilshore.decisions import affinity
@@ -155,8 +156,15 @@
             probe_settings=PROBE_SETTINGS,
             metrics=self._metrics,
         )
-        self._catalog = catalog.Catalog(
+        self._shared_store = sharedstore.SharedStore(
             self._store,
+            options.store_readers,
+            self._membership,
+            self._peers,
+            self._clock,
+        )
+        self._catalog = catalog.Catalog(
+            self._shared_store,
             DECODERS,
             self._membership,
             self._clock,
@@ -308,6 +316,7 @@
         for service in (
             self._peers,
             self._membership,
+            self._shared_store,
             self._catalog,
             self._catalog_sync,
             self._batch_service,
@@ -319,9 +328,9 @@
             await self.add_runtime_dependency(service)
         options = self._options
         await self._listeners.listen(self.ingress.serve, options.http_address)
-        for address in (options.ready_address, options.metrics_address):
-            if address:
-                await self._listeners.listen(self._serve_status, address)
+        addresses = (options.ready_address, options.metrics_address)
+        for address in filter(None, addresses):
+            await self._listeners.listen(self._serve_status, address)
 
     def _head_timeout_seconds(self) -> float:
         limits = self._catalog.rules.limits
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -244,6 +244,13 @@
         "longest wait for an answer of the platform, in milliseconds",
         "1000",
     ),
+    Setting(
+        "store_readers",
+        settingkinds.integer(0, 16),
+        "hosts of a large failure domain that read the platform's store for "
+        "the others of their domain; 0 lets each host read it",
+        "0",
+    ),
     Setting(
         "store_recovery_ms",
         settingkinds.integer(100, 600_000),
--- a/chervilshore/wire.py
+++ b/chervilshore/wire.py
@@ -48,6 +48,8 @@
     batchmessages.BatchResultsReleased,
     catalogmessages.CatalogRequest,
     catalogmessages.CatalogReply,
+    catalogmessages.ReadRequest,
+    catalogmessages.ReadReply,
     quarantinemessages.CrashReport,
     quarantinemessages.CrashReportRequest,
     streammessages.StreamReport,
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -81,6 +81,7 @@
         self._clock = clock
         self._objects: dict[str, dict[str, objects.StoredObject]] = {}
         self._changes: list[tuple[str, objects.Change]] = []
+        self._history_start = 0
         self._changed = asyncio.Event()
 
     def copy(self) -> Copy:
@@ -101,6 +102,10 @@
         self._changes = list(copy.changes)
         self._changed = asyncio.Event()
 
+    def forget(self) -> None:
+        """Discard the history; watches from before it are refused."""
+        self._history_start = self.revision
+
     def write(self, kind: str, name: str, value: object) -> None:
         """Create or replace an object, as an operator or a worker does."""
         self.revision += 1
@@ -183,7 +188,8 @@
         """Refuse to go on from a position that the store does not have."""
         if objects.read_era(since) < self.era:
             raise exceptions.StoreRestored(kind)
-        if objects.read_revision(since) > self.revision:
+        revision = objects.read_revision(since)
+        if not self._history_start <= revision <= self.revision:
             raise exceptions.HistoryGone(kind)
 
     def _locate(self, stored: objects.StoredObject) -> objects.StoredObject:
--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -6,6 +6,8 @@
 from chervilshore.controllers import catalog
 from chervilshore.controllers import catalogsync
 from chervilshore.controllers import membership
+from chervilshore.controllers import sharedstore
+from chervilshore import exceptions
 from chervilshore import gateway
 from chervilshore import ids
 from chervilshore import records
@@ -20,10 +22,55 @@
 """Milliseconds from the acknowledgement of a change until it is in force."""
 
 
+class StoreLink:
+    """One host's path to the store.
+
+    Attributes
+    ----------
+    cut : bool
+        Whether calls get no answer; watches that wait are lost.
+    timeout_ms : float
+        Milliseconds after which the host gives up such a call.
+    """
+
+    def __init__(self, store, clock):
+        self._store = store
+        self._clock = clock
+        self.cut = False
+        self.timeout_ms = objectstore.CALL_TIMEOUT_MS
+
+    async def list(self, kind):
+        return await self._carry(self._store.list(kind), 0.0)
+
+    async def watch(self, kind, since, wait_ms):
+        call = self._store.watch(kind, since, wait_ms)
+        return await self._carry(call, wait_ms)
+
+    async def poll(self, kind, since):
+        return await self._carry(self._store.poll(kind, since), 0.0)
+
+    async def put(self, kind, name, content):
+        await self._carry(self._store.put(kind, name, content), 0.0)
+
+    async def delete(self, kind, name):
+        await self._carry(self._store.delete(kind, name), 0.0)
+
+    async def _carry(self, call, wait_ms):
+        began_at = self._clock.now()
+        was_cut = self.cut
+        result = await call
+        if self.cut or was_cut:
+            left_ms = self.timeout_ms + wait_ms
+            left_ms -= self._clock.now() - began_at
+            await self._clock.sleep(left_ms)
+            raise exceptions.PlatformUnavailable("timeout")
+        return result
+
+
 class Host:
     """The catalog of one host, with what it needs."""
 
-    def __init__(self, number, store, network, clock, rng):
+    def __init__(self, number, store, network, clock, rng, readers=0):
         address = ids.Address(f"10.0.0.{number}:1")
         record = records.HostRecord(
             host=ids.HostId(f"h{number}"),
@@ -34,8 +81,12 @@
         self.network = network
         peers = network.join(address)
         self.membership = membership.Membership(record, clock, peers, rng)
+        self.link = StoreLink(store, clock)
+        self.store = sharedstore.SharedStore(
+            self.link, readers, self.membership, peers, clock
+        )
         self.catalog = catalog.Catalog(
-            store, gateway.DECODERS, self.membership, clock
+            self.store, gateway.DECODERS, self.membership, clock
         )
         self.sync = catalogsync.CatalogSync(
             self.catalog, self.membership, peers, clock, rng
@@ -45,12 +96,18 @@
         if with_peers:
             await self.membership.start()
             await self.sync.start()
+            await self.store.start()
         await self.catalog.start()
 
     async def stop(self):
         """Stop as if the process had been killed, without a word to peers."""
         self.network.remove_host(self.membership.me.peer_address)
-        for service in (self.catalog, self.sync, self.membership):
+        for service in (
+            self.catalog,
+            self.store,
+            self.sync,
+            self.membership,
+        ):
             await service.stop()
 
     @property
@@ -67,17 +124,25 @@
 class Cluster:
     """Hosts that read one store, on the running virtual loop."""
 
-    def __init__(self, count, seed=1):
+    def __init__(self, count, seed=1, readers=0):
         self.clock = virtual.LoopClock()
         self.store = objectstore.ObjectStore(self.clock)
         self.network = memory.MemoryNetwork(self.clock)
         self._rng = random.Random(seed)
+        self._readers = readers
         self.hosts = [
             self._make_host(number) for number in range(1, count + 1)
         ]
 
     def _make_host(self, number):
-        return Host(number, self.store, self.network, self.clock, self._rng)
+        return Host(
+            number,
+            self.store,
+            self.network,
+            self.clock,
+            self._rng,
+            self._readers,
+        )
 
     async def restart(self, index):
         """Kill a host and start it again."""
