Record a stream that is not resumed under its own request

Change: the name of the earlier request counts only with the event after which the stream goes on.

Figures: test_stream_that_is_not_resumed_has_its_own_name found the new stream's version for the earlier request before, and nothing now.

--- a/chervilshore/controllers/streams.py
+++ b/chervilshore/controllers/streams.py
@@ -129,11 +129,10 @@
 
     def record(self, exchange: base.Exchange) -> None:
         """Record that the first event of a request's stream has come."""
-        forwarded_request = exchange.forwarded_request
         origin = exchange.relay.origin
         self._windows_ms[origin.pool] = choose_window_ms(exchange)
         self._table.record(
-            forwarded_request.resumes or exchange.request,
+            _choose_stream(exchange),
             origin,
             _choose_left_ms(exchange),
             self._clock.now(),
@@ -339,6 +338,18 @@
             self._table.expire(self._clock.now())
 
 
+def _choose_stream(exchange: base.Exchange) -> ids.RequestId:
+    """Return the request that brought the first event of a stream.
+
+    A request that names another one without the event after which it goes on
+    begins a stream of its own.
+    """
+    forwarded_request = exchange.forwarded_request
+    if forwarded_request.last_event_id is None:
+        return exchange.request
+    return forwarded_request.resumes or exchange.request
+
+
 def _choose_left_ms(exchange: base.Exchange) -> float:
     """Return for how long the caller may resume the stream."""
     return max(
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -102,6 +102,33 @@
     )
 
 
+# A caller named an earlier request, but wanted the stream from its start: the
+# new stream was recorded under the earlier one's name (issue 33).
+def test_stream_that_is_not_resumed_has_its_own_name():
+    async def begin():
+        world = helpers.World(1)
+        await world.start(2)
+        world.add_endpoint("v2")
+        await asyncio.sleep(1.0)
+        host = world.hosts[0]
+        old = await world.begin(host, "v1")
+        exchange = world.make_exchange()
+        exchange.forwarded_request.resumes = ids.RequestId("earlier")
+        host.streams.follow(exchange)
+        origin = forwarded.StreamOrigin(helpers.POOL, "v2")
+        exchange.relay.begin_attempt(origin)
+        await exchange.relay.begin_stream(origin)
+        return [
+            await world.find(host, stream)
+            for stream in (old, exchange.request, "earlier")
+        ]
+
+    assertions.assert_that(
+        [origin and origin.version for origin in virtual.run(begin())],
+        matchers.Equals(["v1", "v2", None]),
+    )
+
+
 def make_hosts(domains):
     return [
         records.HostRecord(
