--- a/chervilshore/catalogmessages.py
+++ b/chervilshore/catalogmessages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from chervilshore import messages
+from chervilshore import objects
 
 
 class KindSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -50,14 +51,13 @@
         The kind.
     revision : int
         The revision of the store up to which the changes are complete.
-    changes : tuple
-        Name, revision and content of each changed object, and whether it was
-        removed; None if the receiver has to ask the store.
+    changes : tuple of Change or None
+        The changes; None if the receiver has to ask the store.
     """
 
     kind: str
     revision: int
-    changes: tuple[tuple[str, int, bytes, bool], ...] | None = ()
+    changes: tuple[objects.Change, ...] | None = ()
 
 
 class ReadRequest(messages.Message, frozen=True, tag="vw"):
--- a/chervilshore/controllers/sharedstore.py
+++ b/chervilshore/controllers/sharedstore.py
@@ -95,9 +95,13 @@
 
     # The store.
 
-    async def list(self, kind: str) -> objects.Listing:
+    async def list(
+        self, kind: str, may_be_stale: bool = False
+    ) -> objects.Listing:
         """Read the store itself; see `ObjectStore.list`."""
-        listing = await self._call(self._store.list(kind))
+        listing = await self._call(self._store.list(kind, may_be_stale))
+        if may_be_stale:
+            return listing
         self._logs.setdefault(kind, changelog.ChangeLog()).replace(listing)
         self._announce()
         return listing
@@ -141,6 +145,12 @@
         """See `ObjectStore.put`."""
         await self._store.put(kind, name, content)
 
+    async def replace(
+        self, kind: str, name: str, content: bytes, revision: int
+    ) -> int:
+        """See `ObjectStore.replace`."""
+        return await self._store.replace(kind, name, content, revision)
+
     async def delete(self, kind: str, name: str) -> None:
         """See `ObjectStore.delete`."""
         await self._store.delete(kind, name)
@@ -223,17 +233,7 @@
         if size > MAX_CHANGES_BYTES:
             return catalogmessages.KindChanges(kind, since, None)
         return catalogmessages.KindChanges(
-            kind,
-            changes.revision,
-            tuple(
-                (
-                    change.object.name,
-                    change.object.revision,
-                    change.object.content,
-                    change.removed,
-                )
-                for change in changes.changes
-            ),
+            kind, changes.revision, changes.changes
         )
 
     # Followers.
@@ -292,15 +292,8 @@
         if kind_changes.changes is None:
             self._unfollowed.add(kind)
             return
-        changes = tuple(
-            objects.Change(
-                objects.StoredObject(name, revision, content), removed
-            )
-            for name, revision, content, removed in kind_changes.changes
-        )
-        self._logs[kind].extend(
-            revisions[kind], objects.Changes(changes, kind_changes.revision)
-        )
+        changes = objects.Changes(kind_changes.changes, kind_changes.revision)
+        self._logs[kind].extend(revisions[kind], changes)
 
     def _leave(
         self, reader: records.HostRecord, reason: str, millis: float
--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -39,8 +39,8 @@
         self.cut = False
         self.timeout_ms = objectstore.CALL_TIMEOUT_MS
 
-    async def list(self, kind):
-        return await self._carry(self._store.list(kind), 0.0)
+    async def list(self, kind, may_be_stale=False):
+        return await self._carry(self._store.list(kind, may_be_stale), 0.0)
 
     async def watch(self, kind, since, wait_ms):
         call = self._store.watch(kind, since, wait_ms)
