Take no second copy of an answer for another request's

Cause: a response that says NOT RUN was accepted whatever request it names, and batch responses name none. A worker that sends such an answer once more, when the next request has been written to the connection, denied the run of that request (503, and a retry for what may run once), or gave one request the results of another's items.

Change: a refusal that names another request is a mismatch. A connection on which a refusal named none carries only requests that may be repeated. A batch response with a known handle is a mismatch, and its connection closes.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -1,6 +1,7 @@
 """Pools of idle HTTP/1.1 connections."""
 
 import asyncio
+from collections import abc as collections_abc
 
 from chervilshore.clients import connections
 from chervilshore.clients import connectors
@@ -8,6 +9,12 @@
 from chervilshore import exceptions
 from chervilshore import ids
 
+Check = collections_abc.Callable[[connections.ResponseHead, bytes], None]
+
+
+def accept(head: connections.ResponseHead, content: bytes) -> None:
+    """Accept any response; the default check of `ConnectionPool.fetch`."""
+
 
 class ConnectionPool:
     """Pool of idle connections, by address.
@@ -45,6 +52,7 @@
         self,
         address: ids.Address,
         max_idle_ms: float = connections.DEFAULT_IDLE_MS,
+        identified: bool = False,
     ) -> connections.Connection:
         """Return an idle connection from the pool, or open a new one.
 
@@ -55,6 +63,9 @@
         ----------
         max_idle_ms : float
             Milliseconds after which an idle connection is not reused.
+        identified : bool
+            Whether a connection is not reused on which a response did not
+            name its request; a second copy of it may still come.
 
         Raises
         ------
@@ -63,13 +74,16 @@
         """
         idle_connections = self._idle_by_address.get(address, [])
         now = self._clock.now()
-        while idle_connections:
-            connection = idle_connections.pop()
+        for connection in reversed(tuple(idle_connections)):
             idle_ms = now - connection.idle_since
-            if (
+            usable = (
                 idle_ms <= min(max_idle_ms, connection.idle_ms)
                 and connection.is_open()
-            ):
+            )
+            if usable and identified and not connection.identified:
+                continue
+            idle_connections.remove(connection)
+            if usable:
                 return connection
             connection.close()
         return await self._open(address)
@@ -121,6 +135,7 @@
         request: connections.Request,
         timeout_ms: float,
         max_bytes: int = 1_000_000,
+        check: Check = accept,
     ) -> tuple[connections.ResponseHead, bytes]:
         """Send a request and read the complete response.
 
@@ -130,6 +145,9 @@
             Milliseconds for the exchange, without the time to connect.
         max_bytes : int
             Largest response body.
+        check : callable
+            Raises `EndpointBroken` for a response that answers another
+            request, so that its connection is closed.
 
         Returns
         -------
@@ -155,6 +173,7 @@
                         raise exceptions.ResponseTooLarge(
                             f"body of over {max_bytes} bytes"
                         )
+            check(head, bytes(content))
         except TimeoutError as error:
             connection.close()
             raise exceptions.EndpointBroken(f"{address}: timeout") from error
--- a/chervilshore/platform/batches.py
+++ b/chervilshore/platform/batches.py
@@ -11,6 +11,10 @@
 from chervilshore.platform import names
 from chervilshore import records
 
+MAX_SEEN_HANDLES = 20_000
+"""Handles that are remembered; a second copy of a response comes with the
+next one on its connection, some calls later at most."""
+
 
 class _Item(msgspec.Struct, omit_defaults=True):
     id: str
@@ -56,6 +60,7 @@
     ) -> None:
         self._pool = pool
         self._notice_sink = notice_sink
+        self._seen_handles: dict[str, None] = {}
 
     async def run(
         self,
@@ -76,22 +81,44 @@
             for call in item_calls
         ]
         body = msgspec.json.encode(_Run(items))
-        status, content = await self._call(
-            record, names.STAGE_RUN, body, timeout_ms
+        results: list[_ItemResult] = []
+
+        def read_results(
+            head: connections.ResponseHead, content: bytes
+        ) -> None:
+            if head.status == 200:
+                results.extend(self._read_results(content, len(items)))
+
+        status, _ = await self._call(
+            record, names.STAGE_RUN, body, timeout_ms, read_results
         )
         if status in (421, 429, 503):
             raise exceptions.EndpointBusy(f"status {status}")
         if status != 200:
             raise exceptions.EndpointBroken(f"status {status}")
+        return [_convert(result) for result in results]
+
+    def _read_results(self, content: bytes, count: int) -> list[_ItemResult]:
+        """Decode the results of a call, and check that they are its own.
+
+        Responses name no call. As each result has a new handle, a second
+        copy of an earlier response shows by handles that are known.
+        """
         try:
             results = _RESULTS_DECODER.decode(content).items
         except msgspec.DecodeError as error:
             raise exceptions.EndpointBroken(str(error)) from error
-        if len(results) != len(item_calls):
+        if len(results) != count:
             raise exceptions.EndpointBroken(
                 "number of results differs from number of items"
             )
-        return [_convert(result) for result in results]
+        for handle in filter(None, (result.handle for result in results)):
+            if handle in self._seen_handles:
+                raise exceptions.AnswerMismatch(f"known result {handle}")
+            self._seen_handles[handle] = None
+            if len(self._seen_handles) > MAX_SEEN_HANDLES:
+                del self._seen_handles[next(iter(self._seen_handles))]
+        return results
 
     async def free(
         self,
@@ -113,9 +140,13 @@
         path: str,
         body: bytes,
         timeout_ms: float,
+        check: connectionpool.Check = connectionpool.accept,
     ) -> tuple[int, bytes]:
         head, content = await self._pool.fetch(
-            record.address, _make_request(record, path, body), timeout_ms
+            record.address,
+            _make_request(record, path, body),
+            timeout_ms,
+            check=check,
         )
         headers.pass_notice(record, head, self._notice_sink)
         return head.status, content
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -51,7 +51,9 @@
         max_idle_ms = (
             connections.DEFAULT_IDLE_MS if call.repeatable else FRESH_IDLE_MS
         )
-        connection = await self._pool.acquire(record.address, max_idle_ms)
+        connection = await self._pool.acquire(
+            record.address, max_idle_ms, identified=not call.repeatable
+        )
         if connection.relay:
             events.log_event(
                 _LOGGER,
@@ -68,6 +70,7 @@
                 left_ms = max(1, int(deadline - self._clock.now()))
                 connection.send(_make_request(record, call, left_ms))
                 head = await connection.read_head()
+                _check_attempt(connection, head, call)
                 headers.pass_notice(record, head, self._notice_sink)
                 response = await self._read_response(
                     connection, head, record, call
@@ -105,7 +108,7 @@
         call: endpoints.Call,
     ) -> forwarded.Response:
         if not _is_not_executed(head):
-            _check_binding(head, call)
+            _check_success(head)
         response = forwarded.Response(head.status, _select_headers(head))
         content_type = head.get_header("content-type") or ""
         streams = head.status == 200 and content_type.startswith(EVENT_STREAM)
@@ -170,14 +173,26 @@
     )
 
 
-def _check_binding(
-    head: connections.ResponseHead, call: endpoints.Call
+def _check_attempt(
+    connection: connections.Connection,
+    head: connections.ResponseHead,
+    call: endpoints.Call,
 ) -> None:
+    """Check that a response answers this call, not an earlier one.
+
+    A refusal may lack the id. A second copy of it could come late and pass
+    for the refusal of the next request on the connection.
+    """
     attempt_id = head.get_header(names.ATTEMPT_ID)
-    if attempt_id != call.binding.request:
+    if attempt_id is None and _is_not_executed(head):
+        connection.identified = False
+    elif attempt_id != call.binding.request:
         raise exceptions.AnswerMismatch(
             f"expected {call.binding.request}, got {attempt_id}"
         )
+
+
+def _check_success(head: connections.ResponseHead) -> None:
     if head.status < 300 and not head.get_header(names.STAMP):
         raise exceptions.AnswerMismatch("successful response without a stamp")
     if head.get_header("content-encoding"):
