Keep a store's connections for one kind of objects each

Cause: the responses of the store name no kind, and the calls of all kinds shared their connections. A second copy of a listing that came after the next call was written would pass for that of another kind: endpoints or domains that are out would vanish.

Change: each kind has its own connections. Within a kind the revisions show what is older, which the caches skip already.

Before: test_second_copy_of_a_listing_is_none_of_another_kind got of-servers for evacuations. After: it passes.

--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -76,13 +76,13 @@
         self._address = address
         self.timeout_ms = timeout_ms
         self._counters = counters
-        self._pool = connectionpool.ConnectionPool(
-            clock, connect_ms=timeout_ms
-        )
+        self._clock = clock
+        self._pools: dict[str, connectionpool.ConnectionPool] = {}
 
     async def close(self) -> None:
         """See `ObjectStore.close`."""
-        self._pool.close()
+        for pool in self._pools.values():
+            pool.close()
 
     async def list(self, kind: str) -> objects.Listing:
         """Read all pages of a kind; see `ObjectStore.list`.
@@ -197,7 +197,7 @@
         request = connections.Request(method, path, headers, body)
         limit_ms = self.timeout_ms if timeout_ms is None else timeout_ms
         try:
-            head, content = await self._pool.fetch(
+            head, content = await self._find_pool(path).fetch(
                 self._address, request, limit_ms, MAX_RESPONSE_BYTES
             )
         except exceptions.EndpointUnreached as error:
@@ -213,6 +213,23 @@
         self._count_call(method, str(head.status))
         return head, content
 
+    def _find_pool(self, path: str) -> connectionpool.ConnectionPool:
+        """Return the connections of the kind of objects that a path names.
+
+        Responses do not name their kind. A second copy of one could pass for
+        the response to a later call on its connection; as that is of the
+        same kind, the revisions of the objects show which ones are older.
+        """
+        kind = path.removeprefix("/objects/").partition("?")[0]
+        kind = kind.partition("/")[0]
+        pool = self._pools.get(kind)
+        if pool is None:
+            pool = connectionpool.ConnectionPool(
+                self._clock, connect_ms=self.timeout_ms
+            )
+            self._pools[kind] = pool
+        return pool
+
     def _count_call(self, method: str, outcome: str) -> None:
         if self._counters is not None:
             self._counters.count(
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -16,6 +16,7 @@
 from chervilshore import clock as clocks
 from chervilshore import exceptions
 from chervilshore.platform import batches
+from chervilshore.platform import store
 from standins import workers
 from tests import batch_helpers
 from tests import gateway_helpers as helpers
@@ -66,11 +67,9 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-                headers = dict(
-                    line.split(": ", 1)
-                    for line in head.split("\r\n")[1:]
-                    if line
-                )
+                line, *rest = head.strip().split("\r\n")
+                headers = dict(one.split(": ", 1) for one in rest)
+                headers[":path"] = line.split(" ")[1]
                 body = await reader.readexactly(
                     int(headers.get("content-length", "0"))
                 )
@@ -223,3 +222,34 @@
         )
     assertions.assert_that(len(found), matchers.GreaterThan(2))
     pool.close()
+
+
+class RepeatingStore(Repeater):
+    """A store that sends listings twice; each kind has one object."""
+
+    def __init__(self):
+        super().__init__()
+        self.copy = Copy.AFTER
+
+    def _answer(self, headers, body):
+        kind = headers[":path"].rpartition("/")[2]
+        item = {"metadata": {"name": f"of-{kind}", "revision": 1}}
+        content = msgspec.json.encode({"items": [item], "current_rev": 1})
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(content)}\r\n\r\n"
+        return head.encode() + content
+
+
+async def test_second_copy_of_a_listing_is_none_of_another_kind():
+    repeating_store = RepeatingStore()
+    await repeating_store.start()
+    client = store.MetadataStore(
+        repeating_store.address, clocks.SystemClock(), 500.0
+    )
+    for kind in ("servers", "evacuations", "config", "servers"):
+        listing = await client.list(kind)
+        assertions.assert_that(
+            [stored.name for stored in listing.objects],
+            matchers.Equals([f"of-{kind}"]),
+        )
+    await client.close()
+    repeating_store.stop()
