Let a leaving host end its batch calls for other hosts

Cause: a host that drains hands back the jobs that it has not begun, but stopped as soon as its own callers had their answers. Calls for other hosts were cut, and their items ran a second time at the next owner.

Change: the drain also waits until the service has no job left.

Before: test_leaving_owner_ends_the_calls_of_other_hosts saw each of four items twice.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -34,6 +34,9 @@
 RESULT_RETENTION_MS = 5000.0
 """Milliseconds for which the result of a finished job can be sent again."""
 
+IDLE_CHECK_MS = 50.0
+"""Milliseconds between two checks whether jobs are left."""
+
 _LOGGER = logging.getLogger(__name__)
 
 SendUpdate = collections_abc.Callable[
@@ -113,6 +116,12 @@
             for job in state.planner.leave():
                 self._end_job(state, job, batches.Failure.MOVED)
 
+    async def wait_idle(self) -> None:
+        """Wait until no job is left and the last result has been sent."""
+        while any(one.planner.jobs for one in self._pool_states.values()):
+            await self._clock.sleep(IDLE_CHECK_MS)
+        await self._clock.sleep(IDLE_CHECK_MS)
+
     def _handle_job_request(
         self, sender: ids.Address, job_request: batchmessages.BatchJobRequest
     ) -> batchmessages.BatchJobAccepted | None:
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -380,6 +380,7 @@
 
     async def _wait_idle(self) -> None:
         await self.ingress.wait_idle()
+        await self._batch_service.wait_idle()
         await self._tunnels.wait_idle()
 
     async def on_stop(self) -> None:
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,217 @@
+"""Planned stops under load, with daemons in processes of their own.
+
+The load: callers that read a large answer slowly, callers that send one
+request after the other on kept connections, and batch calls for another host
+that take longer than the time in which a leaving host takes requests.
+"""
+
+import asyncio
+import collections
+import signal
+import socket
+import time
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore import gateway
+from measure import deployment as deployments
+from standins import site
+from standins import workers
+from tests import gateway_helpers as helpers
+
+ANSWER_BYTES = 15_500_000
+READ_BYTES = 250_000
+READ_SECONDS = 0.1
+"""Seconds between two reads: the answer takes over six seconds."""
+
+LOSS_SECONDS = 0.2
+"""Seconds after which a request that was sent is no longer one that crosses
+the close of its connection."""
+
+CALLERS = 20
+
+
+class LargeWorker(workers.Worker):
+    """A worker whose answers are large."""
+
+    async def _answer(self, request, response_headers):
+        return workers.web.Response(
+            body=bytes(ANSWER_BYTES), headers=response_headers
+        )
+
+
+@pytest.fixture
+async def start_daemon(deployment, tmp_path):
+    """Yield a function that starts a daemon for the deployment."""
+    daemons = []
+
+    async def start():
+        daemon = site.Host(f"h{len(daemons) + 1}", "a", tmp_path)
+        ports = deployments.find_ports(3)
+        await daemon.write_settings(deployment.address, ports, [])
+        await daemon.start()
+        daemons.append(daemon)
+        async with asyncio.timeout(helpers.WAIT_SECONDS):
+            await daemon.wait_ready()
+        return daemon
+
+    yield start
+    for daemon in daemons:
+        await daemon.stop()
+
+
+def make_request(attempt):
+    return (
+        "GET /look/ HTTP/1.1\r\nHost: shop.example\r\n"
+        f"Chervilshore-Attempt-Id: {attempt}\r\n"
+        f"Chervilshore-Deadline-Ms: 5000\r\n"
+        f"Chervilshore-Key: {helpers.KEY}\r\n\r\n"
+    ).encode()
+
+
+async def connect(address, **options):
+    host, port = address.rsplit(":", 1)
+    return await asyncio.open_connection(host, int(port), **options)
+
+
+async def test_slow_caller_gets_its_whole_answer(deployment, start_daemon):
+    await deployment.configure(
+        [helpers.make_route("look", "ledger")],
+        [helpers.make_service("ledger")],
+    )
+    worker = LargeWorker("w0")
+    await worker.start()
+    deployment.workers["w0"] = worker
+    await deployment.store.write(
+        "servers", "w0", worker.describe("ledger", "a")
+    )
+    daemon = await start_daemon()
+    sock = socket.socket()
+    # Set before connecting, so that the kernel keeps little of the answer.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    sock.setblocking(False)
+    host, port = daemon.address.rsplit(":", 1)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=65_536)
+    writer.write(make_request("slow"))
+    await reader.readuntil(b"\r\n\r\n")
+    daemon.send_signal(signal.SIGTERM)
+    read = 0
+    while read < ANSWER_BYTES:
+        data = await reader.read(READ_BYTES)
+        if not data:
+            break
+        read += len(data)
+        await asyncio.sleep(READ_SECONDS * len(data) / READ_BYTES)
+    writer.close()
+    assertions.assert_that(read, matchers.Equals(ANSWER_BYTES))
+
+
+class Caller:
+    """Sends one request after the other until its host is gone.
+
+    Attributes
+    ----------
+    statuses : Counter
+        The statuses of the answers.
+    lost : list of str
+        Requests that were cut without an answer and did not just cross the
+        close of their connection.
+    crossed : list of str
+        Requests that did.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.statuses = collections.Counter()
+        self.lost = []
+        self.crossed = []
+
+    async def run(self, address):
+        number = 0
+        reader = None
+        while True:
+            if reader is None:
+                try:
+                    reader, writer = await connect(address)
+                except ConnectionError:
+                    return
+            number += 1
+            attempt = f"{self.name}.{number}"
+            sent_at = time.monotonic()
+            try:
+                writer.write(make_request(attempt))
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                fields = dict(
+                    line.split(": ", 1)
+                    for line in head.strip().split("\r\n")[1:]
+                )
+                await reader.readexactly(int(fields["content-length"]))
+            except (asyncio.IncompleteReadError, ConnectionError):
+                late = time.monotonic() - sent_at > LOSS_SECONDS
+                (self.lost if late else self.crossed).append(attempt)
+                reader = None
+                continue
+            self.statuses[head.split(" ")[1]] += 1
+            if fields.get("connection") == "close":
+                writer.close()
+                reader = None
+            await asyncio.sleep(0.02)
+
+
+async def test_requests_on_kept_connections_are_answered(
+    deployment, start_daemon
+):
+    await deployment.configure(
+        [helpers.make_route("look", "ledger")],
+        [helpers.make_service("ledger")],
+    )
+    worker = await deployment.add_worker("w0", "ledger", millis=250.0)
+    daemon = await start_daemon()
+    callers = [Caller(f"c{number}") for number in range(CALLERS)]
+    calling = [
+        asyncio.ensure_future(caller.run(daemon.address)) for caller in callers
+    ]
+    await asyncio.sleep(0.5)
+    status = await daemon.signal_and_wait(signal.SIGTERM)
+    await asyncio.gather(*calling)
+    statuses = sum((one.statuses for one in callers), collections.Counter())
+    cut = [name for one in callers for name in one.lost + one.crossed]
+    assertions.assert_that(status, matchers.Equals(0))
+    assertions.assert_that(statuses["200"], matchers.GreaterThan(CALLERS * 4))
+    assertions.assert_that(
+        [name for one in callers for name in one.lost], matchers.Equals([])
+    )
+    # What was cut without an answer has not been passed on.
+    assertions.assert_that(set(cut) & set(worker.runs), matchers.Equals(set()))
+
+
+async def test_leaving_owner_ends_the_calls_of_other_hosts(
+    deployment, monkeypatch
+):
+    """A call for the job of another host takes longer than the host drains."""
+    monkeypatch.setattr(gateway, "DRAIN_ACCEPT_MS", 100.0)
+    host = await helpers.serve_stages(deployment, first_ms=900.0)
+    other = await deployment.add_host()
+    await deployment.wait_ready(other, 3)
+    hosts = [host, other]
+    await deployment.wait_until(
+        lambda: all(len(one._catalog.hosts()) == 2 for one in hosts)
+    )
+    owner_name = host._batch_pools._choose_owner("cut", set()).host
+    hosts.sort(key=lambda one: one._options.host != owner_name)
+    owner, submitter = hosts
+    headers = {"Chervilshore-Pieces": "4,1", "Chervilshore-Piece-Key": "k1"}
+    sending = asyncio.ensure_future(
+        deployment.send(submitter, "/say/", headers=headers)
+    )
+    worker = deployment.workers["c0"]
+    await deployment.wait_until(lambda: worker.batch_calls)
+    await owner.drain()
+    await owner.stop()
+    response, _ = await sending
+    assertions.assert_that(response.status, matchers.Equals(200))
+    items = [one["piece"] for call in worker.batch_calls for one in call]
+    assertions.assert_that(sorted(items), matchers.Equals([0, 1, 2, 3]))
