Let a leaving host send its answers to the end

Cause: a request counted as ended as soon as its answer was handed to the web server, which then had half a second to write it. A caller that reads a large answer slowly lost the end of it when its host stopped.

Change: the drain waits, within its limit, until the process buffers no byte of an answer; the kernel sends on what it has when the process has ended.

Before: test_slow_caller_gets_its_whole_answer, with a real daemon and 15.5 MB in six seconds, got 12.5 MB. The test of kept connections loses requests of 20 callers if the leaving host goes on taking requests, or does not wait for those in flight; as it is, none.

--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -382,6 +382,7 @@
         await self.ingress.wait_idle()
         await self._batch_service.wait_idle()
         await self._tunnels.wait_idle()
+        await self._listeners.wait_sent()
 
     async def on_stop(self) -> None:
         """Close the connections of callers and to endpoints."""
--- a/chervilshore/listener.py
+++ b/chervilshore/listener.py
@@ -22,6 +22,9 @@
 SHUTDOWN_SECONDS = 0.5
 """Seconds that the web server waits for answers that are being written."""
 
+SENT_CHECK_SECONDS = 0.05
+"""Seconds between two checks whether answers are being sent."""
+
 KEEPALIVE_SECONDS = 75.0
 """Seconds for which an idle connection of a caller is kept open; longer than
 operators let callers be idle."""
@@ -61,6 +64,19 @@
         self._timer_loop = loop
         self._head_timer: asyncio.TimerHandle | None = None
         self._serving = False
+        self._written_to: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, which the web server forgets at its close."""
+        super().connection_made(transport)
+        self._written_to = transport
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that this process still buffers."""
+        if self._written_to is None:
+            return 0
+        return self._written_to.get_write_buffer_size()
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes; the first byte of a head starts its timer."""
@@ -86,6 +102,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer, as the connection has closed."""
         self._cancel_timer()
+        self._written_to = None
         super().connection_lost(exc)
 
     def _start_grace_period(self) -> None:
@@ -192,6 +209,18 @@
         await web.TCPSite(runner, host, int(port)).start()
         self._runners.append(runner)
 
+    async def wait_sent(self) -> None:
+        """Wait until all answers have been handed to the kernel.
+
+        It sends them on when the process has ended.
+        """
+        while any(
+            connection.unsent_bytes
+            for runner in self._runners
+            for connection in runner.server.connections
+        ):
+            await asyncio.sleep(SENT_CHECK_SECONDS)
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         for runner in self._runners:
