Leave begun jobs at an owner that is only silent

Cause: a host checks every 700 ms that the owner of a batch pool still has its job, and submitted it to another owner after one check without an answer for 250 ms. A pause of that length, or one lost message, had running items run a second time, or a job whose inputs were freed given up.

Change: an owner that has accepted a job keeps it until it is down, refuses it or has been silent for 1.5 s, for which a sound host may be.

--- a/chervilshore/controllers/submitting.py
+++ b/chervilshore/controllers/submitting.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections import abc as collections_abc
+import enum
 import logging
+import math
 
 import mode
 import msgspec
@@ -28,6 +30,13 @@
 """Milliseconds after which an unfinished job is submitted to its owner again,
 to check that the owner still has it."""
 
+SILENT_CHECK_MS = 250.0
+"""Milliseconds until an owner that did not answer a check is asked again."""
+
+MAX_SILENCE_MS = 1500.0
+"""Milliseconds for which an owner that has accepted a job may be silent. A
+sound host can be: its process pauses, or its answers are lost."""
+
 MAX_OWNERS_TRIED = 4
 """Owners to which one job is submitted before it fails."""
 
@@ -37,6 +46,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class _Offer(enum.Enum):
+    """What became of the offer of a job to an owner."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
 class _PendingJob:
     """A submitted job whose result is awaited."""
 
@@ -165,8 +182,16 @@
                     if updated.left_ms <= 0.0:
                         return _make_failed(job_request, batches.Failure.LATE)
                     owner = self._choose_owner(job_request.pool, failed_owners)
-                if await self._offer(owner, updated):
-                    if not await self._wait(pending.result):
+                    heard_at = -math.inf
+                offer = await self._offer(owner, updated)
+                is_silent = self._is_only_silent(owner, offer, heard_at)
+                if offer is _Offer.ACCEPTED:
+                    heard_at = self._clock.now()
+                if offer is _Offer.ACCEPTED or is_silent:
+                    wait_ms = (
+                        SILENT_CHECK_MS if is_silent else CHECK_INTERVAL_MS
+                    )
+                    if not await self._wait(pending.result, wait_ms):
                         continue
                     job_result = pending.result.result()
                     if job_result.failure is not batches.Failure.MOVED:
@@ -181,12 +206,23 @@
             if not pending.result.done() and owner is not None:
                 self._cancel(owner, job_request.job)
 
-    async def _wait(self, result: asyncio.Future) -> bool:
+    def _is_only_silent(
+        self, owner: records.HostRecord, offer: _Offer, heard_at: float
+    ) -> bool:
+        """Return whether an owner may still run a job that it has accepted.
+
+        Another owner would run what it has begun a second time.
+        """
+        if offer is not _Offer.UNANSWERED:
+            return False
+        if self._clock.now() - heard_at >= MAX_SILENCE_MS:
+            return False
+        return any(one.host == owner.host for one in self._directory.hosts())
+
+    async def _wait(self, result: asyncio.Future, wait_ms: float) -> bool:
         """Wait for a result; return False when the next check is due."""
         try:
-            await clocks.wait_for(
-                self._clock, asyncio.shield(result), CHECK_INTERVAL_MS
-            )
+            await clocks.wait_for(self._clock, asyncio.shield(result), wait_ms)
         except TimeoutError:
             return False
         return True
@@ -195,8 +231,8 @@
         self,
         owner: records.HostRecord,
         job_request: batchmessages.BatchJobRequest,
-    ) -> bool:
-        """Submit a job to a host; return whether the host accepted it."""
+    ) -> _Offer:
+        """Submit a job to a host; return what became of it."""
         if owner.host == self._host:
             accepted = self._service.accept(job_request, self._handle_update)
             return self._record_accepted(job_request.pool, accepted)
@@ -216,16 +252,16 @@
                 pool=job_request.pool,
                 error=error,
             )
-            return False
+            return _Offer.UNANSWERED
         return self._record_accepted(job_request.pool, accepted)
 
     def _record_accepted(
         self, pool: ids.PoolName, accepted: messages.Message | None
-    ) -> bool:
+    ) -> _Offer:
         if not isinstance(accepted, batchmessages.BatchJobAccepted):
-            return False
+            return _Offer.REFUSED
         self.backlog.record_waits(pool, accepted.waits, self._clock.now())
-        return True
+        return _Offer.ACCEPTED
 
     def _cancel(self, owner: records.HostRecord, job: str) -> None:
         """Cancel a job at its owner."""
