Close the connection of a caller that does not read its answer

Cause: streams have a limit for each write, but nothing bounded the writing of a whole answer. A caller that stopped reading, or took a byte now and then, kept its answer (up to 16 MB) and a descriptor until its host ended.

Change: every 10 s each caller must have acknowledged 16 KB of what is still to send, counted with what the kernel holds.

Before: test_caller_that_does_not_read_keeps_no_answer finds 8,095,272 bytes kept; after: none. Without the bytes in the kernel, a caller that reads 3 MB a second is cut (6,625,469 bytes lost), as it is if every reader counts as slow.

--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -164,6 +164,7 @@
     CALLER_GONE = EventSpec(7005, _INFO, "caller gone")
     REQUEST_FORWARDED = EventSpec(7006, _INFO, "forwarded request ended")
     HEAD_LATE = EventSpec(7007, _WARNING, "request head received too slowly")
+    ANSWER_UNREAD = EventSpec(7008, _WARNING, "answer read too slowly")
 
 
 def log_event(logger: logging.Logger, event: Event, **fields) -> None:
--- a/chervilshore/listener.py
+++ b/chervilshore/listener.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections import abc as collections_abc
+import fcntl
 import logging
+import sys
+import termios
 
 from aiohttp import web
 
@@ -22,6 +25,13 @@
 SHUTDOWN_SECONDS = 0.5
 """Seconds that the web server waits for answers that are being written."""
 
+READ_CHECK_SECONDS = 10.0
+"""Seconds between two checks whether callers read their answers."""
+
+MIN_READ_BYTES = 16_384
+"""Bytes that a caller must read in that time, as long as this process still
+buffers a part of its answer."""
+
 SENT_CHECK_SECONDS = 0.05
 """Seconds between two checks whether answers are being sent."""
 
@@ -64,6 +74,8 @@
         self._timer_loop = loop
         self._head_timer: asyncio.TimerHandle | None = None
         self._serving = False
+        self._answering = False
+        self._checked_bytes = 0
         self._written_to: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -89,6 +101,7 @@
     def begin_request(self) -> None:
         """Stop the timer, as a complete head has been parsed."""
         self._serving = True
+        self._answering = True
         self._cancel_timer()
 
     def end_request(self, request: web.BaseRequest) -> None:
@@ -98,6 +111,36 @@
         head.
         """
         self._serving = not request.content.is_eof()
+        self._answering = False
+
+    def _count_unread(self) -> int:
+        """Return the bytes of answers that the caller has not acknowledged.
+
+        The kernel takes more of them only when much of its buffer is free.
+        """
+        if not self.unsent_bytes:
+            return 0
+        sock = self._written_to.get_extra_info("socket")
+        packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return self.unsent_bytes + int.from_bytes(packed, sys.byteorder)
+
+    def check_reading(self) -> None:
+        """Close the connection of a caller that reads its answer too slowly.
+
+        Called at equal intervals. While a stream of events is being written,
+        its writer has a limit of its own.
+        """
+        before = self._checked_bytes
+        self._checked_bytes = 0 if self._answering else self._count_unread()
+        if not before or not self._checked_bytes:
+            return
+        if self._checked_bytes > before - MIN_READ_BYTES:
+            events.log_event(
+                _LOGGER,
+                events.Event.ANSWER_UNREAD,
+                unread_bytes=self._checked_bytes,
+            )
+            self._written_to.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer, as the connection has closed."""
@@ -189,6 +232,7 @@
     ) -> None:
         self._get_head_timeout = get_head_timeout
         self._runners: list[web.ServerRunner] = []
+        self._checking: asyncio.Task | None = None
 
     async def listen(self, handler, address: str) -> None:
         """Serve requests at an address by a handler."""
@@ -208,20 +252,33 @@
         host, _, port = address.rpartition(":")
         await web.TCPSite(runner, host, int(port)).start()
         self._runners.append(runner)
+        if self._checking is None:
+            self._checking = asyncio.ensure_future(self._check_reading())
+
+    def _list_connections(self) -> list[Connection]:
+        return [
+            connection
+            for runner in self._runners
+            for connection in runner.server.connections
+        ]
+
+    async def _check_reading(self) -> None:
+        while True:
+            await asyncio.sleep(READ_CHECK_SECONDS)
+            for connection in self._list_connections():
+                connection.check_reading()
 
     async def wait_sent(self) -> None:
         """Wait until all answers have been handed to the kernel.
 
         It sends them on when the process has ended.
         """
-        while any(
-            connection.unsent_bytes
-            for runner in self._runners
-            for connection in runner.server.connections
-        ):
+        while any(one.unsent_bytes for one in self._list_connections()):
             await asyncio.sleep(SENT_CHECK_SECONDS)
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
+        if self._checking is not None:
+            self._checking.cancel()
         for runner in self._runners:
             await runner.cleanup()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 import signal
-import socket
 import time
 
 import pytest
@@ -18,13 +17,11 @@
 from chervilshore import gateway
 from measure import deployment as deployments
 from standins import site
-from standins import workers
 from tests import gateway_helpers as helpers
+from tests import slow_helpers
 
-ANSWER_BYTES = 15_500_000
-READ_BYTES = 250_000
-READ_SECONDS = 0.1
-"""Seconds between two reads: the answer takes over six seconds."""
+READ_SECONDS = 6.2
+"""Seconds in which a slow caller reads its answer."""
 
 LOSS_SECONDS = 0.2
 """Seconds after which a request that was sent is no longer one that crosses
@@ -33,15 +30,6 @@
 CALLERS = 20
 
 
-class LargeWorker(workers.Worker):
-    """A worker whose answers are large."""
-
-    async def _answer(self, request, response_headers):
-        return workers.web.Response(
-            body=bytes(ANSWER_BYTES), headers=response_headers
-        )
-
-
 @pytest.fixture
 async def start_daemon(deployment, tmp_path):
     """Yield a function that starts a daemon for the deployment."""
@@ -62,51 +50,19 @@
         await daemon.stop()
 
 
-def make_request(attempt):
-    return (
-        "GET /look/ HTTP/1.1\r\nHost: shop.example\r\n"
-        f"Chervilshore-Attempt-Id: {attempt}\r\n"
-        f"Chervilshore-Deadline-Ms: 5000\r\n"
-        f"Chervilshore-Key: {helpers.KEY}\r\n\r\n"
-    ).encode()
-
-
 async def connect(address, **options):
     host, port = address.rsplit(":", 1)
     return await asyncio.open_connection(host, int(port), **options)
 
 
 async def test_slow_caller_gets_its_whole_answer(deployment, start_daemon):
-    await deployment.configure(
-        [helpers.make_route("look", "ledger")],
-        [helpers.make_service("ledger")],
-    )
-    worker = LargeWorker("w0")
-    await worker.start()
-    deployment.workers["w0"] = worker
-    await deployment.store.write(
-        "servers", "w0", worker.describe("ledger", "a")
-    )
+    await slow_helpers.add_large_worker(deployment)
     daemon = await start_daemon()
-    sock = socket.socket()
-    # Set before connecting, so that the kernel keeps little of the answer.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
-    sock.setblocking(False)
-    host, port = daemon.address.rsplit(":", 1)
-    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-    reader, writer = await asyncio.open_connection(sock=sock, limit=65_536)
-    writer.write(make_request("slow"))
-    await reader.readuntil(b"\r\n\r\n")
+    reader, writer = await slow_helpers.begin_answer(daemon.address)
     daemon.send_signal(signal.SIGTERM)
-    read = 0
-    while read < ANSWER_BYTES:
-        data = await reader.read(READ_BYTES)
-        if not data:
-            break
-        read += len(data)
-        await asyncio.sleep(READ_SECONDS * len(data) / READ_BYTES)
-    writer.close()
-    assertions.assert_that(read, matchers.Equals(ANSWER_BYTES))
+    read = await slow_helpers.read_slowly(reader, READ_SECONDS)
+    writer.transport.abort()
+    assertions.assert_that(read, matchers.Equals(slow_helpers.ANSWER_BYTES))
 
 
 class Caller:
@@ -142,7 +98,7 @@
             attempt = f"{self.name}.{number}"
             sent_at = time.monotonic()
             try:
-                writer.write(make_request(attempt))
+                writer.write(slow_helpers.make_request(attempt))
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
                 fields = dict(
                     line.split(": ", 1)
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -14,8 +14,10 @@
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore import listener
 from standins import workers
 from tests import gateway_helpers as helpers
+from tests import slow_helpers
 
 BYTE_SECONDS = 0.08
 EVENTS = 4
@@ -131,3 +133,38 @@
         matchers.LessThan(TIMEOUT_MS / 1000.0 + LATE_SECONDS),
     )
     await deployment.wait_until(lambda: worker.ended == len(worker.runs))
+
+
+async def begin_answer(deployment):
+    """Return a host and a connection on which a large answer has begun."""
+    await slow_helpers.add_large_worker(deployment)
+    host = await deployment.add_host()
+    await deployment.wait_ready(host, 1)
+    return host, *await slow_helpers.begin_answer(host.address)
+
+
+async def test_caller_that_does_not_read_keeps_no_answer(
+    deployment, monkeypatch
+):
+    monkeypatch.setattr(listener, "READ_CHECK_SECONDS", 0.2)
+    host, _, writer = await begin_answer(deployment)
+    connections = host._listeners._list_connections
+    assertions.assert_that(
+        sum(one.unsent_bytes for one in connections()),
+        matchers.GreaterThan(0),
+    )
+    await asyncio.sleep(1.0)
+    assertions.assert_that(
+        sum(one.unsent_bytes for one in connections()), matchers.Equals(0)
+    )
+    writer.transport.abort()
+
+
+async def test_caller_that_reads_slowly_gets_its_whole_answer(
+    deployment, monkeypatch
+):
+    monkeypatch.setattr(listener, "READ_CHECK_SECONDS", 0.2)
+    _, reader, writer = await begin_answer(deployment)
+    read = await slow_helpers.read_slowly(reader, 4.0)
+    writer.transport.abort()
+    assertions.assert_that(read, matchers.Equals(slow_helpers.ANSWER_BYTES))
