Share cold rates and retries right after all hosts start

Cause: a host divides what a cold endpoint bears, and the retry budget, among the hosts that it has met. If all hosts end at once and start again, none has met another for some seconds: each took the share of many, and a full retry budget besides the one used just before.

Before: a cold endpoint that bears 16 a second got 35 in one second from 12 hosts and 105 from 40 (29 allowed); nine hosts retried 54 times in a window of 52.

--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -15,6 +15,7 @@
 from chervilshore.decisions import backoff
 from chervilshore.decisions import endpointtable
 from chervilshore.decisions import objectcache
+from chervilshore.decisions import senders
 from chervilshore import events
 from chervilshore import exceptions
 from chervilshore import ids
@@ -82,6 +83,8 @@
     ----------
     caches : dict of str to ObjectCache
         The cached objects of each kind.
+    on_hosts_listed : callable
+        Called when the store has listed the hosts.
     """
 
     def __init__(
@@ -124,6 +127,8 @@
             self.apply,
             self._registration_due.set,
         )
+        self._senders = senders.Senders(clock.now())
+        self.on_hosts_listed = lambda: None
         self._table = endpointtable.EndpointTable()
         self._stored_rules = model.Rules()
         self._registered = False
@@ -144,6 +149,10 @@
         """List the entry hosts; see `Directory.hosts`."""
         return self._membership.hosts()
 
+    def senders(self) -> tuple[records.HostRecord, ...]:
+        """List the hosts that may send; see `Directory.senders`."""
+        return self._senders.select(self.hosts(), self._clock.now())
+
     def endpoints(
         self, pool: ids.PoolName
     ) -> tuple[records.EndpointRecord, ...]:
@@ -366,11 +375,14 @@
             for stored in cache.objects.values()
         ]
         me = self._membership.me.host
-        self._membership.propose(
+        others = [
             record
             for record in found
             if record is not None and record.host != me
-        )
+        ]
+        self._senders.record_listed(others)
+        self._membership.propose(others)
+        self.on_hosts_listed()
 
 
 def _make_retry_delays() -> backoff.Backoff:
--- a/chervilshore/controllers/directory.py
+++ b/chervilshore/controllers/directory.py
@@ -13,6 +13,14 @@
     def hosts(self) -> tuple[records.HostRecord, ...]:
         """List the entry hosts that are not down, including this one."""
 
+    def senders(self) -> tuple[records.HostRecord, ...]:
+        """List the entry hosts that may send to endpoints now.
+
+        These are the known ones, and after a start also those that it does
+        not know yet.
+        """
+        return self.hosts()
+
     @abc.abstractmethod
     def endpoints(
         self, pool: ids.PoolName
--- a/chervilshore/controllers/immediateslots.py
+++ b/chervilshore/controllers/immediateslots.py
@@ -133,7 +133,7 @@
         )
 
     def _list_hosts(self) -> list[ids.HostId]:
-        return [one.host for one in self._directory.hosts()]
+        return [one.host for one in self._directory.senders()]
 
     def _may_send_cold(
         self, pool: model.Pool, record: records.EndpointRecord, now: float
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -265,6 +265,7 @@
             )
         )
         self._membership.listen(lambda *unused: self._update_shares())
+        self._catalog.on_hosts_listed = self._update_shares
         runner = stage.StageRunner(
             self._clock,
             attempts,
@@ -290,8 +291,11 @@
 
         Hosts that seem down may only be partitioned and still send.
         """
-        known = len(self._membership.hosts())
+        known = len(self._catalog.senders())
         if known > self._max_known_hosts:
+            if self._max_known_hosts == 1:
+                # All hosts may have ended at once, with their shares used.
+                self._budget.drop_tokens()
             self._max_known_hosts = known
             self._notices.record_hosts(known)
             self._budget.reconfigure(
--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -85,6 +85,15 @@
         self.hosts[index] = self._make_host(index + 1)
         await self.hosts[index].start(with_peers=True)
 
+    async def restart_all(self):
+        """Kill all hosts at once and start them again."""
+        for host in self.hosts:
+            await host.stop()
+        numbers = range(1, len(self.hosts) + 1)
+        self.hosts = [self._make_host(number) for number in numbers]
+        for host in self.hosts:
+            await host.start(with_peers=True)
+
     def cut(self, addresses):
         """Cut some hosts off from the others; none to heal the network."""
         self.network.should_drop = lambda sender, receiver: (
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -71,6 +71,23 @@
     } | changes
 
 
+def make_retry_options(slack):
+    """Return settings with a retry budget of all hosts together."""
+    return settings.load(
+        {
+            "host": "h1",
+            "domain": "a",
+            "http_address": "127.0.0.1:1",
+            "peer_address": "127.0.0.1:2",
+            "platform": "127.0.0.1:3",
+            "retry_ratio": "0.2",
+            "retry_slack": str(slack),
+            "retry_window_ms": "10000",
+        },
+        {},
+    )
+
+
 class Deployment:
     """A store, workers and forwarding hosts on loopback."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,7 +9,6 @@
 from testtools import matchers
 
 from chervilshore.decisions import retryshares
-from chervilshore import settings
 from tests import gateway_helpers as helpers
 
 
@@ -399,19 +398,7 @@
 @pytest.mark.parametrize("hosts", [1, 6, 9, 68, 76, 300])
 def test_retries_of_all_hosts_stay_within_the_budget(hosts):
     """All hosts of the cluster use their full shares in the same window."""
-    options = settings.load(
-        {
-            "host": "h1",
-            "domain": "a",
-            "http_address": "127.0.0.1:1",
-            "peer_address": "127.0.0.1:2",
-            "platform": "127.0.0.1:3",
-            "retry_ratio": "0.2",
-            "retry_slack": str(52 if hosts < 10 else 2.6 * hosts),
-            "retry_window_ms": "10000",
-        },
-        {},
-    )
+    options = helpers.make_retry_options(52 if hosts < 10 else 2.6 * hosts)
     ratio, per_second, burst = retryshares.split_retry_budget(options, hosts)
     used = hosts * (burst + 10.0 * per_second)
     assertions.assert_that(used, matchers.LessThan(options.retry_slack + 0.01))
