Let followers wait for their reader after an outage of the store

Cause: when the store did not answer, each follower watched three kinds by itself, and again when it answered: at a domain of 20 hosts and an outage of 3 s 54 watches at its begin and as many after it.

Change: a follower finds out by a short call whether the store is away, and for two seconds after a failed call it only polls, while its reader returns.

--- a/chervilshore/controllers/sharedstore.py
+++ b/chervilshore/controllers/sharedstore.py
@@ -36,6 +36,11 @@
 """Milliseconds for which a follower watches the store before it asks a reader
 again."""
 
+SETTLE_MS = 2000.0
+"""Milliseconds after a failed call in which a follower only polls, so that
+its reader can reach the store again; hosts that all watched it for themselves
+would load a store that has just come back."""
+
 IDLE_MS = 500.0
 """Milliseconds between two checks whether there is a reader to follow."""
 
@@ -86,6 +91,7 @@
         """The reader that is followed; empty while the store is read."""
         self._answered_at: float | None = None
         """When the store last answered; None after a failed call."""
+        self._settled_at = 0.0
         self._news = asyncio.Event()
 
     async def on_start(self) -> None:
@@ -115,15 +121,21 @@
         if since > log.position:
             log.reset(since)
         end_at = self._clock.now() + wait_ms
-        while self._reader and kind not in self._unfollowed:
+        while kind not in self._unfollowed and self._may_follow():
             changes = log.read(since)
             if changes is None:
                 break
-            left_ms = end_at - self._clock.now()
-            if changes.changes or left_ms <= 0:
+            now = self._clock.now()
+            if changes.changes or now >= end_at:
+                return changes
+            wait_until = end_at if self._reader else self._settled_at
+            await self._wait_for_news(min(end_at, wait_until) - now)
+        if self._is_follower():
+            # If the store is away, this is found out at a low price.
+            changes = await self._call(self._store.poll(kind, since))
+            if changes.changes:
+                self._record(kind, since, changes)
                 return changes
-            await self._wait_for_news(left_ms)
-        if self._choice.is_follower(self._membership.hosts()):
             wait_ms = min(wait_ms, FALLBACK_WAIT_MS)
         changes = await self._call(self._store.watch(kind, since, wait_ms))
         self._unfollowed.discard(kind)
@@ -159,6 +171,15 @@
         """See `ObjectStore.close`."""
         await self._store.close()
 
+    def _is_follower(self) -> bool:
+        return self._choice.is_follower(self._membership.hosts())
+
+    def _may_follow(self) -> bool:
+        """Return whether a reader tells changes, or may do so soon."""
+        if self._reader:
+            return True
+        return self._clock.now() < self._settled_at and self._is_follower()
+
     async def _call(self, call):
         """Await a call to the store, and record whether it answers."""
         try:
@@ -168,6 +189,7 @@
             raise
         except exceptions.PlatformError:
             self._answered_at = None
+            self._settled_at = self._clock.now() + SETTLE_MS
             # Followers are told at once that this host is blind.
             self._announce()
             raise
@@ -213,8 +235,7 @@
 
     def _measure_age(self) -> float | None:
         """Return how long ago the store answered; None if it is too long."""
-        is_follower = self._choice.is_follower(self._membership.hosts())
-        if self._answered_at is None or is_follower:
+        if self._answered_at is None or self._is_follower():
             return None
         age_ms = self._clock.now() - self._answered_at
         return age_ms if age_ms < MAX_AGE_MS else None
--- a/tests/test_sharedstore.py
+++ b/tests/test_sharedstore.py
@@ -78,6 +78,26 @@
     )
 
 
+def test_followers_return_to_their_readers_after_an_outage():
+    async def run():
+        cluster = await start_cluster()
+        before = len(cluster.store.calls)
+        cluster.store.faults.refuses = True
+        await cluster.wait(3000.0)
+        cluster.store.faults.refuses = False
+        cluster.configure(2)
+        await cluster.wait(helpers.IN_TOUCH_MS)
+        calls = collections.Counter(
+            call for _, call, _ in cluster.store.calls[before:]
+        )
+        return list_late(cluster, 2), calls["watch"]
+
+    late, watches = virtual.run(run())
+    assertions.assert_that(late, matchers.Equals([]))
+    # Those of the readers alone: three kinds, before and after, and retries.
+    assertions.assert_that(watches, matchers.LessThan(READERS * 12))
+
+
 def test_small_domains_read_the_store_directly():
     async def run():
         cluster = await start_cluster(count=storereaders.MIN_DOMAIN_HOSTS - 1)
