--- a/chervilshore/controllers/streamreader.py
+++ b/chervilshore/controllers/streamreader.py
@@ -6,6 +6,7 @@
 import typing
 
 import msgspec
+import xxhash
 
 from chervilshore import clock as clocks
 from chervilshore.controllers import directory as directories
@@ -29,6 +30,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+def name_version(origin: forwarded.StreamOrigin) -> str:
+    """Return the name of the object that registers a version."""
+    digest = xxhash.xxh3_64_hexdigest(
+        f"{origin.pool}\x00{origin.version}".encode()
+    )
+    return VERSION_PREFIX + digest
+
+
 class StreamReader:
     """What one host has read of the streams and versions in the store.
 
--- a/chervilshore/controllers/streamstore.py
+++ b/chervilshore/controllers/streamstore.py
@@ -6,7 +6,6 @@
 
 import mode
 import msgspec
-import xxhash
 
 from chervilshore import clock as clocks
 from chervilshore.controllers import directory as directories
@@ -29,6 +28,9 @@
 """Milliseconds between two writes of all hosts together, so that many hosts
 leave room for others at a store that takes 400 writes a second."""
 
+REGISTRATION_MS = 500.0
+"""Milliseconds in which a host registers the first version of a pool."""
+
 RECORD_TIMEOUT_MS = 500.0
 """Milliseconds for which the first event waits at most until the store has
 what began the stream."""
@@ -180,8 +182,6 @@
             bool(registered) and origin.version not in registered
         )
 
-    # Finding.
-
     def find(self, stream: ids.RequestId) -> forwarded.StreamOrigin | None:
         """Return what began a stream, as far as this host has read."""
         for journal in self._journals.values():
@@ -240,25 +240,39 @@
 
     async def _register_versions(self) -> None:
         if not self._reader.knows_versions:
+            if not any(map(self._must_register, self._list_unregistered())):
+                # The host that registers a first version comes before.
+                await self._clock.sleep(REGISTRATION_MS)
             # What was registered long ago is enough here, at a low price.
             await self._reader.read_versions()
-        for pool in tuple(self._windows_ms):
-            registered = self._reader.registry.list_versions(pool)
-            for origin in self._reader.list_unregistered(pool):
-                # It is enough that one host registers the first version.
-                if (
-                    registered
-                    or self._reader.has_several_versions(pool)
-                    or pool in self._unregistered
-                    or self._is_chosen(_name_version(origin))
-                ):
-                    await self._register(origin)
+        for origin in self._list_unregistered():
+            if self._must_register(origin):
+                await self._register(origin)
+
+    def _list_unregistered(self) -> list[forwarded.StreamOrigin]:
+        return [
+            origin
+            for pool in self._windows_ms
+            for origin in self._reader.list_unregistered(pool)
+        ]
+
+    def _must_register(self, origin: forwarded.StreamOrigin) -> bool:
+        """Return whether this host is to register a version.
+
+        It is enough that one host registers the first version of a pool.
+        """
+        return (
+            origin.pool in self._unregistered
+            or origin.pool in self._reader.registry.list_pools()
+            or self._reader.has_several_versions(origin.pool)
+            or self._is_chosen(streamreader.name_version(origin))
+        )
 
     async def _register(self, origin: forwarded.StreamOrigin) -> None:
         try:
             await self._store.replace(
                 self._kind,
-                _name_version(origin),
+                streamreader.name_version(origin),
                 msgspec.json.encode(origin),
                 0,
             )
@@ -331,7 +345,7 @@
         )
         for origin in gone:
             self._reader.registry.remove(origin)
-            await self._delete(_name_version(origin))
+            await self._delete(streamreader.name_version(origin))
         if not self._reader.list_unregistered(pool):
             self._unregistered.discard(pool)
             return
@@ -367,7 +381,7 @@
             )
 
     def describe_pool(self, pool: ids.PoolName) -> dict[str, object]:
-        """Return the versions of a pool, for the log."""
+        """Return the versions of a pool, for operators."""
         return {
             "listed": sorted(self._reader.list_versions(pool)),
             "registered": sorted(self._reader.registry.list_versions(pool)),
@@ -379,14 +393,6 @@
             "recorded": self._count_starts(),
             "unwritten": any(map(self._must_write, tuple(self._journals))),
             "versions": {
-                pool: sorted(self._reader.registry.list_versions(pool))
-                for pool in self._windows_ms
+                pool: self.describe_pool(pool) for pool in self._windows_ms
             },
         }
-
-
-def _name_version(origin: forwarded.StreamOrigin) -> str:
-    digest = xxhash.xxh3_64_hexdigest(
-        f"{origin.pool}\x00{origin.version}".encode()
-    )
-    return streamreader.VERSION_PREFIX + digest
