Ask a connection which process of an endpoint it has reached

A stream went on there, or began there under the old version.

Change: the first resumable stream on a connection asks for the endpoint's report. If the process in it is not the listed one, nothing is sent and the attempt goes elsewhere. Entries or reports without a start time are not checked.

Figures: test_endpoint_that_started_again_is_not_taken_for_the_old_one found text of v1 and v2 in one stream before, and passes.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -96,6 +96,9 @@
         Whether it has carried an exchange before.
     relay : HostId
         The peer that relays it; empty for a direct connection.
+    process : InstanceId
+        The process of the endpoint that it is known to have reached; empty
+        if none was asked for.
     """
 
     def __init__(self) -> None:
@@ -103,6 +106,7 @@
         self.idle_ms = DEFAULT_IDLE_MS
         self.reused = False
         self.relay = ids.HostId("")
+        self.process = ids.InstanceId("")
         self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
--- a/chervilshore/controllers/streams.py
+++ b/chervilshore/controllers/streams.py
@@ -110,6 +110,7 @@
     def follow(self, exchange: base.Exchange) -> None:
         """Record what begins the stream of a request."""
         relay = exchange.relay
+        relay.needs_version = True
         relay.on_sent = functools.partial(self._record_sent, exchange)
         relay.confirm = functools.partial(
             self._stored.confirm, exchange.request
--- a/chervilshore/forwarded.py
+++ b/chervilshore/forwarded.py
@@ -135,6 +135,9 @@
     origin : StreamOrigin or None
         What wrote the first event, in this request or an earlier one; None
         for a new stream without an event.
+    needs_version : bool
+        Whether the version of what sends the events must be known for sure,
+        as callers may resume the stream.
     begun_at : float or None
         Time in milliseconds at which the endpoint of the current attempt
         sent its first complete event.
@@ -157,6 +160,7 @@
         self.head_sent = False
         self.last_event_id: int | None = None
         self.origin: StreamOrigin | None = None
+        self.needs_version = False
         self.begun_at: float | None = None
         self.has_survived = False
         self.on_survived: collections_abc.Callable[[], None] = _do_nothing
--- a/chervilshore/platform/documents.py
+++ b/chervilshore/platform/documents.py
@@ -289,12 +289,17 @@
         address=ids.Address(decoded.addr),
         state=state.LIVE if decoded.state == READY else state.LEAVING,
         cold_ms=decoded.cold_left_ms,
-        instance=ids.InstanceId(f"{name}/{decoded.born}"),
+        instance=make_instance(ids.EndpointId(name), decoded.born),
         version=ids.SoftwareVersion(decoded.version),
         slots=max(0, decoded.slots),
     )
 
 
+def make_instance(endpoint: ids.EndpointId, born: int) -> ids.InstanceId:
+    """Return the name of the process of an endpoint that started then."""
+    return ids.InstanceId(f"{endpoint}/{born}")
+
+
 class _Host(msgspec.Struct):
     domain: str
     peer: str
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -15,6 +15,7 @@
 from chervilshore import notices
 from chervilshore.platform import headers
 from chervilshore.platform import names
+from chervilshore.platform import processes
 from chervilshore.platform import requests
 from chervilshore import records
 
@@ -67,6 +68,8 @@
             )
         try:
             async with asyncio.timeout(max(0.0, call.millis) / 1000.0):
+                if call.relay is not None and call.relay.needs_version:
+                    await processes.check_process(connection, record)
                 left_ms = max(1, int(deadline - self._clock.now()))
                 connection.send(_make_request(record, call, left_ms))
                 head = await connection.read_head()
--- a/chervilshore/platform/names.py
+++ b/chervilshore/platform/names.py
@@ -73,6 +73,9 @@
 """Headers that only this system may set on a call to an endpoint; they are
 removed from callers' requests."""
 
+REPORT = "/report"
+"""Path at which an endpoint says what it is and does."""
+
 STAGE_RUN = "/stage-run"
 """Path at which an endpoint runs batch items."""
 
--- /dev/null
+++ b/chervilshore/platform/processes.py
@@ -0,0 +1,80 @@
+"""Checks that the process at an endpoint is the one that is listed."""
+
+import msgspec
+
+from chervilshore.clients import connections
+from chervilshore import exceptions
+from chervilshore.platform import documents
+from chervilshore.platform import names
+from chervilshore import records
+
+MAX_REPORT_BYTES = 1_000_000
+
+
+class _Report(msgspec.Struct):
+    """What an endpoint says of itself."""
+
+    born: int = 0
+
+
+_REPORT_DECODER = msgspec.json.Decoder(_Report)
+
+
+async def check_process(
+    connection: connections.Connection, record: records.EndpointRecord
+) -> None:
+    """Ask a connection once which process of an endpoint it has reached.
+
+    An endpoint that starts again under its name may have another software
+    version, which its entry names only later. No connection outlives the
+    process that accepted it.
+
+    Raises
+    ------
+    exceptions.EndpointUnreached
+        It is another process than the listed one, or the connection cannot
+        be used after the question.
+    exceptions.EndpointBroken
+        The answer was lost.
+    """
+    if connection.process == record.instance:
+        return
+    if record.instance == documents.make_instance(record.endpoint, 0):
+        # Its entry does not tell its processes apart.
+        return
+    connection.send(
+        connections.Request(
+            "GET",
+            names.REPORT,
+            [
+                ("Host", record.address),
+                (names.INSTANCE_EXPECTED, record.endpoint),
+            ],
+        )
+    )
+    head = await connection.read_head()
+    content = bytearray()
+    async for data in connection.read_body():
+        content += data
+        if len(content) > MAX_REPORT_BYTES:
+            raise exceptions.ResponseTooLarge("report of an endpoint")
+    born = _read_born(head, bytes(content))
+    found = documents.make_instance(record.endpoint, born)
+    if born and found != record.instance:
+        raise exceptions.EndpointUnreached(
+            f"process {found} is not listed, but {record.instance}"
+        )
+    if not connection.prepare_reuse(head):
+        raise exceptions.EndpointUnreached("connection closes after a report")
+    connection.process = record.instance
+
+
+def _read_born(head: connections.ResponseHead, content: bytes) -> int:
+    """Return when a process started, or 0 if its endpoint does not say."""
+    if head.status != 200:
+        return 0
+    try:
+        return _REPORT_DECODER.decode(content).born
+    except msgspec.DecodeError:
+        # An endpoint of another kind answers what it likes.
+        return 0
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -89,6 +89,8 @@
         The data of each event.
     event_ms : float
         Milliseconds between two events.
+    born : int
+        Unix millisecond of its start; 0 if it does not say.
 
     Attributes
     ----------
@@ -120,6 +122,7 @@
         version: str = "v1",
         text: str = "x",
         event_ms: float = 0.0,
+        born: int = 0,
     ) -> None:
         self.name = name
         self.version = version
@@ -137,17 +140,18 @@
         self._events = events
         self._text = text
         self._event_ms = event_ms
+        self._born = born
         self._millis = millis
         self._handles = itertools.count()
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
 
-    async def start(self, host: str = "127.0.0.1") -> str:
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen; return the address as ``host:port``."""
         server = web.Server(self._serve, handler_cancellation=True)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
-        self._site = web.TCPSite(self._runner, host, 0)
+        self._site = web.TCPSite(self._runner, host, port)
         await self._site.start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
@@ -176,6 +180,7 @@
             "state": "ready",
             "cold_left_ms": 0,
             "call_seq": 0,
+            "born": self._born,
         } | changes
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -191,6 +196,8 @@
                 status=421,
                 headers={"Chervilshore-Instance-Id": self.name},
             )
+        if request.path == "/report":
+            return web.json_response({"queued": 0, "born": self._born})
         if request.path == "/stage-free":
             self.freed_handles += msgspec.json.decode(body)["handles"]
             return web.json_response({})
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -12,6 +12,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from standins import workers
 from tests import gateway_helpers as helpers
 
 EVENTS = 6
@@ -27,7 +28,9 @@
 ask for half as many as new ones that begin."""
 
 
-async def serve_versions(deployment, hosts, versions=VERSIONS, **route):
+async def serve_versions(
+    deployment, hosts, versions=VERSIONS, born=0, **route
+):
     """Start hosts, and two endpoints of each version that cut new streams."""
     await deployment.configure(
         [
@@ -46,7 +49,9 @@
         )
     for version in versions:
         for number in range(2):
-            await add_endpoint(deployment, f"{version}-{number}", version)
+            await add_endpoint(
+                deployment, f"{version}-{number}", version, born
+            )
     for host in deployment.hosts:
         await deployment.wait_ready(host, 2 * len(versions))
         await deployment.wait_until(
@@ -54,10 +59,10 @@
         )
 
 
-async def add_endpoint(deployment, name, version):
+async def add_endpoint(deployment, name, version, born=0):
     """Start an endpoint that cuts new streams."""
     worker = await deployment.add_worker(
-        name, "llm", events=EVENTS, version=version, text=version
+        name, "llm", events=EVENTS, version=version, text=version, born=born
     )
     worker.faults.cut_new = EVENTS_BEFORE_CUT
 
@@ -219,3 +224,30 @@
         )
         streams.append(events_seen + more_events)
     check_streams(streams)
+
+
+# An endpoint started again under its name and address with another version;
+# until the store listed it anew, hosts took it for the old one (issue 33).
+async def test_endpoint_that_started_again_is_not_taken_for_the_old_one(
+    deployment,
+):
+    await serve_versions(deployment, 1, VERSIONS[:1], max_attempts=2, born=1)
+    host = deployment.hosts[0]
+    begun = [await read_events(deployment, host) for _ in range(STREAMS)]
+    old = deployment.workers["v1-0"]
+    await old.stop()
+    new = workers.Worker(
+        "v1-0", events=EVENTS, version="v2", text="v2", born=2
+    )
+    await new.start(port=int(old.address.rpartition(":")[2]))
+    deployment.workers["v1-0"] = new
+    new.faults.cut_new = EVENTS_BEFORE_CUT
+    begun += [await read_events(deployment, host) for _ in range(STREAMS)]
+    streams = []
+    for attempt, _, events_seen, _ in begun:
+        _, _, more_events, _ = await read_events(
+            deployment, host, resume_after(attempt, events_seen)
+        )
+        streams.append(events_seen + more_events)
+    check_streams(streams)
+    assertions.assert_that(new.runs, matchers.Equals([]))
