Look for a first version in turn

Change: each host has its turn, later the more come before it; hosts read again when the listed versions of a pool change, not while one is missing.

--- a/chervilshore/controllers/streamstore.py
+++ b/chervilshore/controllers/streamstore.py
@@ -91,12 +91,12 @@
             host, clock, store, kind, directory, self._merge
         )
         self._windows_ms: dict[ids.PoolName, float] = {}
-        self._unregistered: set[ids.PoolName] = set()
+        self._listed: dict[ids.PoolName, set[ids.SoftwareVersion]] = {}
+        # Searches in which the first version of a pool was not registered.
+        self._searches: dict[ids.PoolName, int] = {}
         self._has_work = asyncio.Event()
         self._has_written = asyncio.Event()
 
-    # Recording.
-
     def record(
         self,
         stream: ids.RequestId,
@@ -132,7 +132,11 @@
     def check_versions(self) -> None:
         """Write what is due; to be called when versions may have come."""
         for pool in self._windows_ms:
-            if self._reader.list_unregistered(pool) or self._must_write(pool):
+            listed = self._reader.list_versions(pool)
+            if listed != self._listed.get(pool):
+                self._listed[pool] = listed
+                self._reader.knows_versions = False
+            if not self._reader.knows_versions or self._must_write(pool):
                 self._has_work.set()
 
     def _must_write(self, pool: ids.PoolName) -> bool:
@@ -202,8 +206,6 @@
         """Return what began a stream; see `StreamReader.read`."""
         return (await self._reader.read()).get(stream)
 
-    # Writing.
-
     @mode.Service.task
     async def _write(self) -> None:
         """Write what is new, in batches."""
@@ -259,13 +261,15 @@
     def _must_register(self, origin: forwarded.StreamOrigin) -> bool:
         """Return whether this host is to register a version.
 
-        It is enough that one host registers the first version of a pool.
+        It is enough that one host registers the first version of a pool. A
+        host that comes before may have no streams; the more come before, the
+        later this one is needed.
         """
+        rank = self._find_rank(streamreader.name_version(origin))
         return (
-            origin.pool in self._unregistered
+            rank**2 <= self._searches.get(origin.pool, 0)
             or origin.pool in self._reader.registry.list_pools()
             or self._reader.has_several_versions(origin.pool)
-            or self._is_chosen(streamreader.name_version(origin))
         )
 
     async def _register(self, origin: forwarded.StreamOrigin) -> None:
@@ -313,12 +317,10 @@
     def _count_starts(self) -> int:
         return sum(map(len, self._journals.values()))
 
-    def _is_chosen(self, name: str) -> bool:
-        """Return whether this host is the one that looks after an object."""
-        hosts = [record.host for record in self._directory.hosts()]
-        return rendezvous.choose(hosts, name) in (self._host, None)
-
-    # Maintenance.
+    def _find_rank(self, name: str) -> int:
+        """Return how many hosts look after an object before this one."""
+        hosts = {record.host for record in self._directory.hosts()}
+        return rendezvous.rank(hosts | {self._host}, name).index(self._host)
 
     @mode.Service.task
     async def _maintain(self) -> None:
@@ -347,13 +349,12 @@
             self._reader.registry.remove(origin)
             await self._delete(streamreader.name_version(origin))
         if not self._reader.list_unregistered(pool):
-            self._unregistered.discard(pool)
+            self._searches.pop(pool, None)
             return
-        # The host that is to register it may have no streams.
-        if self._reader.knows_versions:
-            self._unregistered.add(pool)
-        self._reader.knows_versions = False
-        self._has_work.set()
+        self._searches[pool] = self._searches.get(pool, -1) + 1
+        if any(map(self._must_register, self._reader.list_unregistered(pool))):
+            self._reader.knows_versions = False
+            self._has_work.set()
 
     def _check_era(self) -> None:
         """Write all again after the store was restored from a copy."""
@@ -367,7 +368,7 @@
             self._has_work.set()
 
     async def _delete(self, name: str) -> None:
-        if not self._is_chosen(name):
+        if self._find_rank(name):
             return
         try:
             await self._store.delete(self._kind, name)
