--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -98,6 +98,9 @@
         Whether each response on it has named the request that it answers.
     relay : HostId
         The peer that relays it; empty for a direct connection.
+    process : InstanceId
+        The process of the endpoint that it is known to have reached; empty
+        if none was asked for.
     """
 
     def __init__(self) -> None:
@@ -106,6 +109,7 @@
         self.reused = False
         self.identified = True
         self.relay = ids.HostId("")
+        self.process = ids.InstanceId("")
         self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
--- a/chervilshore/controllers/streamstore.py
+++ b/chervilshore/controllers/streamstore.py
@@ -6,7 +6,6 @@
 
 import mode
 import msgspec
-import xxhash
 
 from chervilshore import clock as clocks
 from chervilshore.controllers import directory as directories
@@ -29,6 +28,9 @@
 """Milliseconds between two writes of all hosts together, so that many hosts
 leave room for others at a store that takes 400 writes a second."""
 
+REGISTRATION_MS = 500.0
+"""Milliseconds in which a host registers the first version of a pool."""
+
 RECORD_TIMEOUT_MS = 500.0
 """Milliseconds for which the first event waits at most until the store has
 what began the stream."""
@@ -89,12 +91,12 @@
             host, clock, store, kind, directory, self._merge
         )
         self._windows_ms: dict[ids.PoolName, float] = {}
-        self._unregistered: set[ids.PoolName] = set()
+        self._listed: dict[ids.PoolName, set[ids.SoftwareVersion]] = {}
+        # Searches in which the first version of a pool was not registered.
+        self._searches: dict[ids.PoolName, int] = {}
         self._has_work = asyncio.Event()
         self._has_written = asyncio.Event()
 
-    # Recording.
-
     def record(
         self,
         stream: ids.RequestId,
@@ -130,7 +132,11 @@
     def check_versions(self) -> None:
         """Write what is due; to be called when versions may have come."""
         for pool in self._windows_ms:
-            if self._reader.list_unregistered(pool) or self._must_write(pool):
+            listed = self._reader.list_versions(pool)
+            if listed != self._listed.get(pool):
+                self._listed[pool] = listed
+                self._reader.knows_versions = False
+            if not self._reader.knows_versions or self._must_write(pool):
                 self._has_work.set()
 
     def _must_write(self, pool: ids.PoolName) -> bool:
@@ -180,8 +186,6 @@
             bool(registered) and origin.version not in registered
         )
 
-    # Finding.
-
     def find(self, stream: ids.RequestId) -> forwarded.StreamOrigin | None:
         """Return what began a stream, as far as this host has read."""
         for journal in self._journals.values():
@@ -202,8 +206,6 @@
         """Return what began a stream; see `StreamReader.read`."""
         return (await self._reader.read()).get(stream)
 
-    # Writing.
-
     @mode.Service.task
     async def _write(self) -> None:
         """Write what is new, in batches."""
@@ -240,25 +242,41 @@
 
     async def _register_versions(self) -> None:
         if not self._reader.knows_versions:
+            if not any(map(self._must_register, self._list_unregistered())):
+                # The host that registers a first version comes before.
+                await self._clock.sleep(REGISTRATION_MS)
             # What was registered long ago is enough here, at a low price.
             await self._reader.read_versions()
-        for pool in tuple(self._windows_ms):
-            registered = self._reader.registry.list_versions(pool)
-            for origin in self._reader.list_unregistered(pool):
-                # It is enough that one host registers the first version.
-                if (
-                    registered
-                    or self._reader.has_several_versions(pool)
-                    or pool in self._unregistered
-                    or self._is_chosen(_name_version(origin))
-                ):
-                    await self._register(origin)
+        for origin in self._list_unregistered():
+            if self._must_register(origin):
+                await self._register(origin)
+
+    def _list_unregistered(self) -> list[forwarded.StreamOrigin]:
+        return [
+            origin
+            for pool in self._windows_ms
+            for origin in self._reader.list_unregistered(pool)
+        ]
+
+    def _must_register(self, origin: forwarded.StreamOrigin) -> bool:
+        """Return whether this host is to register a version.
+
+        It is enough that one host registers the first version of a pool. A
+        host that comes before may have no streams; the more come before, the
+        later this one is needed.
+        """
+        rank = self._find_rank(streamreader.name_version(origin))
+        return (
+            rank**2 <= self._searches.get(origin.pool, 0)
+            or origin.pool in self._reader.registry.list_pools()
+            or self._reader.has_several_versions(origin.pool)
+        )
 
     async def _register(self, origin: forwarded.StreamOrigin) -> None:
         try:
             await self._store.replace(
                 self._kind,
-                _name_version(origin),
+                streamreader.name_version(origin),
                 msgspec.json.encode(origin),
                 0,
             )
@@ -299,12 +317,10 @@
     def _count_starts(self) -> int:
         return sum(map(len, self._journals.values()))
 
-    def _is_chosen(self, name: str) -> bool:
-        """Return whether this host is the one that looks after an object."""
-        hosts = [record.host for record in self._directory.hosts()]
-        return rendezvous.choose(hosts, name) in (self._host, None)
-
-    # Maintenance.
+    def _find_rank(self, name: str) -> int:
+        """Return how many hosts look after an object before this one."""
+        hosts = {record.host for record in self._directory.hosts()}
+        return rendezvous.rank(hosts | {self._host}, name).index(self._host)
 
     @mode.Service.task
     async def _maintain(self) -> None:
@@ -331,15 +347,14 @@
         )
         for origin in gone:
             self._reader.registry.remove(origin)
-            await self._delete(_name_version(origin))
+            await self._delete(streamreader.name_version(origin))
         if not self._reader.list_unregistered(pool):
-            self._unregistered.discard(pool)
+            self._searches.pop(pool, None)
             return
-        # The host that is to register it may have no streams.
-        if self._reader.knows_versions:
-            self._unregistered.add(pool)
-        self._reader.knows_versions = False
-        self._has_work.set()
+        self._searches[pool] = self._searches.get(pool, -1) + 1
+        if any(map(self._must_register, self._reader.list_unregistered(pool))):
+            self._reader.knows_versions = False
+            self._has_work.set()
 
     def _check_era(self) -> None:
         """Write all again after the store was restored from a copy."""
@@ -353,7 +368,7 @@
             self._has_work.set()
 
     async def _delete(self, name: str) -> None:
-        if not self._is_chosen(name):
+        if self._find_rank(name):
             return
         try:
             await self._store.delete(self._kind, name)
@@ -367,7 +382,7 @@
             )
 
     def describe_pool(self, pool: ids.PoolName) -> dict[str, object]:
-        """Return the versions of a pool, for the log."""
+        """Return the versions of a pool, for operators."""
         return {
             "listed": sorted(self._reader.list_versions(pool)),
             "registered": sorted(self._reader.registry.list_versions(pool)),
@@ -379,14 +394,6 @@
             "recorded": self._count_starts(),
             "unwritten": any(map(self._must_write, tuple(self._journals))),
             "versions": {
-                pool: sorted(self._reader.registry.list_versions(pool))
-                for pool in self._windows_ms
+                pool: self.describe_pool(pool) for pool in self._windows_ms
             },
         }
-
-
-def _name_version(origin: forwarded.StreamOrigin) -> str:
-    digest = xxhash.xxh3_64_hexdigest(
-        f"{origin.pool}\x00{origin.version}".encode()
-    )
-    return streamreader.VERSION_PREFIX + digest
