Wait 0.3 s at most for the process of a connection

Cause: the question which process a connection has reached had the time of the whole request, so an endpoint that does not answer it held a request until its deadline.

Change: after 0.3 s, as for a connection that cannot be opened, the request goes elsewhere; nothing of it was sent.

Test: test_endpoint_without_a_report_delays_no_stream fails with a limit of 60 s and passes with 0.3 s.

--- a/chervilshore/platform/processes.py
+++ b/chervilshore/platform/processes.py
@@ -1,5 +1,7 @@
 """Checks that the process at an endpoint is the one that is listed."""
 
+import asyncio
+
 import msgspec
 
 from chervilshore.clients import connections
@@ -10,6 +12,10 @@
 
 MAX_REPORT_BYTES = 1_000_000
 
+REPORT_TIMEOUT_SECONDS = 0.3
+"""Seconds to wait for a report, as for a connection: it needs no slot, and
+nothing of the request has been sent yet."""
+
 
 class _Report(msgspec.Struct):
     """What an endpoint says of itself."""
@@ -32,16 +38,33 @@
     Raises
     ------
     exceptions.EndpointUnreached
-        It is another process than the listed one, or the connection cannot
-        be used after the question.
-    exceptions.EndpointBroken
-        The answer was lost.
+        It is another process than the listed one, it does not answer, or the
+        connection cannot be used after the question.
     """
     if connection.process == record.instance:
         return
     if record.instance == documents.make_instance(record.endpoint, 0):
         # Its entry does not tell its processes apart.
         return
+    try:
+        async with asyncio.timeout(REPORT_TIMEOUT_SECONDS):
+            head, born = await _ask(connection, record)
+    except (TimeoutError, exceptions.EndpointBroken) as error:
+        raise exceptions.EndpointUnreached(f"no report: {error!r}") from error
+    found = documents.make_instance(record.endpoint, born)
+    if born and found != record.instance:
+        raise exceptions.EndpointUnreached(
+            f"process {found} is not listed, but {record.instance}"
+        )
+    if not connection.prepare_reuse(head):
+        raise exceptions.EndpointUnreached("connection closes after a report")
+    connection.process = record.instance
+
+
+async def _ask(
+    connection: connections.Connection, record: records.EndpointRecord
+) -> tuple[connections.ResponseHead, int]:
+    """Return the head of an endpoint's report, and its start time."""
     connection.send(
         connections.Request(
             "GET",
@@ -58,15 +81,7 @@
         content += data
         if len(content) > MAX_REPORT_BYTES:
             raise exceptions.ResponseTooLarge("report of an endpoint")
-    born = _read_born(head, bytes(content))
-    found = documents.make_instance(record.endpoint, born)
-    if born and found != record.instance:
-        raise exceptions.EndpointUnreached(
-            f"process {found} is not listed, but {record.instance}"
-        )
-    if not connection.prepare_reuse(head):
-        raise exceptions.EndpointUnreached("connection closes after a report")
-    connection.process = record.instance
+    return head, _read_born(head, bytes(content))
 
 
 def _read_born(head: connections.ResponseHead, content: bytes) -> int:
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -6,6 +6,9 @@
 from aiohttp import web
 import msgspec
 
+SILENCE_SECONDS = 60.0
+"""Seconds until a silent worker answers; no caller waits for so long."""
+
 STAMP = "stamp"
 """First part of the stamp on answers of requests that ran."""
 
@@ -52,6 +55,8 @@
     crash_part : str
         Part of a prompt, other than its last one, that ends the worker when
         it begins to answer; empty for none.
+    silent_reports : bool
+        Whether it does not answer questions for its report.
     """
 
     shed: int = 0
@@ -70,6 +75,7 @@
     retry_after: str = ""
     crash_body: bytes = b""
     crash_part: str = ""
+    silent_reports: bool = False
 
 
 class Worker:
@@ -197,6 +203,8 @@
                 headers={"Chervilshore-Instance-Id": self.name},
             )
         if request.path == "/report":
+            if self.faults.silent_reports:
+                await asyncio.sleep(SILENCE_SECONDS)
             return web.json_response({"queued": 0, "born": self._born})
         if request.path == "/stage-free":
             self.freed_handles += msgspec.json.decode(body)["handles"]
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -251,3 +251,22 @@
         streams.append(events_seen + more_events)
     check_streams(streams)
     assertions.assert_that(new.runs, matchers.Equals([]))
+
+
+# An endpoint that does not answer the question which process it is would hold
+# a request until its deadline.
+async def test_endpoint_without_a_report_delays_no_stream(deployment):
+    await serve_versions(deployment, 1, VERSIONS[:1], max_attempts=2, born=1)
+    host = deployment.hosts[0]
+    silent, sound = (deployment.workers[f"v1-{number}"] for number in (0, 1))
+    silent.faults.silent_reports = True
+    for worker in (silent, sound):
+        worker.faults.cut_new = 0
+    began_at = asyncio.get_running_loop().time()
+    found = [await read_events(deployment, host) for _ in range(4)]
+    took_seconds = asyncio.get_running_loop().time() - began_at
+    assertions.assert_that(
+        [(status, len(events)) for _, status, events, _ in found],
+        matchers.Equals([(200, EVENTS)] * 4),
+    )
+    assertions.assert_that(took_seconds, matchers.LessThan(4 * 1.0))
