Read orders of roll-outs from the store and write their status

Cause: the kind of objects by which operators order a pool's move to another software version was read nowhere, and the client of the store could not write a status under a condition.

Change: three settings, empty unless a deployment has these bounds, switch the kind on as a further cache of the catalog, with the checks of watches, restores and copies from peers that the others have; peers of earlier builds do not have it, so a host waits 2 s for it at most. ObjectStore.put_status writes only at the known revision. Slots ask which versions may be used; by default all.

--- a/chervilshore/catalogmessages.py
+++ b/chervilshore/catalogmessages.py
@@ -16,11 +16,14 @@
         The revision of the store up to which the sender is current.
     objects : tuple
         Name, revision and content of each object.
+    statuses : tuple of bytes
+        The status of each object; empty for kinds that have none.
     """
 
     kind: str
     revision: int
     objects: tuple[tuple[str, int, bytes], ...]
+    statuses: tuple[bytes, ...] = ()
 
 
 class CatalogRequest(messages.Message, frozen=True, tag="va"):
--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 
 import mode
 import msgspec
@@ -56,6 +57,9 @@
 Operators and endpoints write theirs again once they notice the restore.
 """
 
+ROLLOUTS_WAIT_MS = 2000.0
+"""Milliseconds for which a host that knows all else waits for roll-outs."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -82,6 +86,8 @@
     ----------
     caches : dict of str to ObjectCache
         The cached objects of each kind.
+    on_rollouts : callable
+        Called whenever the orders of roll-outs may have changed.
     """
 
     def __init__(
@@ -109,16 +115,23 @@
             ),
             decoders.hosts: objectcache.ObjectCache(),
         }
+        watch_delays_ms = {
+            decoders.rules: WATCH_DELAY_MS,
+            decoders.domains: WATCH_DELAY_MS,
+            decoders.endpoints: ENDPOINTS_WATCH_DELAY_MS,
+        }
+        if decoders.rollouts:
+            self.caches[decoders.rollouts] = objectcache.ObjectCache(
+                restore_grace_ms=RESTORE_GRACE_MS
+            )
+            watch_delays_ms[decoders.rollouts] = WATCH_DELAY_MS
+        self.on_rollouts = lambda: None
         self._registration_due = asyncio.Event()
         self._registration_due.set()
         self._reader = storereader.StoreReader(
             store,
             self.caches,
-            {
-                decoders.rules: WATCH_DELAY_MS,
-                decoders.domains: WATCH_DELAY_MS,
-                decoders.endpoints: ENDPOINTS_WATCH_DELAY_MS,
-            },
+            watch_delays_ms,
             clock,
             recovery_ms,
             self.apply,
@@ -126,6 +139,7 @@
         )
         self._table = endpointtable.EndpointTable()
         self._stored_rules = model.Rules()
+        self._read_at = math.inf
         self._registered = False
         self._leaving = False
 
@@ -179,9 +193,16 @@
 
     @property
     def ready(self) -> bool:
-        """Whether every kind has been read, from the store or from a peer."""
-        known = all(cache.revision for cache in self.caches.values())
-        return known and bool(self._rules.generation)
+        """Whether every kind has been read, from the store or from a peer.
+
+        Peers of earlier builds do not have the orders of roll-outs.
+        """
+        unread = {one for one in self.caches if not self.caches[one].revision}
+        if unread - {self._decoders.rollouts} or not self._rules.generation:
+            return False
+        self._read_at = min(self._read_at, self._clock.now())
+        waited_ms = self._clock.now() - self._read_at
+        return not unread or waited_ms >= ROLLOUTS_WAIT_MS
 
     def report(self, metrics: metric_types.Metrics) -> None:
         """Set the metrics of the store; see `StoreReader.report`."""
@@ -278,6 +299,8 @@
             self._combine_rules()
         elif kind == self._decoders.endpoints:
             self._apply_endpoints()
+        elif kind == self._decoders.rollouts:
+            self.on_rollouts()
         else:
             self._apply_hosts()
 
--- a/chervilshore/controllers/catalogsync.py
+++ b/chervilshore/controllers/catalogsync.py
@@ -1,5 +1,6 @@
 """Fetches objects of the store from peers while the store is unreachable."""
 
+import itertools
 import logging
 import random
 
@@ -75,8 +76,15 @@
                     (entry.name, entry.revision, entry.content)
                     for entry in cache.objects.values()
                 )
+                statuses = tuple(
+                    entry.status for entry in cache.objects.values()
+                )
+                if not any(one != objects.NO_STATUS for one in statuses):
+                    statuses = ()
                 found.append(
-                    catalogmessages.KindSnapshot(kind, cache.revision, stored)
+                    catalogmessages.KindSnapshot(
+                        kind, cache.revision, stored, statuses
+                    )
                 )
         return catalogmessages.CatalogReply(tuple(found))
 
@@ -124,8 +132,13 @@
                 continue
             listing = objects.Listing(
                 tuple(
-                    objects.StoredObject(*stored)
-                    for stored in snapshot.objects
+                    objects.StoredObject(*stored, status)
+                    for stored, status in zip(
+                        snapshot.objects,
+                        snapshot.statuses
+                        or itertools.repeat(objects.NO_STATUS),
+                        strict=False,
+                    )
                 ),
                 snapshot.revision,
             )
--- a/chervilshore/controllers/decoders.py
+++ b/chervilshore/controllers/decoders.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilshore import objects
 from chervilshore import records
 from chervilshore.rules import model
 
@@ -13,8 +14,9 @@
 
     Parameters
     ----------
-    rules, domains, endpoints, hosts : str
-        The name of each kind.
+    rules, domains, endpoints, hosts, rollouts : str
+        The name of each kind; that of roll-outs is empty if none are
+        carried out.
     rules_name : str
         The name of the object that holds the configuration.
     read_rules : callable
@@ -25,12 +27,18 @@
         cannot be used.
     write_host : callable
         Encodes this host's own record.
+    read_rollout : callable
+        Decodes an order of a roll-out and its status; returns None if it
+        cannot be used.
+    write_rollout_status : callable
+        Encodes the status of a roll-out.
     """
 
     rules: str
     domains: str
     endpoints: str
     hosts: str
+    rollouts: str
     rules_name: str
     read_rules: collections_abc.Callable[[bytes], model.Rules]
     read_endpoint: collections_abc.Callable[
@@ -40,3 +48,9 @@
         [str, bytes], records.HostRecord | None
     ]
     write_host: collections_abc.Callable[[records.HostRecord], bytes]
+    read_rollout: collections_abc.Callable[
+        [objects.StoredObject], records.RolloutRecord | None
+    ]
+    write_rollout_status: collections_abc.Callable[
+        [records.RolloutRecord], bytes
+    ]
--- a/chervilshore/controllers/immediateslots.py
+++ b/chervilshore/controllers/immediateslots.py
@@ -11,6 +11,7 @@
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import slots
+from chervilshore.controllers import versions
 from chervilshore.decisions import coldrate
 from chervilshore.decisions import endpointnotices
 from chervilshore.decisions import routing
@@ -45,6 +46,8 @@
         Returns a new router for one pool.
     notices : EndpointNotices
         When endpoints that ask for restraint may be used.
+    version_choice : Versions or None
+        Which versions get requests; None if all do.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         configuration: configurations.Configuration,
         make_router: collections_abc.Callable[[], routing.Router],
         notices: endpointnotices.EndpointNotices,
+        version_choice: versions.Versions | None = None,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -62,6 +66,7 @@
         self._configuration = configuration
         self._make_router = make_router
         self._notices = notices
+        self._versions = version_choice or versions.AnyVersion()
         self._routers: dict[ids.PoolName, routing.Router] = {}
         self._in_flight: dict[ids.EndpointId, int] = {}
         self._cold_rate = coldrate.ColdRate(host)
@@ -87,15 +92,18 @@
             for record in open_records
             if now >= self._notices.next_send(record)
         ]
-        ranked = self._find_router(requirements.pool).rank(
-            requirements, usable, now
-        )
-        for candidate in ranked:
-            if self._may_send(pool, candidate.record, now):
-                return self._assign(requirements, candidate.record)
+        ranked_count = 0
+        for group in self._versions.divide(requirements, usable, now):
+            ranked = self._find_router(requirements.pool).rank(
+                requirements, group, now
+            )
+            ranked_count += len(ranked)
+            for candidate in ranked:
+                if self._may_send(pool, candidate.record, now):
+                    return self._assign(requirements, candidate.record)
         raise exceptions.RefusalError(
             results.Code.NO_ENDPOINT,
-            _describe_choice(requirements, len(usable), len(ranked)),
+            _describe_choice(requirements, len(usable), ranked_count),
             self._choose_retry_ms(open_records, now),
         )
 
@@ -164,7 +172,10 @@
             version=record.version,
             in_flight=self._in_flight[endpoint],
         )
-        return slots.Slot(record)
+        self._versions.record_sent(
+            record, requirements.pipeline, self._clock.now()
+        )
+        return slots.Slot(record, pipeline=requirements.pipeline)
 
     def confirm(self, slot: slots.Slot) -> bool:
         """Check that the endpoint is still usable; see `Slots.confirm`."""
@@ -179,14 +190,16 @@
             del self._in_flight[endpoint]
         pool = self._configuration.rules.pools.get(slot.record.pool)
         millis = attempt.millis
+        now = self._clock.now()
+        self._versions.record_end(
+            slot.record, slot.pipeline, attempt.outcome, millis, now
+        )
         if pool is not None and pool.kind is records.EndpointKind.ENGINE:
             # The duration of a stream depends on the length of its text and
             # says nothing about the endpoint.
             millis = 0.0
         router = self._find_router(slot.record.pool)
-        router.record_attempt(
-            endpoint, attempt.outcome, millis, self._clock.now()
-        )
+        router.record_attempt(endpoint, attempt.outcome, millis, now)
 
     def describe(self) -> dict[str, object]:
         """Return the attempts in flight by endpoint, for operators."""
--- a/chervilshore/controllers/slots.py
+++ b/chervilshore/controllers/slots.py
@@ -25,11 +25,14 @@
         The number of the slot within the epoch.
     epoch : Epoch
         The epoch of the owner that granted the slot.
+    pipeline : PipelineName
+        The pipeline of the request; empty if it does not matter.
     """
 
     record: records.EndpointRecord
     grant: ids.GrantId = ids.GrantId(0)
     epoch: ids.Epoch = ids.Epoch(0)
+    pipeline: ids.PipelineName = ids.PipelineName("")
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
--- a/chervilshore/decisions/routing.py
+++ b/chervilshore/decisions/routing.py
@@ -69,6 +69,8 @@
         The prompt's parts that an endpoint may have cached, in order.
     version : SoftwareVersion or None
         The only version of endpoints to use; None allows all.
+    pipeline : PipelineName
+        The pipeline of the request.
     """
 
     request: ids.RequestId
@@ -83,6 +85,7 @@
     settle_ms: float = 0.0
     parts: tuple[forwarded.PromptPart, ...] = ()
     version: ids.SoftwareVersion | None = None
+    pipeline: ids.PipelineName = ids.PipelineName("")
 
     @property
     def latest_end(self) -> float:
--- a/chervilshore/exceptions.py
+++ b/chervilshore/exceptions.py
@@ -1,5 +1,7 @@
 """The exceptions that the package raises."""
 
+from chervilshore import objects
+
 
 class ChervilshoreError(Exception):
     """Base class of all exceptions of this package."""
@@ -102,6 +104,24 @@
     """The object is not at the expected version."""
 
 
+class ObjectChanged(PlatformError):
+    """An object of the store has changed since it was read.
+
+    Parameters
+    ----------
+    path : str
+        Where the object is.
+    present : StoredObject or None
+        The object as it is now; None if it is gone.
+    """
+
+    def __init__(
+        self, path: str, present: objects.StoredObject | None = None
+    ) -> None:
+        super().__init__(f"{path} has changed")
+        self.present = present
+
+
 class ValueTooLarge(PlatformError):
     """The value is larger than the platform's limit."""
 
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -250,13 +250,12 @@
     ) -> routing.StageRequirements:
         exchange = state.exchange
         request_class = exchange.rules.class_of(exchange.pipeline)
-        priority_offset = HEDGE_PRIORITY_OFFSET if hedge else 0
         # A hedge must not use the endpoint of the first attempt.
         excluded_by_hedge = state.tried_endpoints if hedge else frozenset()
         return routing.StageRequirements(
             request=exchange.request,
             team=exchange.team,
-            priority=request_class.priority + priority_offset,
+            priority=request_class.priority + HEDGE_PRIORITY_OFFSET * hedge,
             aging_ms=request_class.aging_ms,
             pool=state.pool.name,
             domains=state.domains,
@@ -268,6 +267,7 @@
             if exchange.forwarded_request
             else (),
             version=exchange.stream_version,
+            pipeline=exchange.pipeline.name,
         )
 
     def _choose_deadline(self, state: StageState) -> float:
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -49,6 +49,7 @@
 from chervilshore.platform import forwarding
 from chervilshore.platform import names
 from chervilshore.platform import requests
+from chervilshore.platform import rollouts as rollout_documents
 from chervilshore.platform import store
 from chervilshore import records
 from chervilshore import settings
@@ -67,11 +68,14 @@
     domains=names.EVACUATIONS,
     endpoints=names.SERVERS,
     hosts=names.HOSTS,
+    rollouts="",
     rules_name=names.CONFIG_NAME,
     read_rules=documents.decode_rules,
     read_endpoint=documents.decode_endpoint,
     read_host=documents.decode_host,
     write_host=documents.encode_host,
+    read_rollout=rollout_documents.decode_rollout,
+    write_rollout_status=rollout_documents.encode_rollout_status,
 )
 
 _REQUEST_FORMAT = ingress.RequestFormat(
--- a/chervilshore/objects.py
+++ b/chervilshore/objects.py
@@ -40,6 +40,10 @@
     return {"era": read_era(position), "revision": read_revision(position)}
 
 
+NO_STATUS = b"null"
+"""The status of an object to which none has been written, as JSON."""
+
+
 class StoredObject(msgspec.Struct, frozen=True):
     """One object of a store.
 
@@ -52,11 +56,14 @@
         read.
     content : bytes
         Its content, as JSON.
+    status : bytes
+        What the system writes beside the content, as JSON.
     """
 
     name: str
     revision: int
     content: bytes
+    status: bytes = NO_STATUS
 
 
 class Listing(msgspec.Struct, frozen=True):
@@ -130,6 +137,33 @@
     async def put(self, kind: str, name: str, content: bytes) -> None:
         """Create an object or replace its content."""
 
+    @abc.abstractmethod
+    async def put_status(
+        self, kind: str, stored: StoredObject, status: bytes
+    ) -> StoredObject:
+        """Replace the status of an object that has not changed since.
+
+        Parameters
+        ----------
+        kind : str
+            The kind.
+        stored : StoredObject
+            The object as the caller knows it.
+        status : bytes
+            The new status, as JSON.
+
+        Returns
+        -------
+        StoredObject
+            The object with the new status.
+
+        Raises
+        ------
+        exceptions.ObjectChanged
+            The object has changed or is gone; nothing was written. The error
+            has the present object.
+        """
+
     @abc.abstractmethod
     async def delete(self, kind: str, name: str) -> None:
         """Remove an object; does nothing if there is none."""
--- a/chervilshore/platform/names.py
+++ b/chervilshore/platform/names.py
@@ -88,5 +88,8 @@
 SERVERS = "servers"
 """Kind of the objects that describe endpoints."""
 
+ROLLOUTS = "rollouts"
+"""Kind of the objects that order a service's move to a version."""
+
 HOSTS = "chervilshore-hosts"
 """Kind of the objects in which entry hosts publish their peer addresses."""
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -29,6 +29,7 @@
 class _Object(msgspec.Struct):
     metadata: _Metadata
     spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(objects.NO_STATUS)
 
 
 class _Page(msgspec.Struct):
@@ -47,6 +48,7 @@
     current_rev: int = 0
 
 
+_OBJECT_DECODER = msgspec.json.Decoder(_Object)
 _PAGE_DECODER = msgspec.json.Decoder(_Page)
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
 
@@ -158,6 +160,29 @@
                 f"{kind}/{name}: {head.status}"
             )
 
+    async def put_status(
+        self, kind: str, stored: objects.StoredObject, status: bytes
+    ) -> objects.StoredObject:
+        """See `ObjectStore.put_status`."""
+        path = f"/objects/{kind}/{urllib.parse.quote(stored.name)}/status"
+        metadata = {
+            "name": stored.name,
+            "revision": objects.read_revision(stored.revision),
+        }
+        body = msgspec.json.encode(
+            {"metadata": metadata, "status": msgspec.Raw(status)}
+        )
+        head, content = await self._call("PUT", path, body)
+        if head.status == 404:
+            raise exceptions.ObjectChanged(path)
+        if head.status not in (200, 409):
+            raise exceptions.PlatformUnavailable(f"{path}: {head.status}")
+        era = _read_era(path, head)
+        present = _convert(_decode(path, content, _OBJECT_DECODER), era)
+        if head.status == 409:
+            raise exceptions.ObjectChanged(path, present)
+        return present
+
     async def delete(self, kind: str, name: str) -> None:
         """See `ObjectStore.delete`."""
         path = f"/objects/{kind}/{urllib.parse.quote(name)}"
@@ -176,13 +201,7 @@
             raise exceptions.HistoryGone(path)
         if head.status != 200:
             raise exceptions.PlatformUnavailable(f"{path}: {head.status}")
-        text = head.get_header(names.ERA) or "0"
-        if not text.isdigit():
-            raise exceptions.PlatformUnavailable(f"{path}: era {text[:80]}")
-        try:
-            return int(text), decoder.decode(content)
-        except msgspec.DecodeError as error:
-            raise exceptions.PlatformUnavailable(f"{path}: {error}") from error
+        return _read_era(path, head), _decode(path, content, decoder)
 
     async def _call(
         self,
@@ -220,9 +239,24 @@
             )
 
 
+def _read_era(path: str, head: connections.ResponseHead) -> int:
+    text = head.get_header(names.ERA) or "0"
+    if not text.isdigit():
+        raise exceptions.PlatformUnavailable(f"{path}: era {text[:80]}")
+    return int(text)
+
+
+def _decode(path: str, content: bytes, decoder) -> typing.Any:
+    try:
+        return decoder.decode(content)
+    except msgspec.DecodeError as error:
+        raise exceptions.PlatformUnavailable(f"{path}: {error}") from error
+
+
 def _convert(item: _Object, era: int) -> objects.StoredObject:
     return objects.StoredObject(
         item.metadata.name,
         objects.make_position(era, item.metadata.revision),
         bytes(item.spec),
+        bytes(item.status),
     )
--- a/chervilshore/records.py
+++ b/chervilshore/records.py
@@ -130,6 +130,27 @@
     slots: int = 0
 
 
+class RolloutRecord(msgspec.Struct, frozen=True):
+    """An order to move a pool's requests to a software version.
+
+    Parameters
+    ----------
+    pool : PoolName
+        The pool.
+    to : SoftwareVersion
+        The version.
+    duration_ms : float
+        Milliseconds within which the order is to be carried out.
+    state : str
+        What the status of the order says; empty if it has none.
+    """
+
+    pool: ids.PoolName
+    to: ids.SoftwareVersion
+    duration_ms: float
+    state: str = ""
+
+
 class HostList(msgspec.Struct, frozen=True):
     """The platform's list of live and leaving hosts, which may be stale.
 
--- a/chervilshore/settingkinds.py
+++ b/chervilshore/settingkinds.py
@@ -94,3 +94,13 @@
         return value
 
     return Kind(parse, f"a number from {minimum:g} to {maximum:g}")
+
+
+def optional_number(minimum: float, maximum: float) -> Kind:
+    """Make a kind for numbers in an inclusive range, or None if empty."""
+    required = number(minimum, maximum)
+
+    def parse(text: str) -> float | None:
+        return required.parse(text) if text else None
+
+    return Kind(parse, f"empty, or {required.allowed}")
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -144,6 +144,28 @@
         "window in which retries are counted, in milliseconds",
         "10000",
     ),
+    # Roll-outs of software versions.
+    Setting(
+        "exposure_share",
+        settingkinds.optional_number(0.0, 1.0),
+        "largest share of a pool's requests that all hosts together send to "
+        "a version that is not proven; hosts carry out orders of roll-outs "
+        "only if this and the next two are set",
+        "",
+    ),
+    Setting(
+        "exposure_slack",
+        settingkinds.optional_number(0.0, 1_000_000.0),
+        "requests that they may send it in addition",
+        "",
+    ),
+    Setting(
+        "rollback_ms",
+        settingkinds.optional_number(100.0, 600_000.0),
+        "time after which a version that has failed gets nothing more, in "
+        "milliseconds",
+        "",
+    ),
     # Requests.
     Setting(
         "body_bytes",
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -104,10 +104,15 @@
     def write(self, kind: str, name: str, value: object) -> None:
         """Create or replace an object, as an operator or a worker does."""
         self.revision += 1
+        found = self._objects.setdefault(kind, {})
+        known = found.get(name)
         stored = objects.StoredObject(
-            name, self.revision, msgspec.json.encode(value)
+            name,
+            self.revision,
+            msgspec.json.encode(value),
+            objects.NO_STATUS if known is None else known.status,
         )
-        self._objects.setdefault(kind, {})[name] = stored
+        found[name] = stored
         self._append(kind, objects.Change(stored))
 
     def remove(self, kind: str, name: str) -> None:
@@ -170,6 +175,25 @@
         await self._begin("put", kind)
         self.write(kind, name, msgspec.Raw(content))
 
+    async def put_status(
+        self, kind: str, stored: objects.StoredObject, status: bytes
+    ) -> objects.StoredObject:
+        """See `ObjectStore.put_status`."""
+        await self._begin("put_status", kind)
+        present = self._objects.get(kind, {}).get(stored.name)
+        if present is None:
+            raise exceptions.ObjectChanged(stored.name)
+        if self._locate(present).revision != stored.revision:
+            raise exceptions.ObjectChanged(stored.name, self._locate(present))
+        if present.status != status:
+            self.revision += 1
+            present = msgspec.structs.replace(
+                present, revision=self.revision, status=status
+            )
+            self._objects[kind][stored.name] = present
+            self._append(kind, objects.Change(present))
+        return self._locate(present)
+
     async def delete(self, kind: str, name: str) -> None:
         """See `ObjectStore.delete`."""
         await self._begin("delete", kind)
--- a/standins/store.py
+++ b/standins/store.py
@@ -44,6 +44,8 @@
         How often the store was restored from a copy.
     watches : Counter
         Number of watch calls by kind, without those that may be stale.
+    status_writes : list of tuple
+        Kind, name and value of each status that was written.
     """
 
     def __init__(self) -> None:
@@ -52,6 +54,7 @@
         self.era = 1
         self.history_start = 0
         self.watches: collections.Counter[str] = collections.Counter()
+        self.status_writes: list[tuple[str, str, dict]] = []
         self._objects: dict[str, dict[str, dict]] = {}
         self._changes: list[tuple[int, str, dict, bool]] = []
         self._changed = asyncio.Condition()
@@ -65,6 +68,9 @@
         app.router.add_post("/objects/{kind}", self._create)
         app.router.add_get("/objects/{kind}/{name}", self._get)
         app.router.add_put("/objects/{kind}/{name}", self._replace)
+        app.router.add_put(
+            "/objects/{kind}/{name}/status", self._replace_status
+        )
         app.router.add_delete("/objects/{kind}/{name}", self._delete)
         self._runner = web.AppRunner(
             app, handler_cancellation=True, shutdown_timeout=0.1
@@ -81,15 +87,23 @@
 
     async def write(self, kind: str, name: str, spec) -> None:
         """Create or replace an object, as an operator or a worker does."""
+        known = self._objects.get(kind, {}).get(name, {})
+        await self._put(kind, name, spec, known.get("status"))
+
+    async def _put(self, kind: str, name: str, spec, status) -> None:
         self.revision += 1
         stored = {
             "metadata": {"name": name, "revision": self.revision},
             "spec": spec,
-            "status": None,
+            "status": status,
         }
         self._objects.setdefault(kind, {})[name] = stored
         await self._append_change(kind, stored, False)
 
+    def read_status(self, kind: str, name: str):
+        """Return the status of an object; None if it has none."""
+        return self._objects.get(kind, {}).get(name, {}).get("status")
+
     async def remove(self, kind: str, name: str) -> bool:
         """Remove an object; return whether it existed."""
         stored = self._objects.get(kind, {}).pop(name, None)
@@ -224,6 +238,23 @@
             await self.write(kind, name, body["spec"])
         return await self._answer_write(request, self._objects[kind][name])
 
+    async def _replace_status(self, request: web.Request) -> web.Response:
+        fault_response = await self._inject_fault()
+        if fault_response is not None:
+            return fault_response
+        body = await request.json()
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        known = self._objects.get(kind, {}).get(name)
+        if known is None:
+            return web.Response(status=404)
+        revision = body["metadata"].get("revision")
+        if revision not in (None, known["metadata"]["revision"]):
+            return web.json_response(known, status=409)
+        if known["status"] != body["status"]:
+            self.status_writes.append((kind, name, body["status"]))
+            await self._put(kind, name, known["spec"], body["status"])
+        return await self._answer_write(request, self._objects[kind][name])
+
     async def _delete(self, request: web.Request) -> web.Response:
         fault_response = await self._inject_fault()
         if fault_response is not None:
