Name the spread of a configuration dissemination

Roll-outs of software versions are to be decided too, and the name stood for how a configuration's generation spreads to the hosts.

decisions/rollout becomes decisions/dissemination, its class Dissemination, and measure/rollouts becomes measure/spread. No behaviour changes.

--- a/chervilshore/controllers/generations.py
+++ b/chervilshore/controllers/generations.py
@@ -17,7 +17,7 @@
 from chervilshore.controllers import configuration
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import sources
-from chervilshore.decisions import rollout
+from chervilshore.decisions import dissemination
 from chervilshore import events
 from chervilshore import exceptions
 from chervilshore import ids
@@ -88,7 +88,7 @@
         metrics: metric_types.Metrics | None = None,
     ) -> None:
         super().__init__()
-        self.rollout = rollout.Rollout()
+        self.dissemination = dissemination.Dissemination()
         self._host = host
         self._domain = domain
         self._platform = platform
@@ -115,7 +115,7 @@
     @property
     def rules(self) -> model.Rules:
         """The active rules."""
-        return self.rollout.rules
+        return self.dissemination.rules
 
     def listen(self, listener: configuration.Listener) -> None:
         """Register a listener; see `Configuration.listen`."""
@@ -125,15 +125,15 @@
         self, generation: ids.Generation, address: ids.Address
     ) -> None:
         """Record the generation that a peer reports; fetch it if newer."""
-        newer = generation > self.rollout.highest_announced
-        if self.rollout.record_announced(generation):
+        newer = generation > self.dissemination.highest_announced
+        if self.dissemination.record_announced(generation):
             self._sources.add(address)
             if newer:
                 self._wake.set()
 
     def describe(self) -> dict:
         """Return the state as JSON values, for operators."""
-        current = self.rollout
+        current = self.dissemination
         return {
             "generation": current.generation,
             "change": current.head.change if current.head else "",
@@ -163,7 +163,7 @@
     def _handle_head_request(
         self, sender: ids.Address, request: messages.HeadRequest
     ) -> messages.HeadReply:
-        head = self.rollout.latest
+        head = self.dissemination.latest
         if head is None:
             return messages.HeadReply()
         return messages.HeadReply(generations.encode_head(head))
@@ -171,11 +171,11 @@
     def _handle_chunk_request(
         self, sender: ids.Address, request: messages.ChunkRequest
     ) -> messages.ChunkReply:
-        content = self.rollout.find_chunk(request.digest)
+        content = self.dissemination.find_chunk(request.digest)
         return messages.ChunkReply(request.digest, content)
 
     def _notify_peers(self, generation: ids.Generation) -> None:
-        chosen = rollout.choose_notify_targets(
+        chosen = dissemination.choose_notify_targets(
             self._host,
             self._domain,
             self._directory.hosts(),
@@ -203,7 +203,9 @@
     def _is_watcher(self) -> bool:
         if self._clock.now() < self._watch_requested_until:
             return True
-        ranked = rollout.rank_watchers(self._directory.hosts(), self._domain)
+        ranked = dissemination.rank_watchers(
+            self._directory.hosts(), self._domain
+        )
         return not ranked or ranked[0].host == self._host
 
     def _set_watching(self, watching: bool) -> None:
@@ -237,7 +239,7 @@
 
     def _request_next_watcher(self) -> None:
         """Request another host to watch, as it may reach the platform."""
-        successor = rollout.choose_next_watcher(
+        successor = dissemination.choose_next_watcher(
             self._host, self._domain, self._directory.hosts()
         )
         if successor is not None:
@@ -256,10 +258,10 @@
         try:
             head = generations.decode_head(stored.value)
         except exceptions.RulesError as error:
-            next_generation = ids.Generation(self.rollout.generation + 1)
+            next_generation = ids.Generation(self.dissemination.generation + 1)
             self._refuse(next_generation, str(error))
             return
-        if self.rollout.offer(head):
+        if self.dissemination.offer(head):
             # No peer is known to have the new generation yet.
             self._sources.clear()
             self._wake.set()
@@ -270,7 +272,7 @@
         wait = MIN_RETRY_MS
         while not self.should_stop:
             self._wake.clear()
-            if not self.rollout.is_behind:
+            if not self.dissemination.is_behind:
                 wait = MIN_RETRY_MS
                 await self._wake.wait()
             elif not await self._fetch_once():
@@ -289,14 +291,17 @@
 
     async def _fetch_once(self) -> bool:
         """Fetch what is missing; return False if a retry is needed."""
-        if self.rollout.highest_announced > self.rollout.known_generation:
+        if (
+            self.dissemination.highest_announced
+            > self.dissemination.known_generation
+        ):
             await self._request_source_heads()
-        if self.rollout.wanted is None:
-            if not self.rollout.is_behind:
+        if self.dissemination.wanted is None:
+            if not self.dissemination.is_behind:
                 return True
             await self._read_head()
-        if self.rollout.wanted is None:
-            return not self.rollout.is_behind
+        if self.dissemination.wanted is None:
+            return not self.dissemination.is_behind
         if not await self._fetch_chunks():
             return False
         self._activate_wanted()
@@ -314,22 +319,22 @@
 
     async def _request_head(self, address: ids.Address) -> bool:
         head = await self._sources.request_head(address)
-        if head is None or not self.rollout.offer(head):
+        if head is None or not self.dissemination.offer(head):
             return False
         self._sources.add(address)
         self._wake.set()
         return True
 
     async def _fetch_chunks(self) -> bool:
-        missing = self.rollout.list_missing()
-        wanted = self.rollout.wanted
+        missing = self.dissemination.list_missing()
+        wanted = self.dissemination.wanted
         for start in range(0, len(missing), MAX_PARALLEL_CHUNKS):
             batch = missing[start : start + MAX_PARALLEL_CHUNKS]
             await asyncio.gather(*map(self._fetch_chunk, batch))
-            if self.rollout.wanted is not wanted:
+            if self.dissemination.wanted is not wanted:
                 # A higher generation was offered; fetch its chunks instead.
                 return await self._fetch_chunks()
-        missing = self.rollout.list_missing()
+        missing = self.dissemination.list_missing()
         if missing:
             reason = f"chunk {missing[0]} is lost, changed or out of reach"
             self._refuse(wanted.generation, reason)
@@ -339,9 +344,9 @@
         content = await self._sources.fetch_chunk(digest)
         if not content:
             return
-        self.rollout.add_chunk(digest, content)
+        self.dissemination.add_chunk(digest, content)
         try:
-            self.rollout.compile_chunk(digest)
+            self.dissemination.compile_chunk(digest)
         except Exception:
             # Activation fails with the same error and refuses the generation.
             return
@@ -349,12 +354,12 @@
     # Activating.
 
     def _activate_wanted(self) -> None:
-        wanted = self.rollout.wanted
-        if not self.rollout.activate():
-            if wanted is not None and self.rollout.wanted is None:
+        wanted = self.dissemination.wanted
+        if not self.dissemination.activate():
+            if wanted is not None and self.dissemination.wanted is None:
                 self._log_refusal()
             return
-        head = self.rollout.head
+        head = self.dissemination.head
         events.log_event(
             logger,
             events.Event.GENERATION_ACTIVE,
@@ -379,18 +384,18 @@
                 logger.exception("a listener of the configuration failed")
 
     def _refuse(self, generation: ids.Generation, reason: str) -> None:
-        if self.rollout.record_refusal(generation, reason):
+        if self.dissemination.record_refusal(generation, reason):
             self._log_refusal()
 
     def _log_refusal(self) -> None:
         events.log_event(
             logger,
             events.Event.GENERATION_REFUSED,
-            generation=self.rollout.refused_generation,
-            reason=self.rollout.refusal,
+            generation=self.dissemination.refused_generation,
+            reason=self.dissemination.refusal,
         )
         # Other hosts may be able to use it; if not, they log it themselves.
-        self._notify_peers(self.rollout.refused_generation)
+        self._notify_peers(self.dissemination.refused_generation)
 
     def _jitter(self, millis: float) -> float:
         return millis * self._rng.uniform(0.75, 1.25)
--- a/chervilshore/decisions/rollout.py
+++ b/chervilshore/decisions/dissemination.py
@@ -123,7 +123,7 @@
     return [ring[other] for other in sorted(indexes)]
 
 
-class Rollout:
+class Dissemination:
     """The active generation of one host, and the one that is being fetched.
 
     Attributes
--- a/lab/chunking.py
+++ b/lab/chunking.py
@@ -3,7 +3,7 @@
 from chervilshore import edits
 from chervilshore import ids
 from chervilshore.rules import generations
-from measure import rollouts
+from measure import spread
 
 TEAMS = 26_000
 
@@ -19,7 +19,7 @@
     """
     packed = []
     for rate in (10, 11):
-        text = rollouts.make_rules_text(TEAMS, rate)
+        text = spread.make_rules_text(TEAMS, rate)
         document = edits.parse(text, "lab")
         packed.append(generations.pack(document, buckets))
     before, after = packed
--- a/lab/notices.py
+++ b/lab/notices.py
@@ -2,7 +2,7 @@
 
 import random
 
-from chervilshore.decisions import rollout
+from chervilshore.decisions import dissemination
 from chervilshore import ids
 from chervilshore import records
 
@@ -26,7 +26,7 @@
 
 def choose_in_ring(host, hosts, generation) -> list[str]:
     """Return the targets that the daemon chooses."""
-    return rollout.choose_notify_targets(
+    return dissemination.choose_notify_targets(
         host.host, host.domain, hosts, generation, False
     )
 
--- a/measure/configuration.py
+++ b/measure/configuration.py
@@ -19,7 +19,7 @@
 from chervilshore.clients import rest
 from chervilshore import clock as clocks
 from chervilshore import commands
-from chervilshore.decisions import rollout
+from chervilshore.decisions import dissemination
 from chervilshore import edits
 from chervilshore import exceptions
 from chervilshore import ids
@@ -30,7 +30,7 @@
 from measure import deployment as deployments
 from measure import plans
 from measure import races
-from measure import rollouts
+from measure import spread
 
 TEAMS = 26_000
 SEEDS = 1000
@@ -101,7 +101,7 @@
     rate: int, number: int, buckets: int = 0
 ) -> tuple[generations.Head, dict[str, bytes]]:
     """Make a generation with all teams; the team glasgow has this rate."""
-    document = edits.parse(rollouts.make_rules_text(TEAMS, rate), "measured")
+    document = edits.parse(spread.make_rules_text(TEAMS, rate), "measured")
     packed = generations.pack(document, buckets)
     head = generations.Head(
         generation=ids.Generation(number),
@@ -118,7 +118,7 @@
 
 def measure_sizes() -> Sizes:
     """Measure the cost of rules with 26,000 teams."""
-    text = rollouts.make_rules_text(TEAMS, 10)
+    text = spread.make_rules_text(TEAMS, 10)
     started = time.perf_counter()
     commands.check(text, "measured")
     check_seconds = time.perf_counter() - started
@@ -166,7 +166,7 @@
     process = psutil.Process()
     before = process.memory_info().rss
     changes = _run_in_child(_make_generations)
-    state = rollout.Rollout()
+    state = dissemination.Dissemination()
     _activate(state, *changes[0])
     changes[0][1].clear()
     gc.collect()
@@ -204,7 +204,9 @@
 
 
 def _activate(
-    state: rollout.Rollout, head: generations.Head, chunks: dict[str, bytes]
+    state: dissemination.Dissemination,
+    head: generations.Head,
+    chunks: dict[str, bytes],
 ) -> None:
     state.offer(head)
     for digest, content in chunks.items():
@@ -214,7 +216,7 @@
         raise exceptions.RulesError(state.refusal)
 
 
-class RolloutTimer:
+class SpreadTimer:
     """Measures how fast real daemons on loopback activate changes.
 
     Parameters
@@ -346,11 +348,11 @@
     """Measure the changes of one deployment of real daemons."""
     async with deployments.Deployment(plan) as deployment:
         platform = rest.RestPlatform(deployment.platform)
-        rollout_timer = RolloutTimer(deployment, platform)
+        spread_timer = SpreadTimer(deployment, platform)
         try:
             return {
-                "up": await rollout_timer.time_changes(CHANGES),
-                "watcher_killed": await rollout_timer.time_changes_with_kills(
+                "up": await spread_timer.time_changes(CHANGES),
+                "watcher_killed": await spread_timer.time_changes_with_kills(
                     KILLS
                 ),
             }
@@ -363,7 +365,7 @@
     return {
         "sizes": measure_sizes(),
         "races": await races.run(range(SEEDS), ROUNDS),
-        "spread": await rollouts.run_all(),
+        "spread": await spread.run_all(),
         "daemons": await measure_daemons(plans.KELVINSIDE),
     }
 
--- a/measure/rollouts.py
+++ b/measure/spread.py
@@ -1,4 +1,4 @@
-"""Compares the rollout of a generation by watchers with plain polling.
+"""Compares the spread of a generation by watchers with plain polling.
 
 The hosts run in one process on a manual clock; the network and the platform
 are in memory. Each host that polls reads the head every second.
@@ -45,7 +45,7 @@
 
 
 class RolloutCost(msgspec.Struct):
-    """The cost of one kind of rollout at one size.
+    """The cost of one kind of spread at one size.
 
     Parameters
     ----------
@@ -161,8 +161,8 @@
         idle = (self.platform.calls - before) / IDLE_PERIOD_MS
         await self.publish_rules(11)
         calls, sent = self.platform.calls, self.network.bytes
-        rollout_ms = await self.wait_until_active(2)
-        expected = round(idle * rollout_ms)
+        spread_ms = await self.wait_until_active(2)
+        expected = round(idle * spread_ms)
         return RolloutCost(
             way=self._service_class.__name__,
             hosts=len(self.hosts),
@@ -170,7 +170,7 @@
             idle_calls=round(idle * clocks.MILLIS_PER_SECOND, 2),
             change_calls=self.platform.calls - calls - expected,
             sent_bytes=round((self.network.bytes - sent) / len(self.hosts), 1),
-            most_ms=rollout_ms,
+            most_ms=spread_ms,
         )
 
 
@@ -201,7 +201,7 @@
 async def run(
     service_class: type, domains: int, per_domain: int, teams: int = 5
 ) -> RolloutCost:
-    """Measure one kind of rollout at one size."""
+    """Measure one kind of spread at one size."""
     cluster = RolloutCluster(service_class, domains, per_domain, teams)
     try:
         await cluster.start()
@@ -215,7 +215,7 @@
 
 
 async def run_all() -> list[RolloutCost]:
-    """Measure both kinds of rollout at all sizes."""
+    """Measure both kinds of spread at all sizes."""
     return [
         await run(service_class, domains, per_domain)
         for domains, per_domain in SIZES
--- a/tests/test_rollout.py
+++ b/tests/test_dissemination.py
@@ -9,14 +9,16 @@
 from testtools import assertions
 from testtools import matchers
 
-from chervilshore.decisions import rollout
+from chervilshore.decisions import dissemination
 from chervilshore import ids
 from chervilshore.rules import generations
 from chervilshore.rules import lines
 from tests import configuration_helpers as helpers
 
 DOMAINS = ("a", "b", "c", "d", "e", "f")
-MAX_SENDS = rollout.FANOUT + rollout.REMOTE_FANOUT * (len(DOMAINS) - 1)
+MAX_SENDS = dissemination.FANOUT + dissemination.REMOTE_FANOUT * (
+    len(DOMAINS) - 1
+)
 
 
 def simulate_spread(hosts, source, dead, generation):
@@ -27,7 +29,7 @@
     queue = [source]
     while queue:
         host = queue.pop(0)
-        chosen = rollout.choose_notify_targets(
+        chosen = dissemination.choose_notify_targets(
             host.host, host.domain, hosts, generation, host is source
         )
         sent[host.host] = len(chosen)
@@ -97,7 +99,7 @@
 )
 @hypothesis.given(STEPS)
 def test_rules_change_as_a_whole_and_never_to_a_lower_generation(steps):
-    state = rollout.Rollout()
+    state = dissemination.Dissemination()
     before = 0
     for step, number in steps:
         run_step(state, step, number)
