--- /dev/null
+++ b/chervilshore/decisions/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the roll-out of a software version to a pool."""
