Judge a version by like requests at the same time, and move late

Any host may decide. Responses are compared by route, domain and load within short slices, as a log-rank test does, with Chernoff's bound as the tail; an excess of a few endpoints is not the version's.

--- a/chervilshore/decisions/rollouts/evidence.py
+++ b/chervilshore/decisions/rollouts/evidence.py
@@ -4,7 +4,6 @@
 run replaces an earlier one, so reports may be lost, repeated and reordered.
 """
 
-from collections import abc
 import math
 
 import msgspec
@@ -14,11 +13,11 @@
 from chervilshore import ids
 from chervilshore import records
 
-BUCKETS_PER_OCTAVE = 2
+BUCKETS_PER_OCTAVE = 3
 """Buckets of the histograms between a latency and twice that latency."""
 
-MAX_BUCKETS = 36
-"""Number of buckets; the last one begins at three minutes."""
+MAX_BUCKETS = 54
+"""Number of buckets; the last one begins at three and a half minutes."""
 
 CELLS = 8
 """Groups of endpoints by which the new version's responses are counted."""
@@ -29,6 +28,9 @@
 OTHER_PIPELINE = ids.PipelineName("")
 """The name under which the pipelines beyond that number are counted."""
 
+MAX_RUNS = 3
+"""Process runs of a host whose reports are kept."""
+
 OLD_CELL = -1
 """The cell of the other versions, whose endpoints are not told apart."""
 
@@ -203,69 +205,73 @@
 
 
 class Evidence:
-    """The latest reports of all hosts, with those that have ended since.
-
-    Attributes
-    ----------
-    heard_at : dict
-        The times in milliseconds at which hosts last reported.
-    """
+    """The latest reports of all hosts, with those of earlier process runs."""
 
     def __init__(self) -> None:
         self._reports: dict[
-            tuple[ids.HostId, ids.Incarnation], HostEvidence
+            ids.HostId, dict[ids.Incarnation, HostEvidence]
         ] = {}
-        self.heard_at: dict[ids.HostId, float] = {}
 
-    def absorb(self, report: HostEvidence, now: float) -> bool:
+    def absorb(
+        self, report: HostEvidence
+    ) -> tuple[tuple[Key, Tally], ...] | None:
         """Take in a report.
 
         Returns
         -------
-        bool
-            Whether it was newer than what was known.
+        tuple of tuple of Key and Tally, or None
+            What ended since the last report of the process run; None if the
+            report is not newer, or of a process run long ago.
         """
-        name = (report.host, report.incarnation)
-        known = self._reports.get(name)
-        if known is not None and known.sequence >= report.sequence:
-            return False
-        self._reports[name] = report
-        self.heard_at[report.host] = now
-        return True
+        runs = self._reports.setdefault(report.host, {})
+        known = runs.get(report.incarnation)
+        if known is None:
+            if len(runs) == MAX_RUNS and report.incarnation < min(runs):
+                return None
+        elif known.sequence >= report.sequence:
+            return None
+        runs[report.incarnation] = report
+        if len(runs) > MAX_RUNS:
+            del runs[min(runs)]
+        earlier = dict(known.tallies) if known is not None else {}
+        return tuple(
+            (key, _subtract(tally, earlier.get(key)))
+            for key, tally in report.tallies
+            if key not in earlier or earlier[key].ended != tally.ended
+        )
 
     def list_reports(self) -> tuple[HostEvidence, ...]:
         """Return the latest report of each process run."""
-        return tuple(self._reports.values())
+        return tuple(
+            report
+            for runs in self._reports.values()
+            for report in runs.values()
+        )
 
     def find_latest(self, host: ids.HostId) -> HostEvidence | None:
         """Return the report of a host's latest process run, if any."""
-        reports = [
-            report for report in self._reports.values() if report.host == host
-        ]
-        return max(
-            reports, key=lambda report: report.incarnation, default=None
-        )
-
-    def sum_tallies(self) -> dict[Key, Tally]:
-        """Return the totals over all hosts."""
-        return add_tallies(
-            pair
-            for report in self._reports.values()
-            for pair in report.tallies
+        runs = self._reports.get(host)
+        return runs[max(runs)] if runs else None
+
+    def sum_sent(self) -> tuple[int, int]:
+        """Return the attempts at the pool and at the new version."""
+        reports = self.list_reports()
+        return (
+            sum(report.sent for report in reports),
+            sum(report.sent_new for report in reports),
         )
 
 
-def add_tallies(
-    pairs: abc.Iterable[tuple[Key, Tally]],
-) -> dict[Key, Tally]:
-    """Add up tallies by key; the histograms then begin at bucket 0."""
-    totals: dict[Key, Tally] = {}
-    for key, tally in pairs:
-        total = totals.get(key)
-        if total is None:
-            total = totals[key] = Tally(buckets=[0] * MAX_BUCKETS)
-        total.ended += tally.ended
-        total.failed += tally.failed
-        for index, count in enumerate(tally.buckets, tally.first):
-            total.buckets[min(index, MAX_BUCKETS - 1)] += count
-    return totals
+def _subtract(later: Tally, earlier: Tally | None) -> Tally:
+    """Return what was added to a tally."""
+    if earlier is None:
+        return later
+    buckets = list(later.buckets)
+    for bucket, count in enumerate(earlier.buckets, earlier.first):
+        buckets[bucket - later.first] -= count
+    return Tally(
+        later.ended - earlier.ended,
+        later.failed - earlier.failed,
+        later.first,
+        buckets,
+    )
--- a/chervilshore/decisions/rollouts/exposure.py
+++ b/chervilshore/decisions/rollouts/exposure.py
@@ -3,10 +3,11 @@
 import random
 
 from chervilshore.decisions.rollouts import records as rollout_records
+from chervilshore import ids
 
-FIRST_SEND_FRACTION = 0.8
-"""Fraction of the share that is used, as the attempts of a request at the
-pool may be several and count each."""
+USED_FRACTION = 0.75
+"""Fraction of the share that the canary may use. The rest is left for the
+requests that go to a moved version before it turns out to be bad."""
 
 HOST_COUNT_MARGIN = 1.3
 """Factor on the number of known hosts, as new hosts may not be known yet."""
@@ -14,15 +15,19 @@
 MIN_SHARING_HOSTS = 10
 """Minimum number of hosts among which the slack is divided."""
 
+MAX_BACKLOG = 2.0
+"""Unused requests from which the canary takes any pipeline, as one that is
+behind may have no requests."""
+
 
 class ExposureBudget:
     """Keeps this host's requests to the new version below its own share.
 
     Each host counts only its own requests. As each stays below the share of
     these, all together stay below the share of all, however the traffic is
-    divided and whichever hosts cannot reach each other. The slack lets a host
-    send a first request early; a process that does not know what it sent
-    before has none.
+    divided and whichever hosts cannot reach each other. Some hosts use the
+    slack to send their first request early; a process that does not know what
+    it sent before has none.
 
     Parameters
     ----------
@@ -34,6 +39,13 @@
         Whether this process ran when the order was given.
     rng : random.Random
         Spreads the first requests of the hosts over time.
+
+    Attributes
+    ----------
+    requests : int
+        Requests to the pool; their further attempts do not count.
+    used : int
+        Attempts at the new version.
     """
 
     def __init__(
@@ -43,38 +55,65 @@
         has_memory: bool,
         rng: random.Random,
     ) -> None:
-        self._share = limits.share * FIRST_SEND_FRACTION
+        self.requests = 0
+        self.used = 0
+        self._share = limits.share
+        self._start = 0.0
         sharing = max(MIN_SHARING_HOSTS, hosts * HOST_COUNT_MARGIN)
-        self._slack = limits.slack / sharing if has_memory else 0.0
-        self._start = min(1.0, self._slack) * rng.random()
-        self._requests = 0
-        self._used = 0
-
-    @property
-    def used(self) -> int:
-        """Requests that were sent to the new version."""
-        return self._used
+        if has_memory and rng.random() < limits.slack / sharing:
+            self._start = rng.random()
+        self._requests_of: dict[ids.PipelineName, int] = {}
+        self._used_of: dict[ids.PipelineName, int] = {}
 
-    def record_sent(self, is_new: bool, is_first: bool) -> None:
+    def record_sent(
+        self, pipeline: ids.PipelineName, is_new: bool, is_first: bool
+    ) -> None:
         """Count an attempt.
 
         Parameters
         ----------
+        pipeline : PipelineName
+            The route of the request.
         is_new : bool
             Whether it goes to the new version.
         is_first : bool
             Whether it is the first of its request at the pool.
         """
-        self._requests += is_first
-        self._used += is_new
+        if is_first:
+            self.requests += 1
+            known = self._requests_of.get(pipeline, 0)
+            self._requests_of[pipeline] = known + 1
+        if is_new:
+            self.used += 1
+            self._used_of[pipeline] = self._used_of.get(pipeline, 0) + 1
+
+    def allows(self) -> bool:
+        """Return whether one more attempt may go to the new version."""
+        return self._find_unused(USED_FRACTION) >= 1.0
 
-    def allows(self, fraction: float = 1.0) -> bool:
-        """Return whether one more request may go to the new version.
+    def is_due(self, pipeline: ids.PipelineName, fraction: float) -> bool:
+        """Return whether a request should be one of the canary's.
+
+        The requests of the canary are divided by pipelines half by their
+        traffic and half evenly, so that a rare one is tried too.
 
         Parameters
         ----------
+        pipeline : PipelineName
+            The route of the request.
         fraction : float
-            The fraction of the share to use, from 0 to 1.
+            The fraction of the share to use.
         """
-        earned = self._share * fraction * (self._requests + 1)
-        return self._used + 1 <= earned + self._start
+        unused = self._find_unused(min(fraction, USED_FRACTION))
+        if unused < 1.0:
+            return False
+        if unused >= MAX_BACKLOG:
+            return True
+        requests = self._requests_of.get(pipeline, 0) + 1
+        pipelines = len(self._requests_of.keys() | {pipeline})
+        weight = 0.5 * requests / (self.requests + 1) + 0.5 / pipelines
+        return self._used_of.get(pipeline, 0) <= weight * self.used + 1.0
+
+    def _find_unused(self, fraction: float) -> float:
+        earned = self._share * fraction * (self.requests + 1)
+        return earned + self._start - self.used
--- a/chervilshore/decisions/rollouts/rollout.py
+++ b/chervilshore/decisions/rollouts/rollout.py
@@ -7,10 +7,19 @@
 from chervilshore.decisions.rollouts import evidence as evidences
 from chervilshore.decisions.rollouts import exposure
 from chervilshore.decisions.rollouts import records as rollout_records
+from chervilshore.decisions.rollouts import schedule as schedules
 from chervilshore.decisions.rollouts import verdict as verdicts
 from chervilshore import ids
 from chervilshore import records
 
+MIN_MOVED_COMPARED = 10
+"""Compared responses without which a version is not moved to: fewer would not
+show even one that fails half of its requests."""
+
+CANARY_FRACTIONS = (0.4, 0.7)
+"""Fractions of the share that the canary uses, before and after the evidence
+suffices for a verdict."""
+
 Phase = rollout_records.Phase
 RolloutState = rollout_records.RolloutState
 
@@ -40,6 +49,15 @@
     has_memory : bool
         Whether this process ran when the order was given; if not, it may
         have sent requests to the version that it does not know of.
+
+    Attributes
+    ----------
+    phase : Phase
+        How far the requests of this host have moved.
+    state : RolloutState
+        The state in the store, as far as it is known.
+    reason : str
+        Why the version is condemned.
     """
 
     def __init__(
@@ -57,19 +75,19 @@
         self.phase = Phase.CANARY
         self.state = RolloutState.RUNNING
         self.reason = ""
-        self.deadline = started + order.duration_ms
         self._host = host
         self._incarnation = incarnation
-        self._started = started
         self._rng = rng
+        self._schedule = schedules.Schedule(started, order.duration_ms)
         self._budget = exposure.ExposureBudget(limits, hosts, has_memory, rng)
         self._own = evidences.OwnEvidence()
         self._evidence = evidences.Evidence()
         self._judge = verdicts.Judge()
+        self._verdict = verdicts.Verdict()
         self._view = rollout_records.RolloutView()
         self._domains: dict[ids.EndpointId, ids.DomainId] = {}
-        self._sequence = 0
         self._reported: evidences.HostEvidence | None = None
+        self._sent_sequence = 0
 
     def allows(
         self,
@@ -95,11 +113,15 @@
             return not is_new
         if is_new:
             return self.phase is not Phase.CANARY or self._budget.allows()
+        # Without an endpoint of the new version the others are still there.
         return self.phase is not Phase.SWITCHED or not self._view.new
 
     def prefers_new(self, pipeline: ids.PipelineName, now: float) -> bool:
         """Return whether a request should be tried at the new version first.
 
+        If not, it should be tried at the other versions first, which are the
+        controls.
+
         Parameters
         ----------
         pipeline : PipelineName
@@ -107,12 +129,37 @@
         now : float
             The time in milliseconds.
         """
-        if self.phase is Phase.CONDEMNED:
+        if self.state is RolloutState.COMPLETED:
+            return True
+        if self.phase is Phase.CONDEMNED or not self._view.new:
             return False
         if self.phase is Phase.CANARY:
-            return bool(self._view.new) and self._budget.allows(0.5)
+            proven = self._verdict.finding is verdicts.Finding.GOOD
+            return self._budget.is_due(pipeline, CANARY_FRACTIONS[proven])
+        if self.phase is Phase.MOVING:
+            return self._rng.random() < self._schedule.find_share(now)
         return True
 
+    def choose_canaries(self, now: float) -> frozenset[ids.EndpointId]:
+        """Choose the endpoints that should get the canary's requests.
+
+        They are so few that each is loaded like one of another version, as
+        some versions are bad under load only. They change from time to time.
+        After the canary all endpoints are used.
+
+        Parameters
+        ----------
+        now : float
+            The time in milliseconds.
+        """
+        new = [record.endpoint for record in self._view.new]
+        if self.phase is Phase.CANARY:
+            count = self._schedule.count_canaries(
+                len(new), len(self._view.old)
+            )
+            new = self._schedule.rank_canaries(new, now)[:count]
+        return frozenset(new)
+
     def record_sent(
         self,
         version: ids.SoftwareVersion,
@@ -140,7 +187,7 @@
             Whether it is the request's first attempt at the pool.
         """
         is_new = version == self.order.to
-        self._budget.record_sent(is_new, is_first)
+        self._budget.record_sent(pipeline, is_new, is_first)
         self._own.record_sent(is_new)
 
     def record_end(
@@ -171,7 +218,7 @@
         now : float
             The time in milliseconds.
         level : int
-            How loaded the endpoint was, from 0; attempts are compared with
+            How loaded the endpoint was, from 0; latencies are compared with
             those at the same level.
         is_comparable : bool
             Whether its latency tells something of the version; that of a
@@ -190,30 +237,22 @@
         """Take in the evidence of a peer; that of other orders is ignored."""
         if evidence.revision != self.order.revision:
             return
-        if self._evidence.absorb(evidence, now):
-            self._adopt(evidence.phase, evidence.reason)
+        if evidence.host == self._host:
+            if evidence.incarnation == self._incarnation:
+                return
+        added = self._evidence.absorb(evidence)
+        if added is None:
+            return
+        self._judge.add(added, now)
+        self._adopt(evidence.phase, evidence.reason, now)
 
     def make_evidence(self) -> evidences.HostEvidence | None:
         """Return this host's evidence; None if it has not changed."""
-        report = evidences.HostEvidence(
-            self.order.revision,
-            self._host,
-            self._incarnation,
-            self._sequence,
-            self.phase,
-            self._view.old_running,
-            self._own.sent,
-            self._own.sent_new,
-            self._own.list_tallies(),
-            self.reason,
-        )
-        if report == self._reported:
+        report = self._report()
+        if report.sequence == self._sent_sequence:
             return None
-        self._sequence += 1
-        self._reported = msgspec.structs.replace(
-            report, sequence=self._sequence
-        )
-        return self._reported
+        self._sent_sequence = report.sequence
+        return report
 
     def list_evidence(self) -> tuple[evidences.HostEvidence, ...]:
         """Return all that is known, for a host that has just started."""
@@ -232,9 +271,21 @@
             The time in milliseconds.
         """
         self._view = view
-        for record in view.new + view.old:
-            self._domains[record.endpoint] = record.domain
-        return self.state
+        self._domains = {
+            record.endpoint: record.domain for record in view.new + view.old
+        }
+        added = self._evidence.absorb(self._report())
+        if added:
+            self._judge.add(added, now)
+        if self.state is not RolloutState.RUNNING:
+            return self.state
+        self._verdict = self._judge.judge(self.phase, now)
+        self._advance(now)
+        if self.phase is Phase.CONDEMNED:
+            return RolloutState.ROLLED_BACK
+        if self.phase is Phase.SWITCHED and not self._list_waits(now):
+            return RolloutState.COMPLETED
+        return RolloutState.RUNNING
 
     def set_state(self, state: RolloutState, now: float) -> None:
         """Take in the state that is in the store; a final one stays."""
@@ -242,20 +293,105 @@
             return
         self.state = state
         if state is RolloutState.ROLLED_BACK:
-            self._adopt(Phase.CONDEMNED, "rolled back")
+            self._adopt(Phase.CONDEMNED, "the status says so", now)
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the state, the evidence and what is waited for."""
+        sent, sent_new = self._evidence.sum_sent()
         return {
             "pool": self.order.pool,
             "to": self.order.to,
             "state": self.state.value,
             "phase": self.phase.name.lower(),
-            "reason": self.reason,
-            "deadline_in_ms": self.deadline - now,
+            "reason": self.reason or self._verdict.reason,
+            "finding": self._verdict.finding.value,
+            "compared": self._judge.compared,
+            "sent": sent,
+            "sent_new": sent_new,
+            "deadline_in_ms": self._schedule.deadline - now,
+            "waits_for": self._list_waits(now),
         }
 
-    def _adopt(self, phase: Phase, reason: str) -> None:
-        if phase > self.phase:
-            self.phase = phase
-            self.reason = reason
+    def _report(self) -> evidences.HostEvidence:
+        """Return this host's totals, with a new sequence if they changed."""
+        known = self._reported
+        report = evidences.HostEvidence(
+            self.order.revision,
+            self._host,
+            self._incarnation,
+            known.sequence if known is not None else 0,
+            self.phase,
+            self._view.old_running,
+            self._own.sent,
+            self._own.sent_new,
+            self._own.list_tallies(),
+            self.reason,
+        )
+        if report != known:
+            self._reported = msgspec.structs.replace(
+                report, sequence=report.sequence + 1
+            )
+        return self._reported
+
+    def _adopt(self, phase: Phase, reason: str, now: float) -> None:
+        if phase <= self.phase:
+            return
+        self.phase = phase
+        self.reason = reason
+        self._schedule.record_phase(phase, now)
+
+    def _advance(self, now: float) -> None:
+        """Go to the next phase if its time has come and nothing forbids it."""
+        verdict = self._verdict
+        if verdict.finding is verdicts.Finding.BAD:
+            self._adopt(Phase.CONDEMNED, verdict.reason, now)
+            return
+        is_ready = not verdict.is_suspect and self._has_capacity()
+        if self.phase is Phase.CANARY:
+            is_ready = is_ready and self._judge.compared >= MIN_MOVED_COMPARED
+            if is_ready and self._schedule.may_move(
+                self._view.longest_ms, now
+            ):
+                self._adopt(Phase.MOVING, "", now)
+        elif self.phase is Phase.MOVING:
+            if is_ready and self._schedule.may_switch(now):
+                self._adopt(Phase.SWITCHED, "", now)
+        if is_ready or self.phase is Phase.SWITCHED:
+            return
+        # A host that hears of few others must not decide for them.
+        if self._schedule.is_overdue(now) and self._hears_most():
+            reason = verdict.reason or "not proven at the deadline"
+            self._adopt(Phase.CONDEMNED, reason, now)
+
+    def _has_capacity(self) -> bool:
+        return schedules.has_capacity(self._view.new, self._view.old)
+
+    def _hears_most(self) -> bool:
+        others = self._view.hosts - {self._host}
+        heard = sum(
+            self._evidence.find_latest(host) is not None for host in others
+        )
+        return 2 * heard >= len(others)
+
+    def _list_waits(self, now: float) -> list[str]:
+        """List what has to end before the other versions may be stopped."""
+        if self.phase is not Phase.SWITCHED:
+            return [f"phase {self.phase.name.lower()}"]
+        waits = []
+        if not self._has_capacity():
+            waits.append("endpoints of the new version")
+        running = self._view.old_running
+        silent = []
+        others = sorted(self._view.hosts - {self._host})
+        for host in others:
+            report = self._evidence.find_latest(host)
+            if report is None or report.phase < Phase.SWITCHED:
+                silent.append(host)
+            else:
+                running += report.old_running
+        if running:
+            waits.append(f"{running} attempts at other versions")
+        may_miss = self._schedule.may_miss_hosts(self._view.longest_ms, now)
+        if 2 * len(silent) > len(others) or not may_miss:
+            waits.extend(silent)
+        return waits
