Let endpoints of a version be bad in the stand-in

Change: a share of the responses fails or is slower by a factor, from a moment or from a load on, or on one route only. Without such faults nothing changes.

--- a/standins/workers.py
+++ b/standins/workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 
 from aiohttp import web
 import msgspec
@@ -72,6 +73,51 @@
     crash_part: str = ""
 
 
+class VersionFaults(msgspec.Struct):
+    """Faults of a bad software version.
+
+    Parameters
+    ----------
+    fail_share : float
+        Share of the requests that are answered with 500.
+    slow_share : float
+        Share of the requests that take longer.
+    slow_factor : float
+        Factor on the time that these take.
+    since : float
+        Seconds of the event loop from which there are faults.
+    load : int
+        Requests in progress from which there are faults.
+    path : str
+        Start of the paths of the requests that are concerned.
+    """
+
+    fail_share: float = 0.0
+    slow_share: float = 0.0
+    slow_factor: float = 1.0
+    since: float = 0.0
+    load: int = 0
+    path: str = ""
+
+    def concern(self, path: str, active: int, now: float) -> bool:
+        """Return whether there are faults for a request.
+
+        Parameters
+        ----------
+        path : str
+            The path of the request.
+        active : int
+            Requests in progress, with this one.
+        now : float
+            Seconds of the event loop.
+        """
+        return (
+            now >= self.since
+            and active >= self.load
+            and path.startswith(self.path)
+        )
+
+
 class Worker:
     """A worker of any service.
 
@@ -98,6 +144,12 @@
         The headers of all requests, with names in lower case.
     received_at : list of float
         When they arrived, in seconds of the event loop.
+    version_faults : VersionFaults
+        The faults of its version.
+    active : int
+        Requests in progress.
+    failed : int
+        Requests that failed by a fault of its version.
     on_crash : callable
         Called when a request ends the worker.
     bodies : list of bytes
@@ -124,6 +176,10 @@
         self.name = name
         self.version = version
         self.faults = WorkerFaults()
+        self.version_faults = VersionFaults()
+        self.active = 0
+        self.failed = 0
+        self._random = random.Random(name)
         self.runs: list[str] = []
         self.received: list[dict[str, str]] = []
         self.received_at: list[float] = []
@@ -202,7 +258,11 @@
         )
         self.received_at.append(asyncio.get_running_loop().time())
         self.bodies.append(body)
-        return await self._run(request, headers)
+        self.active += 1
+        try:
+            return await self._run(request, headers)
+        finally:
+            self.active -= 1
 
     async def _run_batch_call(self, call: dict) -> web.Response:
         if self.faults.shed:
@@ -274,9 +334,22 @@
             return web.Response(
                 status=500, headers=response_headers, body=b"failed"
             )
+        factor = 1.0
+        version_faults = self.version_faults
+        now = asyncio.get_running_loop().time()
+        if version_faults.concern(request.path, self.active, now):
+            if self._random.random() < version_faults.fail_share:
+                self.failed += 1
+                return web.Response(
+                    status=500, headers=response_headers, body=b"failed"
+                )
+            if self._random.random() < version_faults.slow_share:
+                factor = version_faults.slow_factor
         if self._events:
-            return await self._stream(request, headers, response_headers)
-        await asyncio.sleep(self._millis / 1000.0)
+            return await self._stream(
+                request, headers, response_headers, factor
+            )
+        await asyncio.sleep(factor * self._millis / 1000.0)
         return await self._answer(request, response_headers)
 
     async def _answer(
@@ -306,6 +379,7 @@
         request: web.BaseRequest,
         headers: dict[str, str],
         response_headers: dict[str, str],
+        factor: float,
     ) -> web.StreamResponse:
         response = web.StreamResponse(
             headers=response_headers | {"Content-Type": "text/event-stream"}
@@ -322,7 +396,7 @@
                 return response
             event = f"id: {number}\ndata: {self._text}\n\n"
             await response.write(event.encode())
-            await asyncio.sleep(self._event_ms / 1000.0)
+            await asyncio.sleep(factor * self._event_ms / 1000.0)
         await response.write_eof()
         return response
 
