Tell orders of the same name apart by their creation

Cause: an order that is removed and given again looks like the one before; its revision does not do, as each status changes it.

Change: objects have the store's time of creation. Peers pass it on with the status, in a field that hosts of earlier builds ignore.

--- a/chervilshore/catalogmessages.py
+++ b/chervilshore/catalogmessages.py
@@ -16,14 +16,15 @@
         The revision of the store up to which the sender is current.
     objects : tuple
         Name, revision and content of each object.
-    statuses : tuple of bytes
-        The status of each object; empty for kinds that have none.
+    details : tuple of tuple
+        Status and time of creation of each object; empty if no object has a
+        status.
     """
 
     kind: str
     revision: int
     objects: tuple[tuple[str, int, bytes], ...]
-    statuses: tuple[bytes, ...] = ()
+    details: tuple[tuple[bytes, str], ...] = ()
 
 
 class CatalogRequest(messages.Message, frozen=True, tag="va"):
--- a/chervilshore/controllers/catalogsync.py
+++ b/chervilshore/controllers/catalogsync.py
@@ -76,14 +76,16 @@
                     (entry.name, entry.revision, entry.content)
                     for entry in cache.objects.values()
                 )
-                statuses = tuple(
-                    entry.status for entry in cache.objects.values()
+                details = tuple(
+                    (entry.status, entry.created)
+                    for entry in cache.objects.values()
                 )
-                if not any(one != objects.NO_STATUS for one in statuses):
-                    statuses = ()
+                if all(one[0] == objects.NO_STATUS for one in details):
+                    # Hosts of earlier builds know no details.
+                    details = ()
                 found.append(
                     catalogmessages.KindSnapshot(
-                        kind, cache.revision, stored, statuses
+                        kind, cache.revision, stored, details
                     )
                 )
         return catalogmessages.CatalogReply(tuple(found))
@@ -132,11 +134,10 @@
                 continue
             listing = objects.Listing(
                 tuple(
-                    objects.StoredObject(*stored, status)
-                    for stored, status in zip(
+                    objects.StoredObject(*stored, *details)
+                    for stored, details in zip(
                         snapshot.objects,
-                        snapshot.statuses
-                        or itertools.repeat(objects.NO_STATUS),
+                        snapshot.details or itertools.repeat(()),
                         strict=False,
                     )
                 ),
--- a/chervilshore/objects.py
+++ b/chervilshore/objects.py
@@ -58,12 +58,16 @@
         Its content, as JSON.
     status : bytes
         What the system writes beside the content, as JSON.
+    created : str
+        When it was created, as the store says it; tells objects apart that
+        had the same name one after the other.
     """
 
     name: str
     revision: int
     content: bytes
     status: bytes = NO_STATUS
+    created: str = ""
 
 
 class Listing(msgspec.Struct, frozen=True):
--- a/chervilshore/platform/rollouts.py
+++ b/chervilshore/platform/rollouts.py
@@ -50,6 +50,7 @@
         to=ids.SoftwareVersion(order.to),
         duration_ms=order.duration_s * 1000.0,
         state=_decode_state(stored.status, order.to),
+        created=stored.created,
     )
 
 
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -24,6 +24,7 @@
 class _Metadata(msgspec.Struct):
     name: str
     revision: int = 0
+    created_at: msgspec.Raw = msgspec.Raw(b"")
 
 
 class _Object(msgspec.Struct):
@@ -259,4 +260,5 @@
         objects.make_position(era, item.metadata.revision),
         bytes(item.spec),
         bytes(item.status),
+        bytes(item.metadata.created_at).decode(),
     )
--- a/chervilshore/records.py
+++ b/chervilshore/records.py
@@ -143,12 +143,15 @@
         Milliseconds within which the order is to be carried out.
     state : str
         What the status of the order says; empty if it has none.
+    created : str
+        When the order was created, as the store says it.
     """
 
     pool: ids.PoolName
     to: ids.SoftwareVersion
     duration_ms: float
     state: str = ""
+    created: str = ""
 
 
 class HostList(msgspec.Struct, frozen=True):
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -111,6 +111,7 @@
             self.revision,
             msgspec.json.encode(value),
             objects.NO_STATUS if known is None else known.status,
+            str(self.revision) if known is None else known.created,
         )
         found[name] = stored
         self._append(kind, objects.Change(stored))
--- a/standins/store.py
+++ b/standins/store.py
@@ -87,13 +87,19 @@
 
     async def write(self, kind: str, name: str, spec) -> None:
         """Create or replace an object, as an operator or a worker does."""
-        known = self._objects.get(kind, {}).get(name, {})
-        await self._put(kind, name, spec, known.get("status"))
+        await self._put(kind, name, spec, self.read_status(kind, name))
 
     async def _put(self, kind: str, name: str, spec, status) -> None:
         self.revision += 1
+        known = self._objects.get(kind, {}).get(name, {"metadata": {}})
         stored = {
-            "metadata": {"name": name, "revision": self.revision},
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created_at": known["metadata"].get(
+                    "created_at", self.revision
+                ),
+            },
             "spec": spec,
             "status": status,
         }
--- a/tests/test_rollout_orders.py
+++ b/tests/test_rollout_orders.py
@@ -15,7 +15,7 @@
 from standins import store as stores
 
 ORDER = {"service": "ledger", "to": "v2", "duration_s": 12}
-RUNNING = records.RolloutRecord("ledger", "v2", 12_000.0, "running")
+RUNNING = records.RolloutRecord("ledger", "v2", 12_000.0, "running", "2")
 
 
 def make_object(spec, status=None):
@@ -90,6 +90,7 @@
     assertions.assert_that(
         rollouts.decode_rollout(present), matchers.Equals(RUNNING)
     )
+    assertions.assert_that(present.created, matchers.Equals(stored.created))
     assertions.assert_that(await read_order(client), matchers.Equals(present))
 
 
@@ -102,7 +103,9 @@
         )
     assertions.assert_that(
         rollouts.decode_rollout(raised.value.present),
-        matchers.Equals(records.RolloutRecord("ledger", "v3", 12_000.0)),
+        matchers.Equals(
+            records.RolloutRecord("ledger", "v3", 12_000.0, created="2")
+        ),
     )
     assertions.assert_that(store.status_writes, matchers.Equals([]))
 
