Count each attempt for its version, and items of batch calls too

Cause: exposure to a version is bounded in attempts of all kinds, so each place that sends has to ask and to count.

Change: slots, batch calls and the quarantine know an interface for versions. A crash under a request that is suspected nowhere else is laid to a version that is not proven. By default all versions are alike.

--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -11,9 +11,11 @@
 from chervilshore.clients import batches
 from chervilshore.clients import peers as peer_types
 from chervilshore import clock as clocks
+from chervilshore.controllers import batchevidence
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import freeing
+from chervilshore.controllers import versions
 from chervilshore.decisions import backlog
 from chervilshore.decisions import batchjobs
 from chervilshore.decisions import batchplanner
@@ -34,6 +36,9 @@
 RESULT_RETENTION_MS = 5000.0
 """Milliseconds for which the result of a finished job can be sent again."""
 
+VERSION_WAIT_MS = 100.0
+"""Milliseconds until a version that gets no call now may get one."""
+
 _LOGGER = logging.getLogger(__name__)
 
 SendUpdate = collections_abc.Callable[
@@ -68,6 +73,7 @@
         client: batches.BatchClient,
         metrics: metric_types.Metrics,
         notices: endpointnotices.EndpointNotices,
+        version_choice: versions.Versions | None = None,
     ) -> None:
         super().__init__()
         self._clock = clock
@@ -78,6 +84,7 @@
         self._freer = freeing.ResultFreer(clock, directory, client, notices)
         self._metrics = metrics
         self._notices = notices
+        self._versions = version_choice or versions.AnyVersion()
         self._pool_states: dict[ids.PoolName, _PoolState] = {}
         self._finished: dict[
             str, tuple[float, batchmessages.BatchJobResult]
@@ -221,16 +228,20 @@
             return
 
     def _update_endpoints(self, pool: ids.PoolName, state: _PoolState) -> None:
-        rules = self._configuration.rules
+        now = self._clock.now()
+        accepts_requests = self._configuration.rules.accepts_requests
         usable = [
             record
             for record in self._directory.endpoints(pool)
-            if rules.accepts_requests(record)
+            if accepts_requests(record)
             and not self._notices.is_leaving(record)
         ]
         state.planner.set_endpoints(usable)
+        waiting = self._versions.list_waiting(pool, usable, now)
         for record in usable:
             next_call = self._notices.next_send(record, sole_sender=True)
+            if record.endpoint in waiting:
+                next_call = max(next_call, now + VERSION_WAIT_MS)
             state.planner.hold(record.endpoint, next_call)
 
     async def _make_call(
@@ -252,20 +263,24 @@
         timeout_ms = CALL_TIMEOUT_FACTOR * call.expected_ms + CALL_MARGIN_MS
         outcome = "made"
         failures: collections.Counter[str] = collections.Counter()
+        evidence = batchevidence.CallEvidence(self._versions, call, now)
         read_report = self._start(self._report_read(state, call))
         try:
             results = await self._client.run(call.record, calls, timeout_ms)
         except exceptions.EndpointError as error:
+            evidence.record_error(error)
             busy = isinstance(error, exceptions.EndpointBusy)
             outcome = "busy" if busy else "lost"
             self._fail_call(state, call, busy)
         else:
+            evidence.record_results(results)
             failures.update(
                 result.failure.value for result in results if result.failure
             )
             self._finish_call(state, call, results)
         finally:
             read_report.cancel()
+            evidence.end(self._clock.now(), state.planner.batching)
         millis = self._clock.now() - now
         self._metrics.count(
             metric_types.Metric.BATCH_CALLS, call.record.pool, outcome
--- a/chervilshore/controllers/immediateslots.py
+++ b/chervilshore/controllers/immediateslots.py
@@ -26,6 +26,10 @@
 """Milliseconds after which a refused caller may retry: by then a cold endpoint
 takes another request, or one that has just left is replaced."""
 
+MAX_LEVEL = 2
+"""Highest level of load at which the requests of versions are compared: this
+host has four or more requests at the endpoint."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -172,10 +176,29 @@
             version=record.version,
             in_flight=self._in_flight[endpoint],
         )
-        self._versions.record_sent(
-            record, requirements.pipeline, self._clock.now()
+        sent = self._describe_sent(requirements, record)
+        self._versions.record_sent(record, sent, self._clock.now())
+        return slots.Slot(record, sent=sent)
+
+    def _describe_sent(
+        self,
+        requirements: routing.StageRequirements,
+        record: records.EndpointRecord,
+    ) -> versions.Sent:
+        is_first = not requirements.excluded
+        is_cold = self._clock.now() < self._directory.cold_until(
+            record.endpoint
+        )
+        in_flight = self._in_flight[record.endpoint]
+        return versions.Sent(
+            requirements.pipeline,
+            level=min(MAX_LEVEL, in_flight.bit_length() - 1),
+            is_first=is_first,
+            # A stream that goes on is shorter than others.
+            is_comparable=is_first
+            and not is_cold
+            and requirements.version is None,
         )
-        return slots.Slot(record, pipeline=requirements.pipeline)
 
     def confirm(self, slot: slots.Slot) -> bool:
         """Check that the endpoint is still usable; see `Slots.confirm`."""
@@ -192,7 +215,7 @@
         millis = attempt.millis
         now = self._clock.now()
         self._versions.record_end(
-            slot.record, slot.pipeline, attempt.outcome, millis, now
+            slot.record, slot.sent, attempt.outcome, millis, now
         )
         if pool is not None and pool.kind is records.EndpointKind.ENGINE:
             # The duration of a stream depends on the length of its text and
--- a/chervilshore/controllers/quarantine.py
+++ b/chervilshore/controllers/quarantine.py
@@ -14,6 +14,7 @@
 from chervilshore.clients import peers as peer_types
 from chervilshore import clock as clocks
 from chervilshore.controllers import directory as directories
+from chervilshore.controllers import versions
 from chervilshore.decisions import crashevidence
 from chervilshore.decisions import crashverdicts
 from chervilshore.decisions import holds
@@ -80,6 +81,8 @@
         Chooses peers.
     metrics : Metrics
         Counts what is lost and held back.
+    version_choice : Versions or None
+        Which versions may themselves be at fault; None if none are.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         peers: peer_types.PeerTransport,
         rng: random.Random,
         metrics: metric_types.Metrics,
+        version_choice: versions.Versions | None = None,
     ) -> None:
         super().__init__()
         self._host = host
@@ -100,6 +104,7 @@
         self._peers = peers
         self._rng = rng
         self._metrics = metrics
+        self._versions = version_choice or versions.AnyVersion()
         self._evidence = crashevidence.CrashEvidence()
         self._has_news = asyncio.Event()
         self._held: set[ids.Fingerprint] = set()
@@ -211,6 +216,9 @@
             after_event=relay.last_event_id if relay else None,
             fingerprints=exchange.fingerprints,
         )
+        if self._versions.is_suspect(record) and self.may_retry(exchange):
+            # Its version may be what fails, and is judged by it.
+            return
         if ended and not has_answered:
             crash = ids.CrashId(f"{record.endpoint}/{record.instance}")
             self._evidence.record_crash(
--- a/chervilshore/controllers/slots.py
+++ b/chervilshore/controllers/slots.py
@@ -7,6 +7,7 @@
 
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
+from chervilshore.controllers import versions
 from chervilshore.decisions import routing
 from chervilshore import exceptions
 from chervilshore import ids
@@ -25,14 +26,14 @@
         The number of the slot within the epoch.
     epoch : Epoch
         The epoch of the owner that granted the slot.
-    pipeline : PipelineName
-        The pipeline of the request; empty if it does not matter.
+    sent : Sent
+        What is known of the request when it is sent.
     """
 
     record: records.EndpointRecord
     grant: ids.GrantId = ids.GrantId(0)
     epoch: ids.Epoch = ids.Epoch(0)
-    pipeline: ids.PipelineName = ids.PipelineName("")
+    sent: versions.Sent = versions.Sent()
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
--- a/chervilshore/controllers/versions.py
+++ b/chervilshore/controllers/versions.py
@@ -2,11 +2,34 @@
 
 import abc
 
+import msgspec
+
 from chervilshore.decisions import routing
 from chervilshore import ids
 from chervilshore import records
 
 
+class Sent(msgspec.Struct, frozen=True):
+    """What is known of a request when it is sent.
+
+    Parameters
+    ----------
+    pipeline : PipelineName
+        Its pipeline; empty for a call of a batch pool.
+    level : int
+        How loaded the endpoint was, from 0.
+    is_first : bool
+        Whether it is the request's first attempt at the pool.
+    is_comparable : bool
+        Whether its duration tells something of the endpoint's version.
+    """
+
+    pipeline: ids.PipelineName = ids.PipelineName("")
+    level: int = 0
+    is_first: bool = True
+    is_comparable: bool = True
+
+
 class Versions(abc.ABC):
     """Says in which order the versions of a pool's endpoints are tried."""
 
@@ -35,20 +58,17 @@
         """
 
     @abc.abstractmethod
-    def accepts(
+    def list_waiting(
         self,
-        record: records.EndpointRecord,
-        pipeline: ids.PipelineName,
+        pool: ids.PoolName,
+        endpoints: list[records.EndpointRecord],
         now: float,
-    ) -> bool:
-        """Return whether an endpoint's version may get a request now."""
+    ) -> frozenset[ids.EndpointId]:
+        """Return the endpoints of a batch pool that get no call now."""
 
     @abc.abstractmethod
     def record_sent(
-        self,
-        record: records.EndpointRecord,
-        pipeline: ids.PipelineName,
-        now: float,
+        self, record: records.EndpointRecord, sent: Sent, now: float
     ) -> None:
         """Record that a request is being sent to an endpoint."""
 
@@ -56,13 +76,17 @@
     def record_end(
         self,
         record: records.EndpointRecord,
-        pipeline: ids.PipelineName,
+        sent: Sent,
         outcome: records.Outcome,
         millis: float,
         now: float,
     ) -> None:
         """Record how a request that was sent ended, and after how long."""
 
+    @abc.abstractmethod
+    def hold(self, record: records.EndpointRecord, until: float) -> None:
+        """Record that an endpoint is needed until a time, for its results."""
+
     @abc.abstractmethod
     def is_suspect(self, record: records.EndpointRecord) -> bool:
         """Return whether an endpoint's version may itself be at fault."""
@@ -80,33 +104,33 @@
         """Return all candidates as one group; see `Versions.divide`."""
         return [candidates]
 
-    def accepts(
+    def list_waiting(
         self,
-        record: records.EndpointRecord,
-        pipeline: ids.PipelineName,
+        pool: ids.PoolName,
+        endpoints: list[records.EndpointRecord],
         now: float,
-    ) -> bool:
-        """Return True; see `Versions.accepts`."""
-        return True
+    ) -> frozenset[ids.EndpointId]:
+        """Return no endpoint; see `Versions.list_waiting`."""
+        return frozenset()
 
     def record_sent(
-        self,
-        record: records.EndpointRecord,
-        pipeline: ids.PipelineName,
-        now: float,
+        self, record: records.EndpointRecord, sent: Sent, now: float
     ) -> None:
         """Do nothing; see `Versions.record_sent`."""
 
     def record_end(
         self,
         record: records.EndpointRecord,
-        pipeline: ids.PipelineName,
+        sent: Sent,
         outcome: records.Outcome,
         millis: float,
         now: float,
     ) -> None:
         """Do nothing; see `Versions.record_end`."""
 
+    def hold(self, record: records.EndpointRecord, until: float) -> None:
+        """Do nothing; see `Versions.hold`."""
+
     def is_suspect(self, record: records.EndpointRecord) -> bool:
         """Return False; see `Versions.is_suspect`."""
         return False
