Carry out orders of roll-outs

Cause: orders were not answered, and a bad version got as much traffic as its endpoints are listed with.

Change: each host follows the orders, decides on them by the evidence of all and sends by version. One host by rank writes the status, under the revision of the order.

--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -156,6 +156,20 @@
     ORDER_UNSETTLED = EventSpec(6004, _WARNING, "order has no outcome yet")
     ORDERS_BLOCKED = EventSpec(6005, _WARNING, "orders wait for platform")
 
+    # Roll-outs of software versions: 6100 to 6199.
+    ROLLOUT_STARTED = EventSpec(6101, _INFO, "roll-out started")
+    ROLLOUT_ENDED = EventSpec(6102, _INFO, "roll-out ended")
+    ROLLOUT_DECIDED = EventSpec(6103, _INFO, "roll-out decided")
+    ROLLOUT_PHASE = EventSpec(6104, _INFO, "roll-out entered a phase")
+    ROLLOUT_STATUS_WRITTEN = EventSpec(
+        6105, _INFO, "status of roll-out written"
+    )
+    ROLLOUT_STATUS_UNWRITTEN = EventSpec(
+        6106, _WARNING, "status of roll-out not written"
+    )
+    ROLLOUT_REFUSED = EventSpec(6107, _WARNING, "order of roll-out invalid")
+    ROLLOUT_DROPPED = EventSpec(6108, _INFO, "order of roll-out gone")
+
     # Requests: 7000 to 7999.
     REQUEST_DONE = EventSpec(7001, _DEBUG, "request done")
     REQUEST_REFUSED = EventSpec(7002, _INFO, "request refused")
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -14,11 +14,11 @@
 from chervilshore.controllers import batchstages
 from chervilshore.controllers import catalog
 from chervilshore.controllers import catalogsync
-from chervilshore.controllers import decoders
 from chervilshore.controllers import immediateslots
 from chervilshore.controllers import membership
 from chervilshore.controllers import noticelog
 from chervilshore.controllers import quarantine
+from chervilshore.controllers import rollouts
 from chervilshore.controllers import streams
 from chervilshore.controllers import submitting
 from chervilshore.decisions import affinity
@@ -45,11 +45,10 @@
 from chervilshore import listener
 from chervilshore import metrics
 from chervilshore.platform import batches
-from chervilshore.platform import documents
 from chervilshore.platform import forwarding
+from chervilshore.platform import kinds
 from chervilshore.platform import names
 from chervilshore.platform import requests
-from chervilshore.platform import rollouts as rollout_documents
 from chervilshore.platform import store
 from chervilshore import records
 from chervilshore import settings
@@ -63,21 +62,6 @@
 """Milliseconds for which a draining host still accepts requests: the load
 balancer ejects it after two failed readiness checks, a second apart."""
 
-DECODERS = decoders.Decoders(
-    rules=names.CONFIG,
-    domains=names.EVACUATIONS,
-    endpoints=names.SERVERS,
-    hosts=names.HOSTS,
-    rollouts="",
-    rules_name=names.CONFIG_NAME,
-    read_rules=documents.decode_rules,
-    read_endpoint=documents.decode_endpoint,
-    read_host=documents.decode_host,
-    write_host=documents.encode_host,
-    read_rollout=rollout_documents.decode_rollout,
-    write_rollout_status=rollout_documents.encode_rollout_status,
-)
-
 _REQUEST_FORMAT = ingress.RequestFormat(
     decode=requests.decode_request,
     read_request_id=requests.read_attempt_id,
@@ -159,9 +143,10 @@
             probe_settings=PROBE_SETTINGS,
             metrics=self._metrics,
         )
+        self._decoders = kinds.choose_decoders(options.carries_out_rollouts)
         self._catalog = catalog.Catalog(
             self._store,
-            DECODERS,
+            self._decoders,
             self._membership,
             self._clock,
             options.store_recovery_ms,
@@ -176,6 +161,17 @@
 
     def _make_data_plane(self) -> None:
         options = self._options
+        self._rollouts, self._versions = rollouts.assemble(
+            options,
+            self._clock,
+            self._store,
+            self._catalog,
+            self._decoders,
+            self._membership,
+            self._peers,
+            self._random,
+            self._metrics,
+        )
         self._notices = endpointnotices.EndpointNotices(self._random)
         notice_log = noticelog.NoticeLog(
             self._clock, self._notices, self._metrics
@@ -207,6 +203,7 @@
             batches.BatchClient(self._connections, notice_log.record),
             self._metrics,
             self._notices,
+            self._versions,
         )
         self._batch_pools = submitting.BatchPoolClient(
             options.host,
@@ -229,6 +226,7 @@
             self._peers,
             self._random,
             self._metrics,
+            self._versions,
         )
         self._streams = streams.Streams(
             options.host,
@@ -245,6 +243,7 @@
             self._catalog,
             self._make_router,
             self._notices,
+            self._versions,
         )
 
     def _make_router(self) -> routing.Router:
@@ -254,11 +253,11 @@
 
     def _make_chain(self) -> base.Proceed:
         deadline_policy = deadlines.WholeDeadline()
-        kinds = records.EndpointKind
+        kind = records.EndpointKind
         attempts = attempt.AttemptRunner(
             self._clock,
             self._slots,
-            dict.fromkeys((kinds.ENGINE, kinds.PLAIN), self._client),
+            dict.fromkeys((kind.ENGINE, kind.PLAIN), self._client),
             deadline_policy,
             shedding.NoShedding(),
             self._metrics,
@@ -319,8 +318,10 @@
             self._quarantine,
             self._streams,
             self._tunnels,
+            self._rollouts,
         ):
-            await self.add_runtime_dependency(service)
+            if service is not None:
+                await self.add_runtime_dependency(service)
         options = self._options
         await self._listeners.listen(self.ingress.serve, options.http_address)
         for address in (options.ready_address, options.metrics_address):
@@ -343,6 +344,7 @@
                 "ready": ready,
                 "leaving": self._is_leaving,
                 "catalog": self._catalog.describe(),
+                "rollouts": self._rollouts and self._rollouts.describe(),
                 "held": self._quarantine.describe(),
                 "streams": self._streams.describe(),
                 "paths_lost_ms": self._paths.describe(self._clock.now()),
@@ -383,8 +385,8 @@
             return
 
     async def _wait_idle(self) -> None:
-        await self.ingress.wait_idle()
-        await self._tunnels.wait_idle()
+        for part in (self.ingress, self._tunnels):
+            await part.wait_idle()
 
     async def on_stop(self) -> None:
         """Close the connections of callers and to endpoints."""
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -246,6 +246,23 @@
         "Requests whose endpoint closed the connection before the end of its "
         "response, by whether the endpoint itself has ended.",
     )
+    VERSION_ATTEMPTS = _counter(
+        "chervilshore_rollout_attempts_total",
+        ("pool", "version", "outcome"),
+        "Attempts at pools under an order of a roll-out, by version.",
+    )
+    ROLLOUT_PHASE = _gauge(
+        "chervilshore_rollout_phase",
+        ("pool",),
+        "How far this host has moved a pool's requests: 0 canary, 1 moving, "
+        "2 switched, 3 condemned.",
+    )
+    ROLLOUT_SHARE = _gauge(
+        "chervilshore_rollout_new_share",
+        ("pool",),
+        "Share of this host's requests at the pool that the ordered version "
+        "got since the order.",
+    )
     HELD = _gauge(
         "chervilshore_held_fingerprints",
         (),
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -289,6 +289,12 @@
     def __init__(self, values: dict[str, typing.Any]) -> None:
         self.__dict__.update(values)
 
+    @property
+    def carries_out_rollouts(self) -> bool:
+        """Whether the bounds of roll-outs are set."""
+        bounds = (self.exposure_share, self.exposure_slack, self.rollback_ms)
+        return None not in bounds
+
     def __getattr__(self, name: str) -> typing.Any:
         """Raise AttributeError for an unknown setting."""
         raise AttributeError(f"there is no setting {name!r}")
--- a/chervilshore/wire.py
+++ b/chervilshore/wire.py
@@ -10,6 +10,7 @@
 from chervilshore import ids
 from chervilshore import messages
 from chervilshore import quarantinemessages
+from chervilshore import rolloutmessages
 from chervilshore import streammessages
 
 Body = typing.Union[
@@ -50,6 +51,8 @@
     catalogmessages.CatalogReply,
     quarantinemessages.CrashReport,
     quarantinemessages.CrashReportRequest,
+    rolloutmessages.RolloutReport,
+    rolloutmessages.RolloutReportRequest,
     streammessages.StreamReport,
     streammessages.StreamRequest,
     streammessages.StreamReply,
--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -6,8 +6,8 @@
 from chervilshore.controllers import catalog
 from chervilshore.controllers import catalogsync
 from chervilshore.controllers import membership
-from chervilshore import gateway
 from chervilshore import ids
+from chervilshore.platform import kinds
 from chervilshore import records
 from standins import objectstore
 from tests import gateway_helpers
@@ -35,7 +35,7 @@
         peers = network.join(address)
         self.membership = membership.Membership(record, clock, peers, rng)
         self.catalog = catalog.Catalog(
-            store, gateway.DECODERS, self.membership, clock
+            store, kinds.DECODERS, self.membership, clock
         )
         self.sync = catalogsync.CatalogSync(
             self.catalog, self.membership, peers, clock, rng
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,6 +10,7 @@
 from chervilshore import grantmessages
 from chervilshore import messages
 from chervilshore import quarantinemessages
+from chervilshore import rolloutmessages
 from chervilshore import streammessages
 from chervilshore import wire
 
@@ -19,6 +20,7 @@
     grantmessages,
     batchmessages,
     quarantinemessages,
+    rolloutmessages,
     streammessages,
 )
 
