--- a/chervilshore/decisions/rollouts/exposure.py
+++ b/chervilshore/decisions/rollouts/exposure.py
@@ -5,10 +5,21 @@
 from chervilshore.decisions.rollouts import records as rollout_records
 from chervilshore import ids
 
-USED_FRACTION = 0.75
+USED_FRACTION = 0.8
 """Fraction of the share that the canary may use. The rest is left for the
 requests that go to a moved version before it turns out to be bad."""
 
+MAX_RANDOM_STARTS = 400
+"""Number of hosts up to which all start at random; of more, the requests
+beyond the share could be more than the slack by chance."""
+
+RESTART_CREDIT = -0.5
+"""Requests that a process is given which does not know what it sent before,
+so that hosts that start often stay below their share."""
+
+SLACK_FRACTION = 0.5
+"""Fraction of the slack that the canary may use."""
+
 HOST_COUNT_MARGIN = 1.3
 """Factor on the number of known hosts, as new hosts may not be known yet."""
 
@@ -23,11 +34,12 @@
 class ExposureBudget:
     """Keeps this host's requests to the new version below its own share.
 
-    Each host counts only its own requests. As each stays below the share of
-    these, all together stay below the share of all, however the traffic is
-    divided and whichever hosts cannot reach each other. Some hosts use the
-    slack to send their first request early; a process that does not know what
-    it sent before has none.
+    Each host counts only its own requests. As each sends its share of these,
+    all together send their share of all, however the traffic is divided and
+    whichever hosts cannot reach each other. A host begins at a random
+    fraction of a request, so that hosts with few requests send their share
+    too: over all hosts the fractions cancel out, up to a few requests for
+    which there is the slack.
 
     Parameters
     ----------
@@ -38,7 +50,7 @@
     has_memory : bool
         Whether this process ran when the order was given.
     rng : random.Random
-        Spreads the first requests of the hosts over time.
+        Draws that fraction.
 
     Attributes
     ----------
@@ -59,9 +71,13 @@
         self.used = 0
         self._share = limits.share
         self._start = 0.0
-        sharing = max(MIN_SHARING_HOSTS, hosts * HOST_COUNT_MARGIN)
-        if has_memory and rng.random() < limits.slack / sharing:
+        if rng.random() * hosts < MAX_RANDOM_STARTS:
             self._start = rng.random()
+        if has_memory:
+            sharing = max(MIN_SHARING_HOSTS, hosts * HOST_COUNT_MARGIN)
+            self._start += SLACK_FRACTION * limits.slack / sharing
+        else:
+            self._start += RESTART_CREDIT
         self._requests_of: dict[ids.PipelineName, int] = {}
         self._used_of: dict[ids.PipelineName, int] = {}
 
--- a/chervilshore/decisions/rollouts/rollout.py
+++ b/chervilshore/decisions/rollouts/rollout.py
@@ -16,7 +16,7 @@
 """Compared responses without which a version is not moved to: fewer would not
 show even one that fails half of its requests."""
 
-CANARY_FRACTIONS = (0.4, 0.7)
+CANARY_FRACTIONS = (0.5, 0.8)
 """Fractions of the share that the canary uses, before and after the evidence
 suffices for a verdict."""
 
@@ -154,10 +154,8 @@
         """
         new = [record.endpoint for record in self._view.new]
         if self.phase is Phase.CANARY:
-            count = self._schedule.count_canaries(
-                len(new), len(self._view.old)
-            )
-            new = self._schedule.rank_canaries(new, now)[:count]
+            old = len(self._view.old)
+            return self._schedule.choose_canaries(new, old, now)
         return frozenset(new)
 
     def record_sent(
--- a/chervilshore/decisions/rollouts/schedule.py
+++ b/chervilshore/decisions/rollouts/schedule.py
@@ -31,10 +31,10 @@
 """Milliseconds before the deadline at which hosts that are not heard of are
 no longer waited for."""
 
-CANARY_MS = 5_000.0
-"""Milliseconds for which the same endpoints get the canary's requests."""
+CANARY_MS = 2_000.0
+"""Milliseconds after which the next endpoints get the canary's requests."""
 
-CANARY_SHARE = 0.07
+CANARY_SHARE = 0.08
 """Share of the requests that the canary gets at most."""
 
 MIN_CAPACITY_FRACTION = 0.75
@@ -136,19 +136,23 @@
             ),
         )
 
-    def count_canaries(self, new: int, old: int) -> int:
-        """Return how many endpoints should get the canary's requests.
+    def choose_canaries(
+        self, new: abc.Collection[ids.EndpointId], old: int, now: float
+    ) -> frozenset[ids.EndpointId]:
+        """Choose the endpoints for the canary, the same on all hosts.
 
         Parameters
         ----------
-        new, old : int
-            Number of endpoints of the new version and of the others.
+        new : collection of EndpointId
+            The endpoints of the new version.
+        old : int
+            Number of endpoints of the other versions.
+        now : float
+            The time in milliseconds.
         """
-        return min(new, max(1, math.ceil(CANARY_SHARE * old)))
-
-    def rank_canaries(
-        self, endpoints: abc.Iterable[ids.EndpointId], now: float
-    ) -> list[ids.EndpointId]:
-        """Rank endpoints for the canary, the same way on all hosts."""
-        turn = int((now - self._started) // CANARY_MS)
-        return rendezvous.rank(endpoints, f"canary/{turn}")
+        ranked = rendezvous.rank(new, "canary")
+        count = min(len(ranked), max(1, math.ceil(CANARY_SHARE * old)))
+        turn = int((now - self._started) // CANARY_MS) * count
+        return frozenset(
+            ranked[(turn + index) % len(ranked)] for index in range(count)
+        )
--- a/chervilshore/decisions/rollouts/strata.py
+++ b/chervilshore/decisions/rollouts/strata.py
@@ -1,15 +1,24 @@
 """The responses of like requests within a short time, by version."""
 
+import math
+
 from chervilshore.decisions.rollouts import evidence as evidences
+from chervilshore.decisions.rollouts import trends
+
+SLICE_MS = 1_000.0
+"""Duration of a slice."""
+
+MAX_CONTROLS = 200.0
+"""Weight of the controls that are kept of earlier slices."""
 
-ENOUGH_CONTROLS = 20
-"""Responses of the controls with which a slice ends at once."""
+CONTROL_MEMORY_MS = 30_000.0
+"""Time in which earlier controls lose their weight."""
 
-SLICE_MS = 2_000.0
-"""Duration of a slice with fewer of them."""
+CHANGE_SURPRISE = math.log(100.0)
+"""Surprise at the controls of a slice from which earlier ones are dropped."""
 
-MAX_SLICE_MS = 10_000.0
-"""Duration of a slice with responses of one side only."""
+SLOW_OFFSET = 3
+"""Buckets above the median from which a response counts as slow then."""
 
 
 class Sample:
@@ -45,12 +54,12 @@
         for bucket, count in enumerate(other.buckets):
             self.buckets[bucket] += count
 
-    def halve(self) -> None:
-        """Halve the weight of all responses."""
-        self.ended /= 2.0
-        self.failed /= 2.0
-        self.timed /= 2.0
-        self.buckets = [count / 2.0 for count in self.buckets]
+    def scale(self, factor: float) -> None:
+        """Multiply the weight of all responses."""
+        self.ended *= factor
+        self.failed *= factor
+        self.timed *= factor
+        self.buckets = [count * factor for count in self.buckets]
 
     def count_from(self, bucket: int) -> float:
         """Return the weight of the responses in this bucket and above."""
@@ -69,42 +78,75 @@
 class Stratum:
     """The responses of like requests in the current slice of time.
 
+    The controls of earlier slices count too, as long as the later ones are
+    like them.
+
     Parameters
     ----------
     started : float
-        The time in milliseconds at which the slice begins.
+        The time in milliseconds at which the first slice begins.
 
     Attributes
     ----------
-    old : Sample
-        The responses of the controls.
+    controls : Sample
+        The responses of the controls in earlier slices.
     new : dict
-        Those of the new version, by cell.
+        Those of the new version in the current slice, by cell.
     """
 
     def __init__(self, started: float) -> None:
-        self.old = Sample()
+        self.controls = Sample()
         self.new: dict[int, Sample] = {}
+        self._latest = Sample()
         self._started = started
 
     def add(self, cell: int, tally: evidences.Tally) -> None:
         """Add the responses of a tally, by its cell."""
         if cell == evidences.OLD_CELL:
-            self.old.add(tally)
+            self._latest.add(tally)
         else:
             self.new.setdefault(cell, Sample()).add(tally)
 
-    def is_over(self, has_controls: bool, now: float) -> bool:
-        """Return whether the slice ends.
+    def is_over(self, now: float) -> bool:
+        """Return whether the slice ends."""
+        return now - self._started >= SLICE_MS
+
+    def close(self, now: float) -> dict[int, Sample]:
+        """End the slice, and add its controls to the earlier ones.
 
-        Parameters
-        ----------
-        has_controls : bool
-            Whether requests still go to the controls.
-        now : float
-            The time in milliseconds.
+        Returns
+        -------
+        dict
+            What the new version did in it, by cell.
         """
-        age_ms = now - self._started
-        if not self.new or (has_controls and not self.old.ended):
-            return age_ms >= MAX_SLICE_MS
-        return age_ms >= SLICE_MS or self.old.ended >= ENOUGH_CONTROLS
+        if self._has_changed():
+            self.controls = Sample()
+        self.controls.scale(
+            math.exp((self._started - now) / CONTROL_MEMORY_MS)
+        )
+        if self.controls.ended > MAX_CONTROLS:
+            self.controls.scale(MAX_CONTROLS / self.controls.ended)
+        self.controls.merge(self._latest)
+        new = self.new
+        self.new = {}
+        self._latest = Sample()
+        self._started = now
+        return new
+
+    def _has_changed(self) -> bool:
+        """Return whether the controls do worse than in earlier slices."""
+        earlier, latest = self.controls, self._latest
+        if not earlier.ended:
+            return False
+        fraction = (earlier.failed + 0.5) / (earlier.ended + 1.0)
+        surprise = trends.measure_surprise(
+            latest.failed, fraction * latest.ended, latest.ended
+        )
+        if surprise >= CHANGE_SURPRISE or not earlier.timed:
+            return surprise >= CHANGE_SURPRISE
+        bucket = earlier.find_median() + SLOW_OFFSET
+        fraction = (earlier.count_from(bucket) + 0.5) / (earlier.timed + 1.0)
+        surprise = trends.measure_surprise(
+            latest.count_from(bucket), fraction * latest.timed, latest.timed
+        )
+        return surprise >= CHANGE_SURPRISE
--- a/chervilshore/decisions/rollouts/trends.py
+++ b/chervilshore/decisions/rollouts/trends.py
@@ -11,21 +11,24 @@
 """Fraction of the groups of endpoints that may be bad without the version
 being so."""
 
-Counts = abc.Mapping[object, tuple[float, float]]
-"""For each group of endpoints the bad responses, and how many of them the
-controls lead to expect."""
+Counts = abc.Mapping[object, tuple[float, float, float]]
+"""For each group of endpoints the bad responses, how many of them the controls
+lead to expect, and all responses."""
 
 
-def measure_surprise(observed: float, expected: float) -> float:
+def measure_surprise(observed: float, expected: float, number: float) -> float:
     """Return how unlikely so many events are.
 
-    This is Chernoff's bound on the tail of a sum of independent variables
-    between 0 and 1, so it also holds where older events weigh less.
+    This is Hoeffding's bound on the tail of a sum of independent events of
+    different probability. As its exponent is convex in the weight of an event,
+    it also holds where older events weigh less.
 
     Parameters
     ----------
     observed, expected : float
-        The sum, and its mean if the version is as good as the controls.
+        The events, and their mean if the version is as good as the controls.
+    number : float
+        How many there could have been.
 
     Returns
     -------
@@ -33,11 +36,15 @@
         The negative logarithm of a bound on the probability; 0 if there are
         no more events than expected.
     """
-    if observed <= expected:
+    if observed <= expected or expected >= number:
         return 0.0
     if expected <= 0.0:
         return math.inf
-    return observed * math.log(observed / expected) - observed + expected
+    surprise = observed * math.log(observed / expected)
+    missing = number - observed
+    if missing > 0.0:
+        surprise += missing * math.log(missing / (number - expected))
+    return max(0.0, surprise)
 
 
 class Trend:
@@ -59,13 +66,11 @@
         self._assessed = None
         for memory_ms, sums in zip(MEMORIES_MS, self._sums):
             weight = math.exp(-elapsed_ms / memory_ms)
-            for pair in sums.values():
-                pair[0] *= weight
-                pair[1] *= weight
-            for group, (observed, expected) in counts.items():
-                pair = sums.setdefault(group, [0.0, 0.0])
-                pair[0] += observed
-                pair[1] += expected
+            for group in sums:
+                sums[group] = [weight * value for value in sums[group]]
+            for group, values in counts.items():
+                known = sums.get(group, (0.0, 0.0, 0.0))
+                sums[group] = [a + b for a, b in zip(known, values)]
 
     def assess(self) -> tuple[tuple[float, float], ...]:
         """Return the surprise at all groups, and without the worst ones.
@@ -76,31 +81,30 @@
             A pair for each of the memories.
         """
         if self._assessed is None:
-            self._assessed = tuple(map(self._assess_sums, self._sums))
+            self._assessed = tuple(map(_assess_sums, self._sums))
         return self._assessed
 
-    def total(self) -> tuple[float, float]:
-        """Return the observed and expected sums since the beginning."""
-        observed = sum(pair[0] for pair in self._sums[-1].values())
-        expected = sum(pair[1] for pair in self._sums[-1].values())
-        return observed, expected
-
-    def _assess_sums(
-        self, sums: dict[object, list[float]]
-    ) -> tuple[float, float]:
-        pairs = sorted(
-            sums.values(), key=lambda pair: pair[0] - pair[1], reverse=True
-        )
-        everything = _measure(pairs)
-        if len(pairs) < 2:
-            return everything, everything
-        dropped = max(1, int(len(pairs) * TRIMMED_FRACTION))
-        return everything, _measure(pairs[dropped:])
-
-
-def _measure(pairs: abc.Iterable[abc.Sequence[float]]) -> float:
-    observed = expected = 0.0
-    for pair in pairs:
-        observed += pair[0]
-        expected += pair[1]
-    return measure_surprise(observed, expected)
+    def total(self) -> tuple[float, float, float]:
+        """Return the sums since the beginning, as in `Counts`."""
+        return add_up(self._sums[-1].values())
+
+
+def _assess_sums(sums: dict[object, list[float]]) -> tuple[float, float]:
+    ordered = sorted(
+        sums.values(), key=lambda values: values[0] - values[1], reverse=True
+    )
+    everything = measure_surprise(*add_up(ordered))
+    if len(ordered) < 2:
+        return everything, everything
+    dropped = max(1, int(len(ordered) * TRIMMED_FRACTION))
+    return everything, measure_surprise(*add_up(ordered[dropped:]))
+
+
+def add_up(
+    rows: abc.Iterable[abc.Sequence[float]],
+) -> tuple[float, float, float]:
+    """Add up rows as in `Counts`."""
+    totals = (0.0, 0.0, 0.0)
+    for row in rows:
+        totals = tuple(a + b for a, b in zip(totals, row))
+    return totals
--- a/chervilshore/decisions/rollouts/verdict.py
+++ b/chervilshore/decisions/rollouts/verdict.py
@@ -19,14 +19,14 @@
 from chervilshore.decisions.rollouts import trends
 from chervilshore import ids
 
-BAD_SURPRISE = math.log(1e8)
-"""Surprise from which a version is bad: a good roll-out has some ten thousand
-tests, and at most 1 in 1,000 good versions may be rolled back."""
+BAD_SURPRISE = math.log(1e6)
+"""Surprise from which a version is bad: at most 1 in 1,000 good versions may
+be rolled back, and each has some hundred independent tests."""
 
-SPREAD_SURPRISE = math.log(1e3)
+SPREAD_SURPRISE = math.log(100.0)
 """Surprise that must remain without the worst endpoints."""
 
-SUSPECT_SURPRISE = math.log(1e5)
+SUSPECT_SURPRISE = math.log(1e4)
 """Surprise from which a version is not moved to yet."""
 
 TAIL_OFFSETS = (2, 3, 5, 7, 9, 12)
@@ -46,15 +46,15 @@
 """Factor on the earlier rate of responses above which a moved version's
 latency may be that of the load."""
 
-MOVED_FAILURE_FRACTION = 0.01
-"""Fraction of failures that is no evidence while the load moves, as it moves
-the failures that come of load too."""
+MOVED_FRACTION = 0.01
+"""Fraction of bad responses that is no evidence while the load moves."""
 
-MAX_REFERENCE = 200.0
-"""Weight of responses at which the earlier ones of a reference are halved."""
+MOVED_FACTOR = 2.0
+"""Factor on the fraction of bad responses that the controls had, where they
+ran at another time."""
 
-MIN_REFERENCE = 20.0
-"""Weight of responses from which a reference is used."""
+MIN_CONTROLS = 10.0
+"""Weight of the controls from which the new version is compared."""
 
 MIN_COMPARED = 60
 """Compared responses from which a version may be good."""
@@ -64,6 +64,10 @@
 
 _FAILED = 0
 
+_Name = tuple[ids.PipelineName, ids.DomainId, int | None]
+_Cells = abc.Mapping[int, strata.Sample]
+_Observed = abc.Mapping[int, tuple[float, float]]
+
 
 class Finding(enum.Enum):
     """What the evidence shows of a version."""
@@ -102,16 +106,13 @@
 
     def __init__(self) -> None:
         self.compared = 0
-        self._strata: dict[
-            tuple[ids.PipelineName, ids.DomainId, int | None], strata.Stratum
-        ] = {}
+        self._strata: dict[_Name, strata.Stratum] = {}
         self._references: dict[
-            tuple[ids.PipelineName, int], strata.Sample
+            tuple[ids.PipelineName, int | None], strata.Sample
         ] = {}
         self._trends: dict[
             tuple[ids.PipelineName, int, bool], trends.Trend
         ] = {}
-        self._domains: set[ids.DomainId] = set()
         self._rate = 0.0
         self._rated_at: float | None = None
         self._reference_rate = 0.0
@@ -124,7 +125,6 @@
         """Add responses that a host has reported since its last report."""
         for key, tally in pairs:
             self._count_rate(tally.ended, now)
-            self._domains.add(key.domain)
             for level in (None, key.level):
                 name = (key.pipeline, key.domain, level)
                 stratum = self._strata.get(name)
@@ -144,11 +144,19 @@
         """
         if phase is rollout_records.Phase.CANARY:
             self._reference_rate = max(self._reference_rate, self._rate)
-        has_controls = phase is not rollout_records.Phase.SWITCHED
-        for name, stratum in list(self._strata.items()):
-            if stratum.is_over(has_controls, now):
-                del self._strata[name]
-                self._compare(name, stratum, phase, now)
+        elif not self._references:
+            self._keep_references()
+        for name, stratum in self._strata.items():
+            if stratum.is_over(now):
+                # What is slow is told by the controls of earlier slices.
+                median = stratum.controls.find_median()
+                new = stratum.close(now)
+                if name[2] is None:
+                    self._compare_failures(name, stratum, new, phase, now)
+                elif phase is rollout_records.Phase.CANARY:
+                    self._compare_latencies(name, stratum, new, median, now)
+                elif self._rate <= MOVED_LOAD_FACTOR * self._reference_rate:
+                    self._compare_moved_latencies(name, new, now)
         return self._conclude()
 
     def _conclude(self) -> Verdict:
@@ -173,151 +181,121 @@
         if kind != _FAILED:
             factor = 2.0 ** (kind / evidences.BUCKETS_PER_OCTAVE)
             what = f"responses slower than {factor:.1f} times the median"
-        observed, expected = trend.total()
+        observed, expected, number = trend.total()
         return (
-            f"{pipeline or 'all pipelines'}: {observed:.0f} {what}, "
-            f"{expected:.1f} expected of {self.compared} compared"
-        )
-
-    def _compare(
-        self,
-        name: tuple[ids.PipelineName, ids.DomainId, int | None],
-        stratum: strata.Stratum,
-        phase: rollout_records.Phase,
-        now: float,
-    ) -> None:
-        pipeline, domain, level = name
-        moved = phase is not rollout_records.Phase.CANARY
-        if level is None:
-            self._compare_failures(pipeline, domain, stratum, phase, now)
-            return
-        reference = self._references.setdefault(
-            (pipeline, level), strata.Sample()
+            f"{pipeline or 'all pipelines'}: {observed:.0f} {what} of "
+            f"{number:.0f}, {expected:.1f} expected"
         )
-        if reference.timed >= MIN_REFERENCE and stratum.new:
-            if not moved:
-                self._compare_latencies(pipeline, stratum, reference, now)
-            elif self._rate <= MOVED_LOAD_FACTOR * self._reference_rate:
-                self._compare_moved(pipeline, domain, stratum, reference, now)
-        if not moved:
-            if reference.timed + stratum.old.timed > MAX_REFERENCE:
-                reference.halve()
-            reference.merge(stratum.old)
 
     def _compare_failures(
         self,
-        pipeline: ids.PipelineName,
-        domain: ids.DomainId,
+        name: _Name,
         stratum: strata.Stratum,
+        new: _Cells,
         phase: rollout_records.Phase,
         now: float,
     ) -> None:
+        pipeline, domain, _ = name
         observed = {
-            cell: (sample.failed, sample.ended)
-            for cell, sample in stratum.new.items()
+            cell: (sample.failed, sample.ended) for cell, sample in new.items()
         }
-        old = stratum.old
-        if phase is not rollout_records.Phase.SWITCHED:
-            # Both versions' endpoints in a domain are reached by the same
-            # links, so without controls there nothing can be told.
-            if not old.ended or not observed:
+        if phase is rollout_records.Phase.SWITCHED:
+            reference = self._references.get((pipeline, None))
+            if reference is None or reference.ended < MIN_CONTROLS:
                 return
-            allowance = 0.0
-            if phase is rollout_records.Phase.MOVING:
-                allowance = MOVED_FAILURE_FRACTION
-            else:
-                self.compared += int(sum(n for _, n in observed.values()))
-            counts = _expect(observed, old.failed, old.ended, allowance)
-            self._add(pipeline, _FAILED, False, counts, now)
-        else:
-            fraction = 3.0 * max(
-                MOVED_FAILURE_FRACTION, self._find_failure_fraction(pipeline)
-            )
-            counts = self._expect_fraction(domain, observed, fraction)
-            self._add(pipeline, _FAILED, True, counts, now)
+            fraction = reference.failed / reference.ended
+            self._add_moved(name, _FAILED, observed, fraction, now)
+            return
+        controls = stratum.controls
+        if controls.ended < MIN_CONTROLS:
+            return
+        allowance = 0.0
+        if phase is rollout_records.Phase.MOVING:
+            allowance = MOVED_FRACTION
+        self.compared += int(sum(number for _, number in observed.values()))
+        counts = _expect(observed, controls.failed, controls.ended, allowance)
+        self._add(pipeline, _FAILED, False, counts, now)
 
     def _compare_latencies(
         self,
-        pipeline: ids.PipelineName,
+        name: _Name,
         stratum: strata.Stratum,
-        reference: strata.Sample,
+        new: _Cells,
+        median: int,
         now: float,
     ) -> None:
-        old = stratum.old
-        if not old.timed:
+        controls = stratum.controls
+        if controls.timed < MIN_CONTROLS or not median:
             return
-        median = reference.find_median()
         for offset in TAIL_OFFSETS:
             bucket = median + offset
-            observed = {
-                cell: (sample.count_from(bucket), sample.timed)
-                for cell, sample in stratum.new.items()
-                if sample.timed
-            }
-            slow = old.count_from(bucket - MARGIN_BUCKETS)
-            counts = _expect(observed, slow, old.timed, 0.0)
-            self._add(pipeline, offset, False, counts, now)
-
-    def _compare_moved(
-        self,
-        pipeline: ids.PipelineName,
-        domain: ids.DomainId,
-        stratum: strata.Stratum,
-        reference: strata.Sample,
-        now: float,
+            counts = _expect(
+                _count_slow(new, bucket),
+                controls.count_from(bucket - MARGIN_BUCKETS),
+                controls.timed,
+                0.0,
+            )
+            self._add(name[0], offset, False, counts, now)
+
+    def _compare_moved_latencies(
+        self, name: _Name, new: _Cells, now: float
     ) -> None:
+        pipeline, _, level = name
+        reference = self._references.get((pipeline, level))
+        if reference is None or reference.timed < MIN_CONTROLS:
+            return
         median = reference.find_median()
         for offset in TAIL_OFFSETS:
             if offset < MIN_MOVED_OFFSET:
                 continue
             bucket = median + offset
-            observed = {
-                cell: (sample.count_from(bucket), sample.timed)
-                for cell, sample in stratum.new.items()
-                if sample.timed
-            }
             slow = reference.count_from(bucket - MOVED_MARGIN_BUCKETS)
-            fraction = 3.0 * max(0.03, slow / reference.timed)
-            counts = self._expect_fraction(domain, observed, fraction)
-            self._add(pipeline, offset, True, counts, now)
+            fraction = slow / reference.timed
+            observed = _count_slow(new, bucket)
+            self._add_moved(name, offset, observed, fraction, now)
 
-    def _expect_fraction(
+    def _add_moved(
         self,
-        domain: ids.DomainId,
-        observed: abc.Mapping[int, tuple[float, float]],
-        fraction: float,
-    ) -> dict[object, tuple[float, float]]:
-        """Expect a fraction, by domain, as there are no controls in it."""
-        if len(self._domains) < 2:
-            return _expect_at(observed, min(1.0, fraction))
-        count = sum(count for count, _ in observed.values())
-        number = sum(number for _, number in observed.values())
-        return {domain: (count, min(1.0, fraction) * number)} if number else {}
+        name: _Name,
+        kind: int,
+        observed: _Observed,
+        reference: float,
+        now: float,
+    ) -> None:
+        """Compare with an earlier fraction, as there are no controls now.
+
+        The groups are the domains then, if there are several: a bad one
+        cannot be told from a bad version there.
+        """
+        pipeline, domain, _ = name
+        fraction = MOVED_FRACTION + MOVED_FACTOR * reference
+        counts = _expect_fraction(observed, min(1.0, fraction))
+        if len({other for _, other, _ in self._strata}) > 1 and counts:
+            counts = {domain: trends.add_up(counts.values())}
+        self._add(pipeline, kind, True, counts, now)
 
     def _add(
         self,
         pipeline: ids.PipelineName,
         kind: int,
-        moved: bool,
+        has_moved: bool,
         counts: trends.Counts,
         now: float,
     ) -> None:
         if not counts:
             return
         for name in {pipeline, evidences.OTHER_PIPELINE}:
-            trend = self._trends.get((name, kind, moved))
+            trend = self._trends.get((name, kind, has_moved))
             if trend is None:
-                trend = self._trends[name, kind, moved] = trends.Trend()
+                trend = self._trends[name, kind, has_moved] = trends.Trend()
             trend.add(counts, now)
 
-    def _find_failure_fraction(self, pipeline: ids.PipelineName) -> float:
-        samples = [
-            sample
-            for (name, _), sample in self._references.items()
-            if name == pipeline
-        ]
-        ended = sum(sample.ended for sample in samples)
-        return sum(sample.failed for sample in samples) / max(1.0, ended)
+    def _keep_references(self) -> None:
+        for (pipeline, _, level), stratum in self._strata.items():
+            sample = self._references.setdefault(
+                (pipeline, level), strata.Sample()
+            )
+            sample.merge(stratum.controls)
 
     def _count_rate(self, ended: int, now: float) -> None:
         if self._rated_at is None:
@@ -328,25 +306,26 @@
         self._rate += ended / RATE_MEMORY_MS
 
 
+def _count_slow(new: _Cells, bucket: int) -> _Observed:
+    """Return the responses from a bucket on, and all, by cell."""
+    return {
+        cell: (sample.count_from(bucket), sample.timed)
+        for cell, sample in new.items()
+        if sample.timed
+    }
+
+
 def _expect(
-    observed: abc.Mapping[int, tuple[float, float]],
-    old_events: float,
-    old_ended: float,
-    allowance: float,
-) -> dict[object, tuple[float, float]]:
-    """Expect each response to be among the events with the same chance."""
-    events = old_events + sum(count for count, _ in observed.values())
-    ended = old_ended + sum(number for _, number in observed.values())
-    if not ended:
-        return {}
-    fraction = min(1.0, events / ended + allowance)
-    return _expect_at(observed, fraction)
-
-
-def _expect_at(
-    observed: abc.Mapping[int, tuple[float, float]], fraction: float
-) -> dict[object, tuple[float, float]]:
+    observed: _Observed, events: float, number: float, allowance: float
+) -> trends.Counts:
+    """Expect events as among the controls and these responses together."""
+    events += sum(count for count, _ in observed.values())
+    number += sum(count for _, count in observed.values())
+    return _expect_fraction(observed, min(1.0, events / number + allowance))
+
+
+def _expect_fraction(observed: _Observed, fraction: float) -> trends.Counts:
     return {
-        cell: (count, fraction * number)
+        cell: (count, fraction * number, number)
         for cell, (count, number) in observed.items()
     }
--- /dev/null
+++ b/lab/rollout_schedules.py
@@ -0,0 +1,438 @@
+"""Roll-outs of good and bad versions amid trouble of other kinds.
+
+Each seed makes a pool, its traffic, a version and one trouble. Prints how
+often the exposure was exceeded, a good version was rolled back or was late,
+and a bad one was completed. Time advances in steps; nothing is sent over a
+network. A few hosts get all reports and the others hear of what these decide,
+which is the slowest way in which the phases may spread.
+
+Usage: python -m lab.rollout_schedules [SCHEDULES] [FIRST_SEED]
+"""
+
+import collections
+import enum
+import heapq
+import math
+import random
+import sys
+
+import msgspec
+
+from chervilshore.decisions.rollouts import records as rollout_records
+from chervilshore.decisions.rollouts import rollout
+from chervilshore import ids
+from chervilshore import records
+
+HOST_COUNTS = (3, 84, 370)
+STEP_MS = 250.0
+REPORT_MS = 500.0
+OBSERVERS = 4
+TOUCH_MS = 4000.0
+LATE_MS = 30_000.0
+POOL = ids.PoolName("pool")
+PIPELINES = ("contract", "report", "suggest")
+OLD = ids.SoftwareVersion("41")
+NEW = ids.SoftwareVersion("42")
+Phase = rollout_records.Phase
+State = rollout_records.RolloutState
+
+
+class Trouble(enum.Enum):
+    """What else goes wrong."""
+
+    NONE = "none"
+    SLOW_ENDPOINTS = "slow endpoints"
+    FAILING_ENDPOINT = "failing endpoint, ejected at times"
+    CRASH = "an endpoint crashes"
+    DOMAIN = "bad domain"
+    CUT = "hosts cut off"
+    RESTART = "all hosts restart"
+    CALLERS = "errors of callers"
+    BURST = "burst of requests"
+    HALF = "one host has half of the traffic"
+
+
+class Fault(enum.Enum):
+    """What is wrong with the version."""
+
+    GOOD = "good"
+    FAILS = "fails"
+    SLOW = "slow"
+    PARTLY_SLOW = "partly slow"
+
+
+class Plan(msgspec.Struct):
+    """One schedule."""
+
+    hosts: int
+    endpoints: int
+    rate: float
+    duration_ms: float
+    trouble: Trouble
+    fault: Fault
+    fraction: float = 0.0
+    factor: float = 1.0
+    begins_ms: float = 0.0
+    pipeline: str = ""
+    load: float = 0.0
+    trouble_ms: tuple[float, float] = (0.0, 0.0)
+
+
+class Result(msgspec.Struct):
+    """How it ended."""
+
+    plan: Plan
+    state: State = State.RUNNING
+    ended_ms: float = math.inf
+    reason: str = ""
+    requests: int = 0
+    exposed: int = 0
+    bad_answers: int = 0
+    late_sends: int = 0
+
+    @property
+    def is_good(self) -> bool:
+        return self.plan.fault is Fault.GOOD
+
+    @property
+    def breaks_share(self) -> bool:
+        return not self.is_good and self.exposed > 0.1 * self.requests + 50
+
+    @property
+    def findings(self) -> list[str]:
+        """Return what the table counts."""
+        found = []
+        if self.breaks_share:
+            found.append("share")
+        if not self.is_good and self.late_sends:
+            found.append("late sends")
+        if self.is_good and self.state is State.ROLLED_BACK:
+            found.append("wrongly rolled back")
+        if self.is_good and self.state is not State.ROLLED_BACK:
+            if self.ended_ms > self.plan.duration_ms:
+                found.append("late")
+        if not self.is_good and self.state is not State.ROLLED_BACK:
+            found.append("missed")
+        return found
+
+
+def make_plan(seed: int) -> Plan:
+    """Draw a schedule."""
+    rng = random.Random(seed)
+    hosts = HOST_COUNTS[seed % len(HOST_COUNTS)]
+    plan = Plan(
+        hosts=hosts,
+        endpoints=rng.choice((3, 6, 9, 30)),
+        rate=rng.choice((40.0, 80.0, 120.0)),
+        duration_ms=rng.choice((60_000.0, 90_000.0, 120_000.0)),
+        trouble=rng.choice(list(Trouble)),
+        fault=rng.choice(
+            (Fault.GOOD, Fault.FAILS, Fault.SLOW, Fault.PARTLY_SLOW)
+        ),
+    )
+    begins = rng.uniform(0.1, 0.8) * plan.duration_ms
+    plan.trouble_ms = (begins, begins + rng.uniform(5_000.0, 30_000.0))
+    plan.fraction = 1.0
+    if plan.fault is Fault.FAILS:
+        plan.fraction = rng.choice((0.05, 0.1, 0.3, 1.0))
+    elif plan.fault is Fault.SLOW:
+        plan.factor = rng.choice((2.0, 3.0, 5.0))
+    elif plan.fault is Fault.PARTLY_SLOW:
+        plan.fraction = rng.choice((0.2, 0.5))
+        plan.factor = rng.choice((4.0, 8.0))
+    when = rng.choice(("at once", "later", "load", "route"))
+    if when == "later":
+        plan.begins_ms = rng.uniform(0.1, 0.4) * plan.duration_ms
+    elif when == "load":
+        plan.load = 0.7
+    elif when == "route":
+        plan.pipeline = rng.choice(PIPELINES)
+    return plan
+
+
+class Simulation:
+    """One schedule that is played."""
+
+    def __init__(self, seed: int, plan: Plan) -> None:
+        self.rng = random.Random(seed)
+        self.plan = plan
+        self.result = Result(plan)
+        self.order = rollout_records.RolloutOrder(
+            POOL, NEW, plan.duration_ms, 7
+        )
+        self.names = [f"host{number:03}" for number in range(plan.hosts)]
+        self.weights = [self.rng.uniform(0.3, 1.7) for _ in self.names]
+        if plan.trouble is Trouble.HALF:
+            self.weights[0] = sum(self.weights[1:])
+        self.endpoints = {
+            version: [
+                records.EndpointRecord(
+                    f"{version}-{number}",
+                    POOL,
+                    "abc"[number % 3],
+                    "",
+                    version=version,
+                    slots=8,
+                )
+                for number in range(plan.endpoints)
+            ]
+            for version in (OLD, NEW)
+        }
+        self.running = collections.Counter()
+        self.old_running = collections.Counter()
+        self.gone: set[str] = set()
+        # The pool is loaded to a half whatever its size.
+        self.base_ms = 4.0 * plan.endpoints * 1000.0 / plan.rate
+        self.victims = {
+            version: set(
+                self.rng.sample(
+                    range(plan.endpoints), max(1, plan.endpoints // 10)
+                )
+            )
+            for version in (OLD, NEW)
+        }
+        self.cut = set()
+        if plan.trouble is Trouble.CUT:
+            count = max(1, plan.hosts // 10)
+            self.cut = set(self.rng.sample(self.names, count))
+        self.observers = self.names[-OBSERVERS:]
+        self.runs: dict[str, rollout.Rollout] = {}
+        self.started_at = dict.fromkeys(self.names, -math.inf)
+        self.generation = dict.fromkeys(self.names, 0)
+        for name in self.names:
+            self.start(name, True)
+        self.ends: list[tuple] = []
+        self.fiftieth_at = math.inf
+
+    def start(self, name: str, has_memory: bool) -> None:
+        self.generation[name] += 1
+        self.runs[name] = rollout.Rollout(
+            self.order,
+            name,
+            self.generation[name],
+            rollout_records.ExposureLimits(),
+            0.0,
+            random.Random(self.rng.random()),
+            self.plan.hosts,
+            has_memory,
+        )
+
+    def is_troubled(self, now: float) -> bool:
+        begins, ends = self.plan.trouble_ms
+        return begins <= now < ends
+
+    def is_cut(self, name: str, now: float) -> bool:
+        return name in self.cut and self.is_troubled(now)
+
+    def play(self) -> Result:
+        now = 0.0
+        while now < self.plan.duration_ms + LATE_MS:
+            self.step(now)
+            if self.result.state is not State.RUNNING:
+                if now >= self.plan.duration_ms:
+                    break
+                if self.is_settled(now):
+                    self.fill(now)
+                    break
+            now += STEP_MS
+        return self.result
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether all hosts know the state and the rest is alike."""
+        if now < self.result.ended_ms + 6000.0 or self.is_troubled(now):
+            return False
+        return all(
+            run.state is self.result.state for run in self.runs.values()
+        )
+
+    def fill(self, now: float) -> None:
+        """Count the requests until the deadline without playing them."""
+        left = int((self.plan.duration_ms - now) / 1000.0 * self.plan.rate)
+        self.result.requests += left
+        if self.result.state is State.COMPLETED:
+            self.result.exposed += left
+
+    def step(self, now: float) -> None:
+        plan = self.plan
+        begins = plan.trouble_ms[0]
+        if plan.trouble is Trouble.RESTART and begins <= now < begins + 250:
+            for name in self.names:
+                self.start(name, False)
+                self.started_at[name] = now
+            self.old_running.clear()
+        while self.ends and self.ends[0][0] <= now:
+            self.end(*heapq.heappop(self.ends)[2:], now)
+        self.tell(now)
+        rate = plan.rate
+        if plan.trouble is Trouble.BURST and self.is_troubled(now):
+            rate *= 2.0
+        mean = rate * STEP_MS / 1000.0
+        count = int(mean) + (self.rng.random() < mean % 1.0)
+        for name in self.rng.choices(self.names, self.weights, k=count):
+            self.send(name, now)
+
+    def list_ready(self, version: str) -> list[records.EndpointRecord]:
+        return [
+            record
+            for record in self.endpoints[version]
+            if record.endpoint not in self.gone
+        ]
+
+    def tell(self, now: float) -> None:
+        """Let hosts decide, and exchange what they have seen."""
+        new, old = self.list_ready(NEW), self.list_ready(OLD)
+        hosts = frozenset(self.names)
+        phase = int(now / STEP_MS)
+        every = int(REPORT_MS / STEP_MS)
+        for number, name in enumerate(self.names):
+            if (number + phase) % every:
+                continue
+            run = self.runs[name]
+            if not self.is_cut(name, now):
+                run.set_state(self.result.state, now)
+            view = rollout_records.RolloutView(
+                tuple(new), tuple(old), hosts, self.old_running[name], 6000.0
+            )
+            state = run.decide(view, now)
+            if self.is_cut(name, now):
+                continue
+            if (
+                state is not State.RUNNING
+                and self.result.state is State.RUNNING
+            ):
+                self.result.state = state
+                self.result.ended_ms = now
+                self.result.reason = run.reason
+            evidence = run.make_evidence()
+            targets = self.observers
+            if name in self.observers and run.phase is not Phase.CANARY:
+                targets = self.names
+            for target in targets:
+                if target != name and not self.is_cut(target, now):
+                    if evidence is not None:
+                        self.runs[target].absorb(evidence, now)
+
+    def send(self, name: str, now: float) -> None:
+        run = self.runs[name]
+        pipeline = self.rng.choices(PIPELINES, (0.2, 0.5, 0.3))[0]
+        self.result.requests += now < self.plan.duration_ms
+        versions = [OLD, NEW]
+        if run.prefers_new(pipeline, now):
+            versions.reverse()
+        for version in versions:
+            ready = self.list_ready(version)
+            if version is NEW:
+                canaries = run.choose_canaries(now)
+                ready = [one for one in ready if one.endpoint in canaries]
+            if ready and run.allows(version, pipeline, now):
+                break
+        else:
+            return
+        pair = self.rng.choices(ready, k=2)
+        record = min(pair, key=lambda one: self.running[one.endpoint])
+        run.record_sent(version, pipeline, record.endpoint, now)
+        if version is NEW:
+            in_touch = now - self.started_at[name] > TOUCH_MS and not (
+                name in self.cut and self.is_troubled(now)
+            )
+            if in_touch:
+                self.result.exposed += now < self.plan.duration_ms
+                self.result.late_sends += now > self.fiftieth_at + 5000.0
+        else:
+            self.old_running[name] += 1
+        self.running[record.endpoint] += 1
+        self.serve(name, run, pipeline, record, now)
+
+    def serve(self, name, run, pipeline, record, now: float) -> None:
+        """Draw how a request will end."""
+        plan, rng = self.plan, self.rng
+        load = self.running[record.endpoint] / record.slots
+        millis = self.base_ms * rng.lognormvariate(0.0, 0.35)
+        millis *= 1.0 + max(0.0, load - 0.6)
+        failed = rng.random() < 0.002
+        bad = (
+            record.version == NEW
+            and plan.fault is not Fault.GOOD
+            and now >= plan.begins_ms
+            and plan.pipeline in ("", pipeline)
+            and load >= plan.load * 0.5
+            and rng.random() < plan.fraction
+        )
+        if bad:
+            failed |= plan.fault is Fault.FAILS
+            millis *= plan.factor
+        if self.is_troubled(now):
+            number = int(record.endpoint.partition("-")[2])
+            hit = number in self.victims[record.version]
+            trouble = plan.trouble
+            if trouble is Trouble.SLOW_ENDPOINTS and hit:
+                millis *= 4.0
+            elif trouble is Trouble.FAILING_ENDPOINT and hit:
+                # Ejected for most of the time.
+                failed |= rng.random() < 0.3
+            elif trouble is Trouble.DOMAIN and record.domain == "b":
+                failed |= rng.random() < 0.3
+                millis *= rng.choice((1.0, 3.0))
+            elif trouble is Trouble.CALLERS and rng.random() < 0.05:
+                failed = True
+            elif trouble is Trouble.CUT and name in self.cut:
+                failed |= rng.random() < 0.5
+            elif trouble is Trouble.CRASH and hit and rng.random() < 0.05:
+                self.gone.add(record.endpoint)
+        if record.endpoint in self.gone:
+            failed = True
+        item = (run, pipeline, record, failed, bad, millis, name)
+        heapq.heappush(self.ends, (now + millis, rng.random(), *item))
+
+    def end(
+        self, run, pipeline, record, failed, bad, millis, name, now
+    ) -> None:
+        self.running[record.endpoint] -= 1
+        if bad:
+            self.result.bad_answers += 1
+            if self.result.bad_answers == 50:
+                self.fiftieth_at = now
+        if run is not self.runs[name]:
+            return
+        if record.version == OLD:
+            self.old_running[name] -= 1
+        outcome = records.Outcome.REJECTED if failed else records.Outcome.OK
+        run.record_end(
+            record.version, pipeline, record.endpoint, outcome, millis, now
+        )
+
+
+def play(seed: int) -> Result:
+    """Play the schedule of a seed."""
+    return Simulation(seed, make_plan(seed)).play()
+
+
+def main(arguments: list[str]) -> None:
+    """Print the findings of each schedule, and a table."""
+    numbers = [int(argument) for argument in arguments]
+    count, first = (numbers + [1000, 0][len(numbers) :])[:2]
+    counts = collections.defaultdict(collections.Counter)
+    for seed in range(first, first + count):
+        result = play(seed)
+        kind = "good" if result.is_good else "bad"
+        row = counts[result.plan.hosts, kind]
+        row["all"] += 1
+        row.update(result.findings)
+        if result.findings:
+            print(seed, result.findings, result)
+    columns = (
+        "all",
+        "share",
+        "late sends",
+        "missed",
+        "wrongly rolled back",
+        "late",
+    )
+    print("| hosts | version |", " | ".join(columns), "|")
+    for (hosts, kind), row in sorted(counts.items()):
+        cells = " | ".join(str(row[column]) for column in columns)
+        print(f"| {hosts} | {kind} | {cells} |")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
