Show the steps of roll-outs from the logs of hosts

Change: `chervilshore rollouts LOG...` prints for each order its steps, on how many hosts and with the evidence of the first one; what a roll-out waits for is bounded in log lines.

--- a/chervilshore/cmdarguments.py
+++ b/chervilshore/cmdarguments.py
@@ -89,6 +89,14 @@
     command.add_argument(
         "logs", nargs="+", metavar="FILE", help="log files; - reads input"
     )
+    command = add_command(
+        "rollouts",
+        parents=[common],
+        help="steps of roll-outs, with their evidence, in log files",
+    )
+    command.add_argument(
+        "logs", nargs="+", metavar="FILE", help="log files; - reads input"
+    )
     logs = argparse.ArgumentParser(add_help=False)
     logs.add_argument(
         "--logs",
--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -25,6 +25,7 @@
 from chervilshore import operations
 from chervilshore import ordercommands
 from chervilshore import reports
+from chervilshore import rolloutreports
 from chervilshore.rules import guards
 from chervilshore import traces
 
@@ -243,6 +244,8 @@
     logs = map(_read_file, arguments.logs)
     if arguments.command == "trace":
         return traces.trace(arguments.request, logs)
+    if arguments.command == "rollouts":
+        return rolloutreports.describe_rollouts(logs)
     if arguments.command == "status":
         return logreports.describe_hosts(logs)
     return logreports.count_refusals(logs)
--- a/chervilshore/controllers/rollouts.py
+++ b/chervilshore/controllers/rollouts.py
@@ -34,6 +34,9 @@
 LONGEST_MS = 20_000.0
 """Milliseconds that a request lasts at most if no pipeline has the pool."""
 
+MAX_LOGGED_WAITS = 8
+"""Hosts and other things that are named of those that a roll-out waits for."""
+
 State = rollout_records.RolloutState
 
 _LOGGER = logging.getLogger(__name__)
@@ -230,6 +233,7 @@
 
     def _log(self, event: events.Event, run: rolloutversions.Run) -> None:
         described = run.rollout.describe(self._clock.now())
+        described["waits_for"] = described["waits_for"][:MAX_LOGGED_WAITS]
         events.log_event(
             _LOGGER,
             event,
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -180,6 +180,10 @@
     HEAD_LATE = EventSpec(7007, _WARNING, "request head received too slowly")
 
 
+BY_NUMBER = {event.value.number: event for event in Event}
+"""The events by their number."""
+
+
 def log_event(logger: logging.Logger, event: Event, **fields) -> None:
     """Log an event with its number and its fields.
 
--- a/chervilshore/logreports.py
+++ b/chervilshore/logreports.py
@@ -14,8 +14,6 @@
 MAX_DETAIL_CHARS = 40
 """Length of the details by which refusals are grouped."""
 
-_EVENTS_BY_NUMBER = {event.value.number: event for event in events.Event}
-
 
 def count_refusals(logs: Logs) -> reports.Report:
     """Return the report about refused and failed requests, by cause.
@@ -26,9 +24,9 @@
         The text and the source of each log, such as its file name.
     """
     counts: collections.Counter[tuple[int, str, str]] = collections.Counter()
-    for entry in _read_entries(logs):
+    for entry in read_entries(logs):
         fields = entry.fields
-        event = _EVENTS_BY_NUMBER.get(fields.get("event"))
+        event = events.BY_NUMBER.get(fields.get("event"))
         if event is events.Event.REQUEST_FORWARDED and fields.get("code"):
             detail = _strip_numbers(str(fields.get("detail", "")))
             pipeline = str(fields.get("pipeline", ""))
@@ -64,7 +62,7 @@
         The text and the source of each log, such as its file name.
     """
     hosts: dict[str, _HostState] = {}
-    for entry in _read_entries(logs):
+    for entry in read_entries(logs):
         hosts.setdefault(entry.source, _HostState()).record(entry.fields)
     rows = [
         {"host": source} | state.describe()
@@ -95,7 +93,7 @@
 
     def record(self, fields: dict) -> None:
         """Update the state from a line; lines come in the order of the log."""
-        event = _EVENTS_BY_NUMBER.get(fields.get("event"))
+        event = events.BY_NUMBER.get(fields.get("event"))
         if event is events.Event.STARTED:
             self._starts += 1
             self._reset()
@@ -125,7 +123,8 @@
         }
 
 
-def _read_entries(logs: Logs) -> collections_abc.Iterator[traces.LogEntry]:
+def read_entries(logs: Logs) -> collections_abc.Iterator[traces.LogEntry]:
+    """Yield the entries of all logs, in the order of each."""
     for text, source in logs:
         for line in text.splitlines():
             entry = traces.parse_line(line, source)
--- a/tests/test_logreports.py
+++ b/tests/test_logreports.py
@@ -8,6 +8,7 @@
 from chervilshore import cmdline
 from chervilshore import logreports
 from chervilshore import results
+from chervilshore import rolloutreports
 
 
 def make_line(event, **fields):
@@ -81,3 +82,48 @@
     status = await tool.run([command, "--logs", str(path)])
     assertions.assert_that(status, matchers.Equals(0))
     assertions.assert_that(output, matchers.HasLength(1))
+
+
+def make_step(event, time_ms, **fields):
+    base = {"pool": "llm", "version": "v2", "time_ms": time_ms}
+    return make_line(event, **(base | fields))
+
+
+def test_rollouts_are_shown_step_by_step():
+    first = join(
+        make_step(6101, 10, state=""),
+        make_step(6105, 20, state="running"),
+        make_step(6104, 500, phase="condemned", evidence={"reason": "slow"}),
+        make_step(6102, 900, status="rolled_back"),
+    )
+    second = join(
+        make_step(6101, 12, state=""),
+        make_step(6104, 400, phase="condemned", evidence={"reason": "fails"}),
+    )
+    report = rolloutreports.describe_rollouts([(first, "h1"), (second, "h2")])
+    (row,) = report.data["rollouts"]
+    assertions.assert_that(
+        [(step["name"], step["first"]) for step in row["steps"]],
+        matchers.Equals(
+            [
+                ("started", 10.0),
+                ("status written running", 20.0),
+                ("phase condemned", 400.0),
+                ("ended rolled_back", 900.0),
+            ]
+        ),
+    )
+    assertions.assert_that(
+        report.text,
+        matchers.MatchesAll(
+            matchers.Contains("reason: fails"),
+            matchers.Contains("2 hosts within 100 ms"),
+        ),
+    )
+
+
+def test_logs_without_rollouts_are_reported():
+    assertions.assert_that(
+        rolloutreports.describe_rollouts([("", "h1")]).text,
+        matchers.Contains("no roll-outs"),
+    )
