--- a/chervilshore/decisions/rollouts/evidence.py
+++ b/chervilshore/decisions/rollouts/evidence.py
@@ -13,10 +13,10 @@
 from chervilshore import ids
 from chervilshore import records
 
-BUCKETS_PER_OCTAVE = 3
+BUCKETS_PER_OCTAVE = 4
 """Buckets of the histograms between a latency and twice that latency."""
 
-MAX_BUCKETS = 54
+MAX_BUCKETS = 72
 """Number of buckets; the last one begins at three and a half minutes."""
 
 CELLS = 8
--- a/chervilshore/decisions/rollouts/exposure.py
+++ b/chervilshore/decisions/rollouts/exposure.py
@@ -5,7 +5,7 @@
 from chervilshore.decisions.rollouts import records as rollout_records
 from chervilshore import ids
 
-USED_FRACTION = 0.8
+USED_FRACTION = 0.9
 """Fraction of the share that the canary may use. The rest is left for the
 requests that go to a moved version before it turns out to be bad."""
 
@@ -13,11 +13,7 @@
 """Number of hosts up to which all start at random; of more, the requests
 beyond the share could be more than the slack by chance."""
 
-RESTART_CREDIT = -0.5
-"""Requests that a process is given which does not know what it sent before,
-so that hosts that start often stay below their share."""
-
-SLACK_FRACTION = 0.5
+SLACK_FRACTION = 0.6
 """Fraction of the slack that the canary may use."""
 
 HOST_COUNT_MARGIN = 1.3
@@ -26,9 +22,13 @@
 MIN_SHARING_HOSTS = 10
 """Minimum number of hosts among which the slack is divided."""
 
-MAX_BACKLOG = 2.0
-"""Unused requests from which the canary takes any pipeline, as one that is
-behind may have no requests."""
+MAX_DUE = 2.0
+"""Requests that may be due at a time: more would go to the same endpoints at
+once, and be slow for that."""
+
+MIN_ANY_DUE = 1.5
+"""Due requests from which the canary takes any pipeline, as one that is behind
+may have no requests."""
 
 
 class ExposureBudget:
@@ -36,10 +36,10 @@
 
     Each host counts only its own requests. As each sends its share of these,
     all together send their share of all, however the traffic is divided and
-    whichever hosts cannot reach each other. A host begins at a random
-    fraction of a request, so that hosts with few requests send their share
-    too: over all hosts the fractions cancel out, up to a few requests for
-    which there is the slack.
+    whichever hosts cannot reach each other. A process begins at a random
+    fraction of a request, so that hosts with few requests, and such as start
+    often, send their share too: on average the fraction makes up for what is
+    lost by rounding down, and there is the slack for the deviation.
 
     Parameters
     ----------
@@ -58,6 +58,8 @@
         Requests to the pool; their further attempts do not count.
     used : int
         Attempts at the new version.
+    fraction : float
+        Fraction of the share that the canary uses now.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
     ) -> None:
         self.requests = 0
         self.used = 0
+        self.fraction = 0.0
         self._share = limits.share
         self._start = 0.0
         if rng.random() * hosts < MAX_RANDOM_STARTS:
@@ -76,9 +79,8 @@
         if has_memory:
             sharing = max(MIN_SHARING_HOSTS, hosts * HOST_COUNT_MARGIN)
             self._start += SLACK_FRACTION * limits.slack / sharing
-        else:
-            self._start += RESTART_CREDIT
-        self._requests_of: dict[ids.PipelineName, int] = {}
+        self._due = self._start
+        self._pipelines: set[ids.PipelineName] = set()
         self._used_of: dict[ids.PipelineName, int] = {}
 
     def record_sent(
@@ -97,39 +99,33 @@
         """
         if is_first:
             self.requests += 1
-            known = self._requests_of.get(pipeline, 0)
-            self._requests_of[pipeline] = known + 1
+            self._pipelines.add(pipeline)
+            if self._due < MAX_DUE:
+                self._due += self._share * self.fraction
         if is_new:
             self.used += 1
+            self._due -= 1.0
             self._used_of[pipeline] = self._used_of.get(pipeline, 0) + 1
 
     def allows(self) -> bool:
         """Return whether one more attempt may go to the new version."""
-        return self._find_unused(USED_FRACTION) >= 1.0
+        earned = self._share * USED_FRACTION * self.requests
+        return self.used + 1 <= earned + self._start
 
-    def is_due(self, pipeline: ids.PipelineName, fraction: float) -> bool:
+    def is_due(self, pipeline: ids.PipelineName) -> bool:
         """Return whether a request should be one of the canary's.
 
-        The requests of the canary are divided by pipelines half by their
-        traffic and half evenly, so that a rare one is tried too.
+        The requests of the canary are divided evenly by pipelines, as far as
+        these have requests, so that a rare one is tried too.
 
         Parameters
         ----------
         pipeline : PipelineName
             The route of the request.
-        fraction : float
-            The fraction of the share to use.
         """
-        unused = self._find_unused(min(fraction, USED_FRACTION))
-        if unused < 1.0:
+        if self._due < 1.0 or not self.allows():
             return False
-        if unused >= MAX_BACKLOG:
+        if self._due >= MIN_ANY_DUE:
             return True
-        requests = self._requests_of.get(pipeline, 0) + 1
-        pipelines = len(self._requests_of.keys() | {pipeline})
-        weight = 0.5 * requests / (self.requests + 1) + 0.5 / pipelines
-        return self._used_of.get(pipeline, 0) <= weight * self.used + 1.0
-
-    def _find_unused(self, fraction: float) -> float:
-        earned = self._share * fraction * (self.requests + 1)
-        return earned + self._start - self.used
+        even = self.used / max(1, len(self._pipelines))
+        return self._used_of.get(pipeline, 0) <= even + 1.0
--- a/chervilshore/decisions/rollouts/rollout.py
+++ b/chervilshore/decisions/rollouts/rollout.py
@@ -16,7 +16,7 @@
 """Compared responses without which a version is not moved to: fewer would not
 show even one that fails half of its requests."""
 
-CANARY_FRACTIONS = (0.5, 0.8)
+CANARY_FRACTIONS = (0.6, 0.9)
 """Fractions of the share that the canary uses, before and after the evidence
 suffices for a verdict."""
 
@@ -80,6 +80,7 @@
         self._rng = rng
         self._schedule = schedules.Schedule(started, order.duration_ms)
         self._budget = exposure.ExposureBudget(limits, hosts, has_memory, rng)
+        self._budget.fraction = CANARY_FRACTIONS[False]
         self._own = evidences.OwnEvidence()
         self._evidence = evidences.Evidence()
         self._judge = verdicts.Judge()
@@ -134,8 +135,7 @@
         if self.phase is Phase.CONDEMNED or not self._view.new:
             return False
         if self.phase is Phase.CANARY:
-            proven = self._verdict.finding is verdicts.Finding.GOOD
-            return self._budget.is_due(pipeline, CANARY_FRACTIONS[proven])
+            return self._budget.is_due(pipeline)
         if self.phase is Phase.MOVING:
             return self._rng.random() < self._schedule.find_share(now)
         return True
@@ -278,6 +278,8 @@
         if self.state is not RolloutState.RUNNING:
             return self.state
         self._verdict = self._judge.judge(self.phase, now)
+        suffices = self._verdict.finding is verdicts.Finding.GOOD
+        self._budget.fraction = CANARY_FRACTIONS[suffices]
         self._advance(now)
         if self.phase is Phase.CONDEMNED:
             return RolloutState.ROLLED_BACK
@@ -376,6 +378,8 @@
         if self.phase is not Phase.SWITCHED:
             return [f"phase {self.phase.name.lower()}"]
         waits = []
+        if not self._schedule.may_complete(now):
+            waits.append("the last seconds before the deadline")
         if not self._has_capacity():
             waits.append("endpoints of the new version")
         running = self._view.old_running
--- a/chervilshore/decisions/rollouts/schedule.py
+++ b/chervilshore/decisions/rollouts/schedule.py
@@ -31,10 +31,14 @@
 """Milliseconds before the deadline at which hosts that are not heard of are
 no longer waited for."""
 
+HOLD_MS = 4_000.0
+"""Milliseconds before the deadline until which the other versions are kept, as
+the new one may turn bad."""
+
 CANARY_MS = 2_000.0
 """Milliseconds after which the next endpoints get the canary's requests."""
 
-CANARY_SHARE = 0.08
+CANARY_SHARE = 0.09
 """Share of the requests that the canary gets at most."""
 
 MIN_CAPACITY_FRACTION = 0.75
@@ -103,9 +107,8 @@
         now : float
             The time in milliseconds.
         """
-        latest = (
-            self.deadline - CLOSING_MS - SPREAD_MS - longest_ms - self._move_ms
-        )
+        needed_ms = HOLD_MS + SPREAD_MS + longest_ms + self._move_ms
+        latest = self.deadline - needed_ms
         earliest = self._started + MIN_CANARY_FRACTION * self._duration_ms
         return now >= max(earliest, latest)
 
@@ -122,6 +125,10 @@
         """Return whether the deadline has passed."""
         return now >= self.deadline
 
+    def may_complete(self, now: float) -> bool:
+        """Return whether the other versions need not be kept longer."""
+        return now >= self.deadline - HOLD_MS
+
     def may_miss_hosts(self, longest_ms: float, now: float) -> bool:
         """Return whether hosts that are not heard of are waited for no more.
 
--- a/chervilshore/decisions/rollouts/strata.py
+++ b/chervilshore/decisions/rollouts/strata.py
@@ -17,7 +17,7 @@
 CHANGE_SURPRISE = math.log(100.0)
 """Surprise at the controls of a slice from which earlier ones are dropped."""
 
-SLOW_OFFSET = 3
+SLOW_OFFSET = 4
 """Buckets above the median from which a response counts as slow then."""
 
 
--- a/chervilshore/decisions/rollouts/verdict.py
+++ b/chervilshore/decisions/rollouts/verdict.py
@@ -29,24 +29,24 @@
 SUSPECT_SURPRISE = math.log(1e4)
 """Surprise from which a version is not moved to yet."""
 
-TAIL_OFFSETS = (2, 3, 5, 7, 9, 12)
+TAIL_OFFSETS = (3, 4, 6, 8, 11, 16)
 """Buckets between the median of the controls and a slow response, of which
-three are a factor of 2."""
+four are a factor of 2."""
 
 MARGIN_BUCKETS = 1
 """Buckets by which a good version may be slower than its controls."""
 
-MOVED_MARGIN_BUCKETS = 3
+MOVED_MARGIN_BUCKETS = 4
 """The same once the load has moved, as the controls ran at another time."""
 
-MIN_MOVED_OFFSET = 5
+MIN_MOVED_OFFSET = 8
 """Least of the offsets that are judged then."""
 
 MOVED_LOAD_FACTOR = 1.25
 """Factor on the earlier rate of responses above which a moved version's
 latency may be that of the load."""
 
-MOVED_FRACTION = 0.01
+MOVED_FRACTION = 0.005
 """Fraction of bad responses that is no evidence while the load moves."""
 
 MOVED_FACTOR = 2.0
--- a/lab/rollout_schedules.py
+++ b/lab/rollout_schedules.py
@@ -127,7 +127,7 @@
         duration_ms=rng.choice((60_000.0, 90_000.0, 120_000.0)),
         trouble=rng.choice(list(Trouble)),
         fault=rng.choice(
-            (Fault.GOOD, Fault.FAILS, Fault.SLOW, Fault.PARTLY_SLOW)
+            3 * [Fault.GOOD] + [Fault.FAILS, Fault.SLOW, Fault.PARTLY_SLOW]
         ),
     )
     begins = rng.uniform(0.1, 0.8) * plan.duration_ms
