--- a/chervilshore/controllers/catalogsync.py
+++ b/chervilshore/controllers/catalogsync.py
@@ -1,5 +1,6 @@
 """Fetches objects of the store from peers while the store is unreachable."""
 
+import itertools
 import logging
 import random
 
@@ -75,8 +76,17 @@
                     (entry.name, entry.revision, entry.content)
                     for entry in cache.objects.values()
                 )
+                details = tuple(
+                    (entry.status, entry.created)
+                    for entry in cache.objects.values()
+                )
+                if all(one[0] == objects.NO_STATUS for one in details):
+                    # Hosts of earlier builds know no details.
+                    details = ()
                 found.append(
-                    catalogmessages.KindSnapshot(kind, cache.revision, stored)
+                    catalogmessages.KindSnapshot(
+                        kind, cache.revision, stored, details
+                    )
                 )
         return catalogmessages.CatalogReply(tuple(found))
 
@@ -124,8 +134,12 @@
                 continue
             listing = objects.Listing(
                 tuple(
-                    objects.StoredObject(*stored)
-                    for stored in snapshot.objects
+                    objects.StoredObject(*stored, *details)
+                    for stored, details in zip(
+                        snapshot.objects,
+                        snapshot.details or itertools.repeat(()),
+                        strict=False,
+                    )
                 ),
                 snapshot.revision,
             )
--- a/chervilshore/controllers/immediateslots.py
+++ b/chervilshore/controllers/immediateslots.py
@@ -11,6 +11,7 @@
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import slots
+from chervilshore.controllers import versions
 from chervilshore.decisions import coldrate
 from chervilshore.decisions import endpointnotices
 from chervilshore.decisions import routing
@@ -25,6 +26,10 @@
 """Milliseconds after which a refused caller may retry: by then a cold endpoint
 takes another request, or one that has just left is replaced."""
 
+MAX_LEVEL = 2
+"""Highest level of load at which the requests of versions are compared: this
+host has four or more requests at the endpoint."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -45,6 +50,8 @@
         Returns a new router for one pool.
     notices : EndpointNotices
         When endpoints that ask for restraint may be used.
+    version_choice : Versions or None
+        Which versions get requests; None if all do.
     """
 
     def __init__(
@@ -55,6 +62,7 @@
         configuration: configurations.Configuration,
         make_router: collections_abc.Callable[[], routing.Router],
         notices: endpointnotices.EndpointNotices,
+        version_choice: versions.Versions | None = None,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -62,6 +70,7 @@
         self._configuration = configuration
         self._make_router = make_router
         self._notices = notices
+        self._versions = version_choice or versions.AnyVersion()
         self._routers: dict[ids.PoolName, routing.Router] = {}
         self._in_flight: dict[ids.EndpointId, int] = {}
         self._cold_rate = coldrate.ColdRate(host)
@@ -87,15 +96,18 @@
             for record in open_records
             if now >= self._notices.next_send(record)
         ]
-        ranked = self._find_router(requirements.pool).rank(
-            requirements, usable, now
-        )
-        for candidate in ranked:
-            if self._may_send(pool, candidate.record, now):
-                return self._assign(requirements, candidate.record)
+        ranked_count = 0
+        for group in self._versions.divide(requirements, usable, now):
+            ranked = self._find_router(requirements.pool).rank(
+                requirements, group, now
+            )
+            ranked_count += len(ranked)
+            for candidate in ranked:
+                if self._may_send(pool, candidate.record, now):
+                    return self._assign(requirements, candidate.record)
         raise exceptions.RefusalError(
             results.Code.NO_ENDPOINT,
-            _describe_choice(requirements, len(usable), len(ranked)),
+            _describe_choice(requirements, len(usable), ranked_count),
             self._choose_retry_ms(open_records, now),
         )
 
@@ -164,7 +176,29 @@
             version=record.version,
             in_flight=self._in_flight[endpoint],
         )
-        return slots.Slot(record)
+        sent = self._describe_sent(requirements, record)
+        self._versions.record_sent(record, sent, self._clock.now())
+        return slots.Slot(record, sent=sent)
+
+    def _describe_sent(
+        self,
+        requirements: routing.StageRequirements,
+        record: records.EndpointRecord,
+    ) -> versions.Sent:
+        is_first = not requirements.excluded
+        is_cold = self._clock.now() < self._directory.cold_until(
+            record.endpoint
+        )
+        in_flight = self._in_flight[record.endpoint]
+        return versions.Sent(
+            requirements.pipeline,
+            level=min(MAX_LEVEL, in_flight.bit_length() - 1),
+            is_first=is_first,
+            # A stream that goes on is shorter than others.
+            is_comparable=is_first
+            and not is_cold
+            and requirements.version is None,
+        )
 
     def confirm(self, slot: slots.Slot) -> bool:
         """Check that the endpoint is still usable; see `Slots.confirm`."""
@@ -179,14 +213,16 @@
             del self._in_flight[endpoint]
         pool = self._configuration.rules.pools.get(slot.record.pool)
         millis = attempt.millis
+        now = self._clock.now()
+        self._versions.record_end(
+            slot.record, slot.sent, attempt.outcome, millis, now
+        )
         if pool is not None and pool.kind is records.EndpointKind.ENGINE:
             # The duration of a stream depends on the length of its text and
             # says nothing about the endpoint.
             millis = 0.0
         router = self._find_router(slot.record.pool)
-        router.record_attempt(
-            endpoint, attempt.outcome, millis, self._clock.now()
-        )
+        router.record_attempt(endpoint, attempt.outcome, millis, now)
 
     def describe(self) -> dict[str, object]:
         """Return the attempts in flight by endpoint, for operators."""
--- a/chervilshore/controllers/sharedstore.py
+++ b/chervilshore/controllers/sharedstore.py
@@ -163,6 +163,12 @@
         """See `ObjectStore.replace`."""
         return await self._store.replace(kind, name, content, revision)
 
+    async def put_status(
+        self, kind: str, stored: objects.StoredObject, status: bytes
+    ) -> objects.StoredObject:
+        """See `ObjectStore.put_status`."""
+        return await self._store.put_status(kind, stored, status)
+
     async def delete(self, kind: str, name: str) -> None:
         """See `ObjectStore.delete`."""
         await self._store.delete(kind, name)
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -14,11 +14,11 @@
 from chervilshore.controllers import batchstages
 from chervilshore.controllers import catalog
 from chervilshore.controllers import catalogsync
-from chervilshore.controllers import decoders
 from chervilshore.controllers import immediateslots
 from chervilshore.controllers import membership
 from chervilshore.controllers import noticelog
 from chervilshore.controllers import quarantine
+from chervilshore.controllers import rollouts
 from chervilshore.controllers import sharedstore
 from chervilshore.controllers import streams
 from chervilshore.controllers import submitting
@@ -46,8 +46,8 @@
 from chervilshore import listener
 from chervilshore import metrics
 from chervilshore.platform import batches
-from chervilshore.platform import documents
 from chervilshore.platform import forwarding
+from chervilshore.platform import kinds
 from chervilshore.platform import names
 from chervilshore.platform import requests
 from chervilshore.platform import store
@@ -63,18 +63,6 @@
 """Milliseconds for which a draining host still accepts requests: the load
 balancer ejects it after two failed readiness checks, a second apart."""
 
-DECODERS = decoders.Decoders(
-    rules=names.CONFIG,
-    domains=names.EVACUATIONS,
-    endpoints=names.SERVERS,
-    hosts=names.HOSTS,
-    rules_name=names.CONFIG_NAME,
-    read_rules=documents.decode_rules,
-    read_endpoint=documents.decode_endpoint,
-    read_host=documents.decode_host,
-    write_host=documents.encode_host,
-)
-
 _REQUEST_FORMAT = ingress.RequestFormat(
     decode=requests.decode_request,
     read_request_id=requests.read_attempt_id,
@@ -163,9 +151,10 @@
             self._peers,
             self._clock,
         )
+        self._decoders = kinds.choose_decoders(options.carries_out_rollouts)
         self._catalog = catalog.Catalog(
             self._shared_store,
-            DECODERS,
+            self._decoders,
             self._membership,
             self._clock,
             options.store_recovery_ms,
@@ -180,6 +169,17 @@
 
     def _make_data_plane(self) -> None:
         options = self._options
+        self._rollouts, self._versions = rollouts.assemble(
+            options,
+            self._clock,
+            self._store,
+            self._catalog,
+            self._decoders,
+            self._membership,
+            self._peers,
+            self._random,
+            self._metrics,
+        )
         self._notices = endpointnotices.EndpointNotices(self._random)
         notice_log = noticelog.NoticeLog(
             self._clock, self._notices, self._metrics
@@ -211,6 +211,7 @@
             batches.BatchClient(self._connections, notice_log.record),
             self._metrics,
             self._notices,
+            self._versions,
         )
         self._batch_pools = submitting.BatchPoolClient(
             options.host,
@@ -233,6 +234,7 @@
             self._peers,
             self._random,
             self._metrics,
+            self._versions,
         )
         self._streams = streams.Streams(
             options.host,
@@ -251,6 +253,7 @@
             self._catalog,
             self._make_router,
             self._notices,
+            self._versions,
         )
 
     def _make_router(self) -> routing.Router:
@@ -260,11 +263,11 @@
 
     def _make_chain(self) -> base.Proceed:
         deadline_policy = deadlines.WholeDeadline()
-        kinds = records.EndpointKind
+        kind = records.EndpointKind
         attempts = attempt.AttemptRunner(
             self._clock,
             self._slots,
-            dict.fromkeys((kinds.ENGINE, kinds.PLAIN), self._client),
+            dict.fromkeys((kind.ENGINE, kind.PLAIN), self._client),
             deadline_policy,
             shedding.NoShedding(),
             self._metrics,
@@ -330,8 +333,10 @@
             self._quarantine,
             self._streams,
             self._tunnels,
+            self._rollouts,
         ):
-            await self.add_runtime_dependency(service)
+            if service is not None:
+                await self.add_runtime_dependency(service)
         options = self._options
         await self._listeners.listen(self.ingress.serve, options.http_address)
         addresses = (options.ready_address, options.metrics_address)
@@ -354,6 +359,7 @@
                 "ready": ready,
                 "leaving": self._is_leaving,
                 "catalog": self._catalog.describe(),
+                "rollouts": self._rollouts and self._rollouts.describe(),
                 "held": self._quarantine.describe(),
                 "streams": self._streams.describe(),
                 "paths_lost_ms": self._paths.describe(self._clock.now()),
--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -8,8 +8,8 @@
 from chervilshore.controllers import membership
 from chervilshore.controllers import sharedstore
 from chervilshore import exceptions
-from chervilshore import gateway
 from chervilshore import ids
+from chervilshore.platform import kinds
 from chervilshore import records
 from standins import objectstore
 from tests import gateway_helpers
@@ -86,7 +86,7 @@
             self.link, readers, self.membership, peers, clock
         )
         self.catalog = catalog.Catalog(
-            self.store, gateway.DECODERS, self.membership, clock
+            self.store, kinds.DECODERS, self.membership, clock
         )
         self.sync = catalogsync.CatalogSync(
             self.catalog, self.membership, peers, clock, rng
