--- a/chervilshore/decisions/affinity.py
+++ b/chervilshore/decisions/affinity.py
@@ -72,10 +72,8 @@
                 probeable.append(one)
             else:
                 ejected.append(one)
-        active.sort(key=self._load)
+        active = self.order(requirements, active, now)
         ejected.sort(key=self._load)
-        if requirements.parts:
-            self._prefer_session(requirements, active)
         # An ejected endpoint is still better than a refusal if there is no
         # other.
         return (
@@ -84,6 +82,18 @@
             + ejected
         )
 
+    def order(
+        self,
+        requirements: routing.StageRequirements,
+        active: list[routing.Candidate],
+        now: float,
+    ) -> list[routing.Candidate]:
+        """Return the candidates that are not ejected, the best one first."""
+        active.sort(key=self._load)
+        if requirements.parts:
+            self._prefer_session(requirements, active)
+        return active
+
     def record_attempt(
         self,
         endpoint: ids.EndpointId,
--- /dev/null
+++ b/chervilshore/decisions/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Learnt capacity of endpoints: how fast each one is and what it bears."""
--- a/chervilshore/decisions/routing.py
+++ b/chervilshore/decisions/routing.py
@@ -1,6 +1,7 @@
 """Routers order the endpoints for a stage of a request, the best one first."""
 
 import abc
+import math
 
 import msgspec
 
@@ -26,6 +27,21 @@
         The warmth that its owner assumes.
     latency_ms : float
         Milliseconds that an attempt there takes; 0 when unknown.
+    read_tokens : int
+        Prompt tokens that it would have to read for the request.
+    tokens_ahead : int
+        Prompt tokens that it has to read before those.
+    expected_ms : float
+        Milliseconds in which the first event is expected; 0 when unknown.
+    pause_ms : float
+        Milliseconds that its streams are expected to pause at most meanwhile.
+    slowness : float
+        How slow it is, compared with a usual endpoint of its pool.
+    is_full : bool
+        Whether one more request would slow its other ones down.
+    passed_over : EndpointId
+        The endpoint of the prompt's session if this one was preferred to it;
+        empty otherwise.
     """
 
     record: records.EndpointRecord
@@ -34,6 +50,13 @@
     limit: int = 0
     warmth: records.Warmth = records.Warmth.COLD
     latency_ms: float = 0.0
+    read_tokens: int = 0
+    tokens_ahead: int = 0
+    expected_ms: float = 0.0
+    pause_ms: float = 0.0
+    slowness: float = 1.0
+    is_full: bool = False
+    passed_over: ids.EndpointId = ids.EndpointId("")
 
 
 class StageRequirements(msgspec.Struct, frozen=True):
@@ -69,6 +92,12 @@
         The prompt's parts that an endpoint may have cached, in order.
     version : SoftwareVersion or None
         The only version of endpoints to use; None allows all.
+    tokens_out : int
+        The most tokens to generate; 0 when unknown.
+    objective : float
+        The time by which the first event should come.
+    pause_ms : float
+        Objective for the pause between two events; 0 for none.
     """
 
     request: ids.RequestId
@@ -83,6 +112,9 @@
     settle_ms: float = 0.0
     parts: tuple[forwarded.PromptPart, ...] = ()
     version: ids.SoftwareVersion | None = None
+    tokens_out: int = 0
+    objective: float = math.inf
+    pause_ms: float = 0.0
 
     @property
     def latest_end(self) -> float:
--- a/chervilshore/eventstreams.py
+++ b/chervilshore/eventstreams.py
@@ -22,10 +22,13 @@
     ----------
     last_event_id : int or None
         The id of the last complete event that had one.
+    events : int
+        The complete events so far.
     """
 
     def __init__(self) -> None:
         self.last_event_id: int | None = None
+        self.events = 0
         self._buffer = bytearray()
         self._searched = 0
 
@@ -44,6 +47,7 @@
         for match in _EVENT_END.finditer(self._buffer, start):
             self._record_event_id(bytes(self._buffer[end : match.end()]))
             end = match.end()
+            self.events += 1
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
         self._searched = len(self._buffer)
