Exchange what hosts learn of endpoints, and route by it

Change: hosts report what they see to one strong host of their domain, these tell each other, and each tells its hosts the sum over all domains with its age. An idle fleet sends nothing. Attempts are measured and logged (4130), `endpoint chosen` says what was expected and which endpoint was passed over, metrics and the status page show what is known.

--- a/chervilshore/clients/endpoints.py
+++ b/chervilshore/clients/endpoints.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from chervilshore.clients import bodies
+from chervilshore.decisions.capacity import observations
 from chervilshore import exceptions
 from chervilshore import forwarded
 from chervilshore import ids
@@ -63,6 +64,8 @@
         Team, inputs and urgency that a forwarded request carries.
     relay : Relay or None
         Sends a stream of events on to the caller.
+    flight : Flight or None
+        Records when the events of a stream come.
     """
 
     binding: records.Binding
@@ -78,6 +81,7 @@
     forwarded_request: forwarded.ForwardedRequest | None = None
     delivery: forwarded.Delivery = forwarded.Delivery()
     relay: forwarded.Relay | None = None
+    flight: observations.Flight | None = None
 
 
 class Reply(msgspec.Struct):
--- a/chervilshore/controllers/immediateslots.py
+++ b/chervilshore/controllers/immediateslots.py
@@ -8,6 +8,7 @@
 import logging
 
 from chervilshore import clock as clocks
+from chervilshore.controllers import capacities
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import slots
@@ -42,9 +43,11 @@
     configuration : Configuration
         The active rules.
     make_router : callable
-        Returns a new router for one pool.
+        Returns a new router for a pool.
     notices : EndpointNotices
         When endpoints that ask for restraint may be used.
+    learnt : Capacities
+        Learns the capacity of endpoints from the attempts.
     """
 
     def __init__(
@@ -53,8 +56,9 @@
         clock: clocks.Clock,
         directory: directories.Directory,
         configuration: configurations.Configuration,
-        make_router: collections_abc.Callable[[], routing.Router],
+        make_router: collections_abc.Callable[[ids.PoolName], routing.Router],
         notices: endpointnotices.EndpointNotices,
+        learnt: capacities.Capacities,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -62,6 +66,7 @@
         self._configuration = configuration
         self._make_router = make_router
         self._notices = notices
+        self._capacities = learnt
         self._routers: dict[ids.PoolName, routing.Router] = {}
         self._in_flight: dict[ids.EndpointId, int] = {}
         self._cold_rate = coldrate.ColdRate(host)
@@ -92,7 +97,7 @@
         )
         for candidate in ranked:
             if self._may_send(pool, candidate.record, now):
-                return self._assign(requirements, candidate.record)
+                return self._assign(requirements, candidate)
         raise exceptions.RefusalError(
             results.Code.NO_ENDPOINT,
             _describe_choice(requirements, len(usable), len(ranked)),
@@ -151,8 +156,9 @@
     def _assign(
         self,
         requirements: routing.StageRequirements,
-        record: records.EndpointRecord,
+        candidate: routing.Candidate,
     ) -> slots.Slot:
+        record = candidate.record
         endpoint = record.endpoint
         self._in_flight[endpoint] = self._in_flight.get(endpoint, 0) + 1
         events.log_event(
@@ -163,8 +169,11 @@
             pool=requirements.pool,
             version=record.version,
             in_flight=self._in_flight[endpoint],
+            **capacities.describe_choice(candidate),
+        )
+        return slots.Slot(
+            record, flight=self._capacities.begin(requirements, candidate)
         )
-        return slots.Slot(record)
 
     def confirm(self, slot: slots.Slot) -> bool:
         """Check that the endpoint is still usable; see `Slots.confirm`."""
@@ -177,6 +186,8 @@
         self._in_flight[endpoint] -= 1
         if not self._in_flight[endpoint]:
             del self._in_flight[endpoint]
+        if slot.flight is not None:
+            self._capacities.end(slot.flight, attempt.outcome)
         pool = self._configuration.rules.pools.get(slot.record.pool)
         millis = attempt.millis
         if pool is not None and pool.kind is records.EndpointKind.ENGINE:
@@ -199,7 +210,7 @@
 
     def _find_router(self, pool: ids.PoolName) -> routing.Router:
         if pool not in self._routers:
-            self._routers[pool] = self._make_router()
+            self._routers[pool] = self._make_router(pool)
         return self._routers[pool]
 
 
--- a/chervilshore/controllers/slots.py
+++ b/chervilshore/controllers/slots.py
@@ -7,6 +7,7 @@
 
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
+from chervilshore.decisions.capacity import observations
 from chervilshore.decisions import routing
 from chervilshore import exceptions
 from chervilshore import ids
@@ -25,11 +26,15 @@
         The number of the slot within the epoch.
     epoch : Epoch
         The epoch of the owner that granted the slot.
+    flight : Flight or None
+        Records the events of the attempt; None if nothing is learnt of the
+        endpoint.
     """
 
     record: records.EndpointRecord
     grant: ids.GrantId = ids.GrantId(0)
     epoch: ids.Epoch = ids.Epoch(0)
+    flight: observations.Flight | None = None
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -132,6 +132,8 @@
         4126, _INFO, "endpoint is brittle, or no longer"
     )
 
+    ATTEMPT_MEASURED = EventSpec(4130, _INFO, "events of attempt measured")
+
     # Claims: 5000 to 5999.
     CLAIM_LOG_LOADED = EventSpec(5001, _INFO, "claim log loaded")
     CLAIM_LOG_UNWRITABLE = EventSpec(5002, _WARNING, "claim log not writable")
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -2,6 +2,7 @@
 
 from collections import abc as collections_abc
 import logging
+import math
 
 from chervilshore.clients import endpoints
 from chervilshore import clock as clocks
@@ -268,6 +269,13 @@
             if exchange.forwarded_request
             else (),
             version=exchange.stream_version,
+            tokens_out=exchange.forwarded_request.tokens_out
+            if exchange.forwarded_request
+            else 0,
+            objective=exchange.arrived_at + exchange.pipeline.objective_ms
+            if exchange.pipeline.objective_ms
+            else math.inf,
+            pause_ms=exchange.pipeline.gap_ms,
         )
 
     def _choose_deadline(self, state: StageState) -> float:
@@ -340,6 +348,7 @@
             forwarded_request=exchange.forwarded_request,
             delivery=exchange.delivery,
             relay=exchange.relay,
+            flight=slot.flight,
         )
 
     def _make_sink(
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -12,6 +12,7 @@
 from chervilshore import clock as clocks
 from chervilshore.controllers import batching
 from chervilshore.controllers import batchstages
+from chervilshore.controllers import capacities
 from chervilshore.controllers import catalog
 from chervilshore.controllers import catalogsync
 from chervilshore.controllers import decoders
@@ -21,7 +22,7 @@
 from chervilshore.controllers import quarantine
 from chervilshore.controllers import streams
 from chervilshore.controllers import submitting
-from chervilshore.decisions import affinity
+from chervilshore.decisions.capacity import router as capacityrouter
 from chervilshore.decisions import deadlines
 from chervilshore.decisions import ejection
 from chervilshore.decisions import endpointnotices
@@ -41,6 +42,7 @@
 from chervilshore.filters import resumption
 from chervilshore.filters import route
 from chervilshore.filters import stage
+from chervilshore import ids
 from chervilshore import ingress
 from chervilshore import listener
 from chervilshore import metrics
@@ -234,6 +236,14 @@
             self._peers,
             self._metrics,
         )
+        self._capacities = capacities.Capacities(
+            options.host,
+            options.domain,
+            self._clock,
+            self._catalog,
+            self._peers,
+            self._metrics,
+        )
         self._slots = immediateslots.ImmediateSlots(
             options.host,
             self._clock,
@@ -241,11 +251,17 @@
             self._catalog,
             self._make_router,
             self._notices,
+            self._capacities,
         )
 
-    def _make_router(self) -> routing.Router:
-        return affinity.AffinityRouter(
-            self._options.domain, self._random, ejection.OutlierEjection()
+    def _make_router(self, pool: ids.PoolName) -> routing.Router:
+        return capacityrouter.CapacityRouter(
+            self._options.domain,
+            self._random,
+            ejection.OutlierEjection(),
+            self._capacities.find_estimates(pool),
+            self._capacities.list_mine,
+            lambda: self._max_known_hosts,
         )
 
     def _make_chain(self) -> base.Proceed:
@@ -314,6 +330,7 @@
             self._batch_pools,
             self._quarantine,
             self._streams,
+            self._capacities,
             self._tunnels,
         ):
             await self.add_runtime_dependency(service)
@@ -330,6 +347,7 @@
     async def _serve_status(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/metrics":
             self._catalog.report(self._metrics)
+            self._capacities.report()
             return web.Response(
                 body=self._metrics.render(), content_type="text/plain"
             )
@@ -341,6 +359,7 @@
                 "catalog": self._catalog.describe(),
                 "held": self._quarantine.describe(),
                 "streams": self._streams.describe(),
+                "capacity": self._capacities.describe(),
                 "paths_lost_ms": self._paths.describe(self._clock.now()),
             },
             status=200 if ready else 503,
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -257,6 +257,22 @@
         ("side",),
         "Connections through a peer, by whether this host asked or relayed.",
     )
+    ENDPOINT_SLOWNESS = _gauge(
+        "chervilshore_endpoint_slowness",
+        ("endpoint",),
+        "How slow an endpoint is, compared with a usual one of its pool.",
+    )
+    ENDPOINT_LIMIT = _gauge(
+        "chervilshore_endpoint_good_concurrency",
+        ("endpoint",),
+        "Requests that an endpoint bears before it slows down.",
+    )
+    SESSIONS_PASSED_OVER = _counter(
+        "chervilshore_sessions_passed_over_total",
+        ("pool",),
+        "Prompts that were not sent to the endpoint of their session, as "
+        "another one was expected to answer sooner.",
+    )
     STREAMS_RESUMED = _counter(
         "chervilshore_streams_resumed_total",
         ("source",),
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -136,7 +136,10 @@
             complete_events = splitter.feed(data)
             if not complete_events:
                 continue
-            relay.record_event(self._clock.now())
+            now = self._clock.now()
+            relay.record_event(now)
+            if call.flight is not None:
+                call.flight.record_events(splitter.events, now)
             if not relay.head_sent:
                 relay.begin_stream(
                     forwarded.StreamOrigin(record.pool, record.version)
--- a/chervilshore/wire.py
+++ b/chervilshore/wire.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chervilshore import batchmessages
+from chervilshore import capacitymessages
 from chervilshore import catalogmessages
 from chervilshore import grantmessages
 from chervilshore import ids
@@ -46,6 +47,8 @@
     batchmessages.BatchInputsRead,
     batchmessages.BatchJobCancelled,
     batchmessages.BatchResultsReleased,
+    capacitymessages.CapacityReport,
+    capacitymessages.CapacityTable,
     catalogmessages.CatalogRequest,
     catalogmessages.CatalogReply,
     quarantinemessages.CrashReport,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,6 +6,7 @@
 from testtools import matchers
 
 from chervilshore import batchmessages
+from chervilshore import capacitymessages
 from chervilshore import catalogmessages
 from chervilshore import grantmessages
 from chervilshore import messages
@@ -18,6 +19,7 @@
     catalogmessages,
     grantmessages,
     batchmessages,
+    capacitymessages,
     quarantinemessages,
     streammessages,
 )
