--- a/chervilshore/controllers/slots.py
+++ b/chervilshore/controllers/slots.py
@@ -8,6 +8,7 @@
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import versions
+from chervilshore.decisions.capacity import observations
 from chervilshore.decisions import routing
 from chervilshore import exceptions
 from chervilshore import ids
@@ -28,12 +29,16 @@
         The epoch of the owner that granted the slot.
     sent : Sent
         What is known of the request when it is sent.
+    flight : Flight or None
+        Records the events of the attempt; None if nothing is learnt of the
+        endpoint.
     """
 
     record: records.EndpointRecord
     grant: ids.GrantId = ids.GrantId(0)
     epoch: ids.Epoch = ids.Epoch(0)
     sent: versions.Sent = versions.Sent()
+    flight: observations.Flight | None = None
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -147,6 +147,8 @@
         4130, _WARNING, "no host and no record tells what began a stream"
     )
 
+    ATTEMPT_MEASURED = EventSpec(4130, _INFO, "events of attempt measured")
+
     # Claims: 5000 to 5999.
     CLAIM_LOG_LOADED = EventSpec(5001, _INFO, "claim log loaded")
     CLAIM_LOG_UNWRITABLE = EventSpec(5002, _WARNING, "claim log not writable")
