Wait for silent hosts until shortly before the deadline

A host that does not know of the switch may still send to the old versions, so its work cannot be taken as ended after the longest attempt.

--- a/chervilshore/decisions/rollouts/rollout.py
+++ b/chervilshore/decisions/rollouts/rollout.py
@@ -393,7 +393,7 @@
                 running += report.old_running
         if running:
             waits.append(f"{running} attempts at other versions")
-        may_miss = self._schedule.may_miss_hosts(self._view.longest_ms, now)
+        may_miss = self._schedule.may_miss_hosts(now)
         if 2 * len(silent) > len(others) or not may_miss:
             waits.extend(silent)
         return waits
--- a/chervilshore/decisions/rollouts/schedule.py
+++ b/chervilshore/decisions/rollouts/schedule.py
@@ -85,7 +85,7 @@
         self._started = started
         self._duration_ms = duration_ms
         self._moved_at = math.inf
-        self._switched_at = math.inf
+        self._switched_at = -math.inf
         self._move_ms = min(
             MAX_MOVE_MS, max(MIN_MOVE_MS, MOVE_FRACTION * duration_ms)
         )
@@ -129,18 +129,14 @@
         """Return whether the other versions need not be kept longer."""
         return now >= self.deadline - HOLD_MS
 
-    def may_miss_hosts(self, longest_ms: float, now: float) -> bool:
+    def may_miss_hosts(self, now: float) -> bool:
         """Return whether hosts that are not heard of are waited for no more.
 
-        Their work has ended by the time that an attempt lasts at most, unless
-        they send new one because they do not know of the switch.
+        What they had sent has ended by then, but they may still send to the
+        other versions if they do not know of the switch.
         """
         return now >= max(
-            self._switched_at + SPREAD_MS,
-            min(
-                self.deadline - CLOSING_MS,
-                self._switched_at + SPREAD_MS + longest_ms,
-            ),
+            self._switched_at + SPREAD_MS, self.deadline - CLOSING_MS
         )
 
     def choose_canaries(
