--- a/chervilshore/decisions/rollouts/strata.py
+++ b/chervilshore/decisions/rollouts/strata.py
@@ -11,7 +11,7 @@
 MAX_CONTROLS = 200.0
 """Weight of the controls that are kept of earlier slices."""
 
-CONTROL_MEMORY_MS = 30_000.0
+CONTROL_MEMORY_MS = 20_000.0
 """Time in which earlier controls lose their weight."""
 
 CHANGE_SURPRISE = math.log(100.0)
@@ -90,12 +90,15 @@
     ----------
     controls : Sample
         The responses of the controls in earlier slices.
+    median : int
+        The bucket of the median of the controls before the latest slice.
     new : dict
         Those of the new version in the current slice, by cell.
     """
 
     def __init__(self, started: float) -> None:
         self.controls = Sample()
+        self.median = 0
         self.new: dict[int, Sample] = {}
         self._latest = Sample()
         self._started = started
@@ -108,8 +111,10 @@
             self.new.setdefault(cell, Sample()).add(tally)
 
     def is_over(self, now: float) -> bool:
-        """Return whether the slice ends."""
-        return now - self._started >= SLICE_MS
+        """Return whether the slice ends; one without responses goes on."""
+        if now - self._started < SLICE_MS:
+            return False
+        return bool(self.new or self._latest.ended)
 
     def close(self, now: float) -> dict[int, Sample]:
         """End the slice, and add its controls to the earlier ones.
@@ -119,6 +124,7 @@
         dict
             What the new version did in it, by cell.
         """
+        self.median = self.controls.find_median()
         if self._has_changed():
             self.controls = Sample()
         self.controls.scale(
@@ -134,19 +140,28 @@
         return new
 
     def _has_changed(self) -> bool:
-        """Return whether the controls do worse than in earlier slices."""
+        """Return whether the controls do worse or better than earlier."""
         earlier, latest = self.controls, self._latest
-        if not earlier.ended:
-            return False
-        fraction = (earlier.failed + 0.5) / (earlier.ended + 1.0)
-        surprise = trends.measure_surprise(
-            latest.failed, fraction * latest.ended, latest.ended
-        )
-        if surprise >= CHANGE_SURPRISE or not earlier.timed:
-            return surprise >= CHANGE_SURPRISE
-        bucket = earlier.find_median() + SLOW_OFFSET
-        fraction = (earlier.count_from(bucket) + 0.5) / (earlier.timed + 1.0)
-        surprise = trends.measure_surprise(
-            latest.count_from(bucket), fraction * latest.timed, latest.timed
+        if _differ(earlier.failed, earlier.ended, latest.failed, latest.ended):
+            return True
+        bucket = self.median + SLOW_OFFSET
+        return _differ(
+            earlier.count_from(bucket),
+            earlier.timed,
+            latest.count_from(bucket),
+            latest.timed,
         )
-        return surprise >= CHANGE_SURPRISE
+
+
+def _differ(
+    earlier: float, earlier_number: float, latest: float, latest_number: float
+) -> bool:
+    """Return whether the fraction of events has changed."""
+    if not earlier_number or not latest_number:
+        return False
+    expected = (earlier + 0.5) / (earlier_number + 1.0) * latest_number
+    more = trends.measure_surprise(latest, expected, latest_number)
+    fewer = trends.measure_surprise(
+        latest_number - latest, latest_number - expected, latest_number
+    )
+    return max(more, fewer) >= CHANGE_SURPRISE
--- a/chervilshore/decisions/rollouts/verdict.py
+++ b/chervilshore/decisions/rollouts/verdict.py
@@ -148,13 +148,13 @@
             self._keep_references()
         for name, stratum in self._strata.items():
             if stratum.is_over(now):
-                # What is slow is told by the controls of earlier slices.
-                median = stratum.controls.find_median()
                 new = stratum.close(now)
+                if not new:
+                    continue
                 if name[2] is None:
                     self._compare_failures(name, stratum, new, phase, now)
                 elif phase is rollout_records.Phase.CANARY:
-                    self._compare_latencies(name, stratum, new, median, now)
+                    self._compare_latencies(name, stratum, new, now)
                 elif self._rate <= MOVED_LOAD_FACTOR * self._reference_rate:
                     self._compare_moved_latencies(name, new, now)
         return self._conclude()
@@ -221,14 +221,14 @@
         name: _Name,
         stratum: strata.Stratum,
         new: _Cells,
-        median: int,
         now: float,
     ) -> None:
         controls = stratum.controls
-        if controls.timed < MIN_CONTROLS or not median:
+        # What is slow is told by the controls of earlier slices.
+        if controls.timed < MIN_CONTROLS or not stratum.median:
             return
         for offset in TAIL_OFFSETS:
-            bucket = median + offset
+            bucket = stratum.median + offset
             counts = _expect(
                 _count_slow(new, bucket),
                 controls.count_from(bucket - MARGIN_BUCKETS),
