--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -12,6 +12,7 @@
 from chervilshore.clients import peers as peer_types
 from chervilshore import clock as clocks
 from chervilshore.controllers import batchevidence
+from chervilshore.controllers import batchpools
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import freeing
@@ -44,25 +45,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-SendUpdate = collections_abc.Callable[
-    [batchmessages.BatchJobResult | batchmessages.BatchInputsRead], None
-]
-"""Sends an update about a job to the host that submitted it."""
-
-
-class _PoolState:
-    """State of one pool that this host owns; set `wake` to plan it again."""
-
-    def __init__(self, planner: batchplanner.BatchPlanner) -> None:
-        self.planner = planner
-        self.senders: dict[str, SendUpdate] = {}  # by job
-        self.wake = asyncio.Event()
-
-    def add_space(self, endpoint: ids.EndpointId, handles: list[str]) -> None:
-        """Plan again with the space of results that were freed."""
-        self.planner.record_freed(endpoint, handles)
-        self.wake.set()
-
 
 class BatchService(mode.Service):
     """Plans and makes the calls of the batch pools that this host owns."""
@@ -88,7 +70,7 @@
         self._metrics = metrics
         self._notices = notices
         self._versions = version_choice or versions.AnyVersion()
-        self._pool_states: dict[ids.PoolName, _PoolState] = {}
+        self._pool_states: dict[ids.PoolName, batchpools.PoolState] = {}
         self._finished: dict[
             str, tuple[float, batchmessages.BatchJobResult]
         ] = {}
@@ -140,7 +122,7 @@
     def accept(
         self,
         job_request: batchmessages.BatchJobRequest,
-        send_update: SendUpdate,
+        send_update: batchpools.SendUpdate,
     ) -> batchmessages.BatchJobAccepted | None:
         """Accept a job, or send its result again when it has finished.
 
@@ -185,14 +167,16 @@
         if state is not None:
             self._freer.free(pool, handles, state.add_space)
 
-    def _find_pool(self, pool: ids.PoolName) -> _PoolState | None:
+    def _find_pool(self, pool: ids.PoolName) -> batchpools.PoolState | None:
         """Return a batch pool, started on first use; None without a rule."""
         rule = self._configuration.rules.pools.get(pool)
         if rule is None or rule.batching is None:
             return None
         state = self._pool_states.get(pool)
         if state is None:
-            state = _PoolState(batchplanner.BatchPlanner(rule.batching))
+            state = batchpools.PoolState(
+                batchplanner.BatchPlanner(rule.batching)
+            )
             self._pool_states[pool] = state
             self._start(self._run_pool(pool, state))
         state.planner.batching = rule.batching
@@ -209,7 +193,9 @@
         if not task.cancelled() and task.exception() is not None:
             _LOGGER.error("background task failed", exc_info=task.exception())
 
-    async def _run_pool(self, pool: ids.PoolName, state: _PoolState) -> None:
+    async def _run_pool(
+        self, pool: ids.PoolName, state: batchpools.PoolState
+    ) -> None:
         while True:
             now = self._clock.now()
             self._update_endpoints(pool, state)
@@ -223,7 +209,7 @@
             state.wake.clear()
             await self._wait_for_work(state)
 
-    async def _wait_for_work(self, state: _PoolState) -> None:
+    async def _wait_for_work(self, state: batchpools.PoolState) -> None:
         """Wait until something changes or the planner has something due."""
         due = state.planner.next_plan_time(self._clock.now())
         if due is None:
@@ -236,7 +222,9 @@
             # Work of the planner is due: plan again.
             return
 
-    def _update_endpoints(self, pool: ids.PoolName, state: _PoolState) -> None:
+    def _update_endpoints(
+        self, pool: ids.PoolName, state: batchpools.PoolState
+    ) -> None:
         now = self._clock.now()
         accepts_requests = self._configuration.rules.accepts_requests
         usable = [
@@ -254,21 +242,10 @@
             state.planner.hold(record.endpoint, next_call)
 
     async def _make_call(
-        self, state: _PoolState, call: batchjobs.BatchCall
+        self, state: batchpools.PoolState, call: batchjobs.BatchCall
     ) -> None:
         now = self._clock.now()
-        calls = [
-            batches.ItemCall(
-                request=part.job.request,
-                stage=part.job.stage,
-                item_index=number,
-                left_ms=part.job.deadline - now,
-                key=part.job.key,
-                inputs=part.job.inputs,
-            )
-            for part in call.parts
-            for number in part.item_indexes
-        ]
+        calls = batchpools.list_item_calls(call, now)
         timeout_ms = CALL_TIMEOUT_FACTOR * call.expected_ms + CALL_MARGIN_MS
         outcome = "made"
         failures: collections.Counter[str] = collections.Counter()
@@ -319,7 +296,7 @@
         state.wake.set()
 
     async def _report_read(
-        self, state: _PoolState, call: batchjobs.BatchCall
+        self, state: batchpools.PoolState, call: batchjobs.BatchCall
     ) -> None:
         """Report to submitters when a call has probably read its inputs.
 
@@ -333,14 +310,17 @@
                 send_update(batchmessages.BatchInputsRead(job.name))
 
     def _fail_call(
-        self, state: _PoolState, call: batchjobs.BatchCall, busy: bool
+        self,
+        state: batchpools.PoolState,
+        call: batchjobs.BatchCall,
+        busy: bool,
     ) -> None:
         for job in state.planner.fail(call, busy, self._clock.now()):
             self._end_failed_job(state, job)
 
     def _finish_call(
         self,
-        state: _PoolState,
+        state: batchpools.PoolState,
         call: batchjobs.BatchCall,
         results: list[batches.ItemResult],
     ) -> None:
@@ -372,7 +352,9 @@
         for job in state.planner.requeue_missing(call, without_space, now):
             self._end_failed_job(state, job)
 
-    def _end_failed_job(self, state: _PoolState, job: batchjobs.Job) -> None:
+    def _end_failed_job(
+        self, state: batchpools.PoolState, job: batchjobs.Job
+    ) -> None:
         """End a job that failed too often.
 
         If its inputs have been freed, the stages before it must run again.
@@ -384,7 +366,7 @@
 
     def _end_job(
         self,
-        state: _PoolState,
+        state: batchpools.PoolState,
         job: batchjobs.Job,
         failure: batches.Failure | None,
     ) -> None:
--- a/chervilshore/controllers/capacities.py
+++ b/chervilshore/controllers/capacities.py
@@ -20,6 +20,7 @@
 from chervilshore.decisions import routing
 from chervilshore import events
 from chervilshore import ids
+from chervilshore import metriclabels
 from chervilshore import metrics as metric_types
 from chervilshore import records
 
@@ -101,7 +102,7 @@
         self._directory = directory
         self._peers = peers
         self._metrics = metrics
-        self._labels = metric_types.EndpointLabels()
+        self._labels = metriclabels.EndpointLabels()
         self._flights = observations.Flights()
         self._estimates: dict[ids.PoolName, estimate_types.Estimates] = {}
         self._reported: dict[ids.EndpointId, observations.Observation] = {}
--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -1,6 +1,5 @@
 """The configuration, endpoints and hosts that are read from the store."""
 
-import asyncio
 import logging
 import math
 
@@ -12,6 +11,7 @@
 from chervilshore.controllers import decoders as decoding
 from chervilshore.controllers import directory as directories
 from chervilshore.controllers import membership as memberships
+from chervilshore.controllers import registration
 from chervilshore.controllers import storereader
 from chervilshore.decisions import backoff
 from chervilshore.decisions import endpointtable
@@ -129,8 +129,9 @@
             )
             watch_delays_ms[decoders.rollouts] = WATCH_DELAY_MS
         self.on_rollouts = lambda: None
-        self._registration_due = asyncio.Event()
-        self._registration_due.set()
+        self._registration = registration.Registration(
+            store, decoders, membership, clock
+        )
         self._reader = storereader.StoreReader(
             store,
             self.caches,
@@ -138,15 +139,13 @@
             clock,
             recovery_ms,
             self.apply,
-            self._registration_due.set,
+            self._registration.renew,
         )
         self._senders = senders.Senders(clock.now())
         self.on_hosts_listed = lambda: None
         self._table = endpointtable.EndpointTable()
         self._stored_rules = model.Rules()
         self._read_at = math.inf
-        self._registered = False
-        self._leaving = False
 
     # Queries.
 
@@ -242,50 +241,19 @@
     async def on_start(self) -> None:
         """Start to watch the store and to register this host."""
         await self.add_runtime_dependency(self._reader)
-        self.add_future(self._register_host())
+        await self.add_runtime_dependency(self._registration)
         self.add_future(self._discover_hosts())
 
     async def unregister(self) -> None:
         """Delete this host's own entry from the store."""
-        self._leaving = True
-        if not self._registered:
-            return
-        try:
-            await self._store.delete(
-                self._decoders.hosts, self._membership.me.host
-            )
-        except exceptions.PlatformError as error:
-            # Other hosts detect by probing that this one has stopped.
-            events.log_event(
-                _LOGGER,
-                events.Event.STORE_UNREADABLE,
-                kind="host",
-                error=error,
-            )
-
-    async def _register_host(self) -> None:
-        """Write this host's own entry, and again after each restore."""
-        me = self._membership.me
-        content = self._decoders.write_host(me)
-        retry_delays = _make_retry_delays()
-        while not self.should_stop:
-            await self._registration_due.wait()
-            if self._leaving:
-                return
-            self._registration_due.clear()
-            try:
-                await self._store.put(self._decoders.hosts, me.host, content)
-            except exceptions.PlatformError:
-                self._registration_due.set()
-                await self._clock.sleep(retry_delays.next_delay_ms())
-            else:
-                self._registered = True
-                retry_delays.reset()
+        await self._registration.unregister()
 
     async def _discover_hosts(self) -> None:
         """Read the list of hosts until another host is known."""
         kind = self._decoders.hosts
-        retry_delays = _make_retry_delays()
+        retry_delays = backoff.Backoff(
+            storereader.MIN_RETRY_MS, storereader.MAX_RETRY_MS
+        )
         while not self.should_stop:
             try:
                 await self._reader.list(kind)
@@ -410,7 +378,3 @@
         self._senders.record_listed(others)
         self._membership.propose(others)
         self.on_hosts_listed()
-
-
-def _make_retry_delays() -> backoff.Backoff:
-    return backoff.Backoff(storereader.MIN_RETRY_MS, storereader.MAX_RETRY_MS)
--- a/chervilshore/controllers/generations.py
+++ b/chervilshore/controllers/generations.py
@@ -291,17 +291,15 @@
 
     async def _fetch_once(self) -> bool:
         """Fetch what is missing; return False if a retry is needed."""
-        if (
-            self.dissemination.highest_announced
-            > self.dissemination.known_generation
-        ):
+        spread = self.dissemination
+        if spread.highest_announced > spread.known_generation:
             await self._request_source_heads()
-        if self.dissemination.wanted is None:
-            if not self.dissemination.is_behind:
+        if spread.wanted is None:
+            if not spread.is_behind:
                 return True
             await self._read_head()
-        if self.dissemination.wanted is None:
-            return not self.dissemination.is_behind
+        if spread.wanted is None:
+            return not spread.is_behind
         if not await self._fetch_chunks():
             return False
         self._activate_wanted()
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -5,6 +5,7 @@
 import math
 
 from chervilshore.clients import endpoints
+from chervilshore.clients import outcomes
 from chervilshore import clock as clocks
 from chervilshore.controllers import slots
 from chervilshore.decisions import deadlines
@@ -15,6 +16,7 @@
 from chervilshore.filters import base
 from chervilshore.filters import pools
 from chervilshore import ids
+from chervilshore import metriclabels
 from chervilshore import metrics
 from chervilshore import records
 from chervilshore import results
@@ -35,14 +37,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_OUTCOMES = (
-    (exceptions.EndpointUnreached, records.Outcome.UNREACHED),
-    (exceptions.InputsGone, records.Outcome.STALE),
-    (exceptions.EndpointBusy, records.Outcome.BUSY),
-    (exceptions.EndpointRejected, records.Outcome.REJECTED),
-    (exceptions.EndpointBroken, records.Outcome.BROKEN),
-)
-
 _NOT_RUN = (
     records.Outcome.UNREACHED,
     records.Outcome.BUSY,
@@ -176,7 +170,7 @@
         self._deadlines = deadline_policy
         self._shedding = load_shedding
         self._metrics = counters
-        self._labels = metrics.EndpointLabels()
+        self._labels = metriclabels.EndpointLabels()
 
     async def run(self, state: StageState, hedge: bool = False) -> dict:
         """Make one attempt.
@@ -306,7 +300,7 @@
             reply = await client.call(slot.record, call)
             outcome = records.Outcome.OK
         except exceptions.EndpointError as error:
-            outcome = self._classify(error)
+            outcome = outcomes.classify(error)
             if outcome in _NOT_RUN:
                 state.exchange.withdraw_send()
             else:
@@ -389,12 +383,6 @@
             outcome.value,
         )
 
-    def _classify(self, error: exceptions.EndpointError) -> records.Outcome:
-        for kind, outcome in _OUTCOMES:
-            if isinstance(error, kind):
-                return outcome
-        return records.Outcome.BROKEN
-
     def _log_mismatch(
         self, exchange: base.Exchange, error: exceptions.EndpointError
     ) -> None:
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -8,27 +8,22 @@
 from chervilshore.clients import connectionpool
 from chervilshore.clients import connectors
 from chervilshore.clients import relaying
-from chervilshore.clients import zeromq
 from chervilshore import clock as clocks
 from chervilshore.controllers import batching
 from chervilshore.controllers import batchstages
 from chervilshore.controllers import capacities
-from chervilshore.controllers import catalog
-from chervilshore.controllers import catalogsync
 from chervilshore.controllers import immediateslots
-from chervilshore.controllers import membership
 from chervilshore.controllers import noticelog
 from chervilshore.controllers import quarantine
 from chervilshore.controllers import rollouts
-from chervilshore.controllers import sharedstore
 from chervilshore.controllers import streams
 from chervilshore.controllers import submitting
+from chervilshore import controlplane
 from chervilshore.decisions.capacity import router as capacityrouter
 from chervilshore.decisions import deadlines
 from chervilshore.decisions import ejection
 from chervilshore.decisions import endpointnotices
 from chervilshore.decisions import paths
-from chervilshore.decisions import probes
 from chervilshore.decisions import retries
 from chervilshore.decisions import retryshares
 from chervilshore.decisions import routing
@@ -49,18 +44,12 @@
 from chervilshore import metrics
 from chervilshore.platform import batches
 from chervilshore.platform import forwarding
-from chervilshore.platform import kinds
 from chervilshore.platform import names
 from chervilshore.platform import requests
-from chervilshore.platform import store
 from chervilshore import records
 from chervilshore import settings
 from chervilshore import tunnelserver
 
-PROBE_SETTINGS = probes.ProbeSettings(period_ms=400.0)
-"""Fewer membership probes than by default, as each message costs CPU time on
-small hosts."""
-
 DRAIN_ACCEPT_MS = 2700.0
 """Milliseconds for which a draining host still accepts requests: the load
 balancer ejects it after two failed readiness checks, a second apart."""
@@ -108,7 +97,15 @@
         self._listeners = listener.Listeners(self._head_timeout_seconds)
         self._is_leaving = False
         self._max_known_hosts = 1
-        self._make_control_plane()
+        plane = controlplane.ControlPlane(
+            options, clock, self._metrics, self._random
+        )
+        self._control_services = plane.services
+        self._store = plane.store
+        self._peers = plane.peers
+        self._membership = plane.membership
+        self._decoders = plane.decoders
+        self._catalog = plane.catalog
         self._make_data_plane()
         self.ingress = ingress.Ingress(
             clock,
@@ -118,57 +115,6 @@
             lambda: self._catalog.rules.limits,
         )
 
-    def _make_control_plane(self) -> None:
-        options = self._options
-        self._store = store.MetadataStore(
-            options.platform, self._clock, options.platform_ms, self._metrics
-        )
-        self._peers = zeromq.ZeroMQTransport(
-            options.peer_address,
-            self._clock,
-            self._metrics,
-            listen=options.peer_listen,
-        )
-        record = records.HostRecord(
-            host=options.host,
-            domain=options.domain,
-            peer_address=options.peer_address,
-            http_address=options.http_address,
-            capacity=options.capacity,
-            relay_address=options.relay_address,
-        )
-        self._membership = membership.Membership(
-            record,
-            self._clock,
-            self._peers,
-            self._random,
-            options.seeds,
-            probe_settings=PROBE_SETTINGS,
-            metrics=self._metrics,
-        )
-        self._shared_store = sharedstore.SharedStore(
-            self._store,
-            options.store_readers,
-            self._membership,
-            self._peers,
-            self._clock,
-        )
-        self._decoders = kinds.choose_decoders(options.carries_out_rollouts)
-        self._catalog = catalog.Catalog(
-            self._shared_store,
-            self._decoders,
-            self._membership,
-            self._clock,
-            options.store_recovery_ms,
-        )
-        self._catalog_sync = catalogsync.CatalogSync(
-            self._catalog,
-            self._membership,
-            self._peers,
-            self._clock,
-            self._random,
-        )
-
     def _make_data_plane(self) -> None:
         options = self._options
         self._rollouts, self._versions = rollouts.assemble(
@@ -339,11 +285,7 @@
     async def on_start(self) -> None:
         """Start all services, then listen for callers."""
         for service in (
-            self._peers,
-            self._membership,
-            self._shared_store,
-            self._catalog,
-            self._catalog_sync,
+            *self._control_services,
             self._batch_service,
             self._batch_pools,
             self._quarantine,
--- a/chervilshore/server.py
+++ b/chervilshore/server.py
@@ -15,6 +15,7 @@
 from chervilshore import exceptions
 from chervilshore.filters import base
 from chervilshore import ids
+from chervilshore import metriclabels
 from chervilshore import metrics
 from chervilshore import requestcounts
 from chervilshore import results
@@ -145,7 +146,7 @@
         self._handle = handle
         self._metrics = counters
         self._body_bytes = body_bytes
-        self._labels = metrics.TeamLabels()
+        self._labels = metriclabels.TeamLabels()
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
--- a/tests/test_gateway_metrics.py
+++ b/tests/test_gateway_metrics.py
@@ -5,7 +5,7 @@
 from testtools import matchers
 
 from chervilshore import ids
-from chervilshore import metrics
+from chervilshore import metriclabels
 from measure import deployment as deployments
 from tests import gateway_helpers as helpers
 
@@ -40,12 +40,12 @@
 
 def test_number_of_endpoint_labels_is_limited():
     """Endpoints get a new name with each restart, so names are unbounded."""
-    labels = metrics.EndpointLabels()
+    labels = metriclabels.EndpointLabels()
     label_values = {
         labels.choose(ids.EndpointId(f"e{number}")) for number in range(1000)
     }
     assertions.assert_that(
-        label_values, matchers.HasLength(metrics.MAX_ENDPOINT_LABELS + 1)
+        label_values, matchers.HasLength(metriclabels.MAX_ENDPOINT_LABELS + 1)
     )
     assertions.assert_that(
         labels.choose(ids.EndpointId("e0")), matchers.Equals("e0")
