Pass on no NOT RUN that an endpoint does not say

Cause: 503, 429 and 408 promise a caller that its request has not run. An endpoint's response of such a status without its mark for that was passed on, also for a request that may run once.

Change: for such a request it counts as a lost answer, and the caller gets 502.

--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -93,7 +93,7 @@
             connection.close()
             raise
         self._pool.release(record.address, connection, head)
-        self._raise_for_status(head, response)
+        self._raise_for_status(head, response, call)
         return endpoints.Reply(
             {"response": response},
             instance=ids.InstanceId(head.get_header(names.INSTANCE) or ""),
@@ -153,7 +153,10 @@
             raise exceptions.EndpointBroken("stream ended without an event")
 
     def _raise_for_status(
-        self, head: connections.ResponseHead, response: forwarded.Response
+        self,
+        head: connections.ResponseHead,
+        response: forwarded.Response,
+        call: endpoints.Call,
     ) -> None:
         """Raise the error that a response stands for, if it is one."""
         status = head.status
@@ -163,6 +166,9 @@
                     "result of a batch stage no longer available"
                 )
             raise exceptions.EndpointBusy(f"status {status}")
+        if status in names.NOT_RUN_STATUSES and not call.repeatable:
+            # Passed on, it would promise what the endpoint does not say.
+            raise exceptions.EndpointBroken(f"status {status} after a run")
         if status >= 500:
             raise exceptions.EndpointRejected(f"status {status}", response)
 
--- a/chervilshore/platform/names.py
+++ b/chervilshore/platform/names.py
@@ -90,3 +90,7 @@
 
 HOSTS = "chervilshore-hosts"
 """Kind of the objects in which entry hosts publish their peer addresses."""
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that promise a caller that its request has not run and never
+will."""
