Send nothing more through the tunnels of a leaving host

Cause: a peer kept using its connections through a host that drains, so that its tunnels were never idle, and were cut at the limit of the drain.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -79,6 +79,7 @@
             usable = (
                 idle_ms <= min(max_idle_ms, connection.idle_ms)
                 and connection.is_open()
+                and self._connector.may_reuse(connection)
             )
             if usable and identified and not connection.identified:
                 continue
--- a/chervilshore/clients/connectors.py
+++ b/chervilshore/clients/connectors.py
@@ -29,6 +29,10 @@
             `ConnectionRefusedError` if nothing listens at the address.
         """
 
+    def may_reuse(self, connection: connections.Connection) -> bool:
+        """Return whether another request may use an idle connection."""
+        return True
+
 
 class DirectConnector(Connector):
     """Opens connections from this host to the address.
--- a/chervilshore/clients/relaying.py
+++ b/chervilshore/clients/relaying.py
@@ -93,6 +93,17 @@
         self._record_success(address, attempt)
         return attempt.connection
 
+    def may_reuse(self, connection: connections.Connection) -> bool:
+        """Return whether the peer still relays; see `Connector.may_reuse`.
+
+        A peer that leaves waits until its tunnels are idle.
+        """
+        return not connection.relay or any(
+            host.host == connection.relay
+            and host.state is not records.HostState.LEAVING
+            for host in self._directory.hosts()
+        )
+
     def _start_direct(
         self, attempt: "_Attempt", address: ids.Address, timeout_ms: float
     ) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -18,6 +18,7 @@
 from measure import deployment as deployments
 from standins import site
 from tests import gateway_helpers as helpers
+from tests import path_helpers
 from tests import slow_helpers
 
 READ_SECONDS = 6.2
@@ -171,3 +172,31 @@
     assertions.assert_that(response.status, matchers.Equals(200))
     items = [one["piece"] for call in worker.batch_calls for one in call]
     assertions.assert_that(sorted(items), matchers.Equals([0, 1, 2, 3]))
+
+
+async def test_leaving_host_gets_no_more_requests_through_its_tunnels(
+    deployment, monkeypatch
+):
+    """A peer without a path sends one request after the other through it."""
+    monkeypatch.setattr(gateway, "DRAIN_ACCEPT_MS", 100.0)
+    connector = path_helpers.CuttableConnector()
+    host, _ = await helpers.serve_plain(
+        deployment, host={"connector": connector}
+    )
+    peers = [await deployment.add_host() for _ in range(2)]
+    await deployment.wait_until(lambda: len(host._catalog.hosts()) == 3)
+    connector.cut(path_helpers.Cut.RESET)
+    leaving = None
+    statuses = collections.Counter()
+    async with asyncio.timeout(helpers.WAIT_SECONDS):
+        while leaving is None or not leaving.done():
+            response, _ = await deployment.send(host, "/look/")
+            statuses[response.status] += 1
+            relays = [one for one in peers if one._tunnels._peer_ends]
+            if leaving is None and sum(statuses.values()) > 20:
+                started = time.monotonic()
+                leaving = asyncio.ensure_future(relays[0].drain())
+            await asyncio.sleep(0.01)
+    # The limit of the drain is four seconds.
+    assertions.assert_that(time.monotonic() - started, matchers.LessThan(2.0))
+    assertions.assert_that(set(statuses), matchers.Equals({200}))
