--- a/chervilshore/decisions/retries.py
+++ b/chervilshore/decisions/retries.py
@@ -93,9 +93,10 @@
         self._max_tokens = max_tokens
         self._tokens = min(self._tokens, max_tokens)
 
-    def drop_tokens(self) -> None:
+    def drop_tokens(self, now: float) -> None:
         """Drop all tokens, as an earlier process may have used them."""
         self._tokens = 0.0
+        self._filled_at = now
 
     def record_first_attempt(self) -> None:
         """Add tokens; see `RetryPolicy.record_first_attempt`."""
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -295,7 +295,7 @@
         if known > self._max_known_hosts:
             if self._max_known_hosts == 1:
                 # All hosts may have ended at once, with their shares used.
-                self._budget.drop_tokens()
+                self._budget.drop_tokens(self._clock.now())
             self._max_known_hosts = known
             self._notices.record_hosts(known)
             self._budget.reconfigure(
--- a/tests/test_endpointnotices.py
+++ b/tests/test_endpointnotices.py
@@ -34,7 +34,7 @@
     )
 
 
-def run_hosts(count, known, limit_per_s, seed):
+def run_hosts(count, known, limit_per_s, seed, sole_sender=False):
     """Let hosts send whenever they may; return the times of the requests."""
     rng = random.Random(seed)
     record = make_record()
@@ -50,7 +50,7 @@
     now = STABLE_MS
     while now < END_MS:
         for host in hosts:
-            if now >= host.next_send(record):
+            if now >= host.next_send(record, sole_sender):
                 host.count(record, now)
                 host.record(record, notice, now)
                 sent.append(now)
@@ -85,6 +85,18 @@
         )
 
 
+@pytest.mark.parametrize("limit_per_s", [1.0, 5.0, 40.0])
+def test_two_owners_around_a_hand_over_stay_within_the_limit(limit_per_s):
+    """Each of them takes itself for the only host that sends batch calls."""
+    allowed = 1.5 * limit_per_s * WINDOW_MS / 1000.0 + 5.0
+    for seed in range(5):
+        sent = run_hosts(2, 2, limit_per_s, seed, sole_sender=True)
+        assertions.assert_that(
+            find_fullest_window(sent),
+            matchers.Not(matchers.GreaterThan(allowed)),
+        )
+
+
 @pytest.mark.parametrize("hosts", [1, 6, 84])
 def test_hosts_use_their_fraction_of_a_limit(hosts):
     sent = run_hosts(hosts, hosts, 5.0, seed=1)
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -83,8 +83,9 @@
     first = retries.RetryBudget(*shares)
     used = use_retries(first, 0.0, lost_at)
     second = retries.RetryBudget(*shares)
-    second.drop_tokens()
-    used += use_retries(second, lost_at + 500.0, options.retry_window_ms)
+    ready_at = lost_at + 500.0
+    second.drop_tokens(ready_at)
+    used += use_retries(second, ready_at, options.retry_window_ms)
     assertions.assert_that(
         count * used, matchers.LessThan(options.retry_slack + 0.01)
     )
