Bound the idle connections that only some requests may use

Cause: a connection on which a refusal named no request carries no request that may run once. At an endpoint that gets only such requests, each refusal left one behind for a second, and endpoints bound their connections.

Change: at most four of them are kept for an address.

Before: test_refusals_leave_few_connections finds 20 idle connections after 20 refusals. After: four at most.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -9,6 +9,10 @@
 from chervilshore import exceptions
 from chervilshore import ids
 
+MAX_UNIDENTIFIED = 4
+"""Idle connections to an address on which responses did not name their
+requests: endpoints bound their connections, and few requests may use these."""
+
 Check = collections_abc.Callable[[connections.ResponseHead, bytes], None]
 
 
@@ -127,8 +131,13 @@
     def _keep(
         self, address: ids.Address, connection: connections.Connection
     ) -> None:
+        kept = self._idle_by_address.setdefault(address, [])
+        unidentified = sum(not one.identified for one in kept)
+        if not connection.identified and unidentified >= MAX_UNIDENTIFIED:
+            connection.close()
+            return
         connection.idle_since = self._clock.now()
-        self._idle_by_address.setdefault(address, []).append(connection)
+        kept.append(connection)
 
     async def fetch(
         self,
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -192,6 +192,22 @@
         )
 
 
+async def test_refusals_leave_few_connections(deployment, repeater):
+    """An endpoint refuses many requests that may run once."""
+    host = await serve(
+        deployment, repeater, kind="non_idempotent", max_attempts=1
+    )
+    repeater.refusals = [""] * 20
+    for _ in range(20):
+        response, _ = await deployment.send(host, "/look/")
+        assertions.assert_that(response.status, matchers.Equals(503))
+    idle = host._connections._idle_by_address[repeater.address]
+    assertions.assert_that(
+        len(idle),
+        matchers.Not(matchers.GreaterThan(connectionpool.MAX_UNIDENTIFIED)),
+    )
+
+
 def ignore_notice(record, notice):
     """Ignore what an endpoint says of itself."""
 
