--- a/chervilshore/platform/names.py
+++ b/chervilshore/platform/names.py
@@ -99,3 +99,7 @@
 
 STREAMS = "chervilshore-streams"
 """Kind of the objects in which hosts record what began streams."""
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that promise a caller that its request has not run and never
+will."""
