Count results that old endpoints still keep for a roll-out

Cause: completion ends old endpoints at once, and with them results of batch stages that nobody has read yet.

Change: the owner of a pool counts each result until its release is asked for or its time is over; a roll-out waits for them. The stand-in's batch calls have the faults of versions.

--- a/chervilshore/controllers/batchevidence.py
+++ b/chervilshore/controllers/batchevidence.py
@@ -1,7 +1,5 @@
 """Counts the items of batch calls for the versions of their endpoints."""
 
-from collections import abc
-
 from chervilshore.clients import batches
 from chervilshore.controllers import versions
 from chervilshore.decisions import batchjobs
@@ -37,6 +35,7 @@
         # Calls of about as many items take about as long.
         self._sent = versions.Sent(level=items.bit_length())
         self._outcomes = [records.Outcome.CANCELLED] * items
+        self._handles: list[str] = []
         for _ in self._outcomes:
             self._versions.record_sent(call.record, self._sent, now)
 
@@ -49,10 +48,9 @@
             outcome = records.Outcome.UNREACHED
         self._outcomes = [outcome] * len(self._outcomes)
 
-    def record_results(
-        self, results: abc.Iterable[batches.ItemResult]
-    ) -> None:
+    def record_results(self, results: list[batches.ItemResult]) -> None:
         """Record what became of each item."""
+        self._handles = [one.handle for one in results if one.handle]
         self._outcomes = [_find_outcome(result) for result in results]
 
     def end(self, now: float, batching: model.Batching) -> None:
@@ -65,10 +63,9 @@
                 now - self._call.started_at,
                 now,
             )
-        if records.Outcome.OK in self._outcomes:
-            self._versions.hold(
-                self._call.record, now + batching.result_ttl_ms
-            )
+        self._versions.hold(
+            self._call.record, self._handles, now + batching.result_ttl_ms
+        )
 
 
 def _find_outcome(result: batches.ItemResult) -> records.Outcome:
--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -36,9 +36,6 @@
 RESULT_RETENTION_MS = 5000.0
 """Milliseconds for which the result of a finished job can be sent again."""
 
-VERSION_WAIT_MS = 100.0
-"""Milliseconds until a version that gets no call now may get one."""
-
 _LOGGER = logging.getLogger(__name__)
 
 SendUpdate = collections_abc.Callable[
@@ -174,7 +171,10 @@
         """Free results at the endpoints of a pool; reuse their space."""
         state = self._find_pool(pool)
         if state is not None:
-            self._freer.free(pool, handles, state.add_space)
+            freed = tuple(handles)
+            for handle in freed:
+                self._versions.release(handle)
+            self._freer.free(pool, freed, state.add_space)
 
     def _find_pool(self, pool: ids.PoolName) -> _PoolState | None:
         """Return a batch pool, started on first use; None without a rule."""
@@ -237,11 +237,10 @@
             and not self._notices.is_leaving(record)
         ]
         state.planner.set_endpoints(usable)
-        waiting = self._versions.list_waiting(pool, usable, now)
+        pauses = self._versions.find_pauses(pool, usable, now)
         for record in usable:
             next_call = self._notices.next_send(record, sole_sender=True)
-            if record.endpoint in waiting:
-                next_call = max(next_call, now + VERSION_WAIT_MS)
+            next_call = max(next_call, pauses.get(record.endpoint, 0.0))
             state.planner.hold(record.endpoint, next_call)
 
     async def _make_call(
--- a/chervilshore/controllers/rollouts.py
+++ b/chervilshore/controllers/rollouts.py
@@ -253,6 +253,7 @@
         while not self.should_stop:
             await self._clock.sleep(STEP_MS)
             now = self._clock.now()
+            self.versions.expire(now)
             if self.versions.runs or self.versions.withdrawn:
                 self._note_hosts(now)
                 self._forget_withdrawn(now)
--- a/chervilshore/controllers/rolloutversions.py
+++ b/chervilshore/controllers/rolloutversions.py
@@ -1,6 +1,7 @@
 """Which versions get requests while roll-outs are carried out."""
 
 import collections
+from collections import abc
 
 import msgspec
 import xxhash
@@ -18,6 +19,9 @@
 Phase = rollout_records.Phase
 State = rollout_records.RolloutState
 
+PAUSE_MS = 100.0
+"""Milliseconds until a version that gets no call now may get one."""
+
 
 def is_final(state: str) -> bool:
     """Return whether a status says that its order has ended."""
@@ -69,6 +73,14 @@
         return self.record.state == State.COMPLETED.value
 
 
+class _Held(msgspec.Struct, frozen=True):
+    """A result that an endpoint of a version keeps until a time at most."""
+
+    pool: ids.PoolName
+    version: ids.SoftwareVersion
+    until: float
+
+
 class RolloutVersions(versions.Versions):
     """Chooses between the versions of pools that have an order.
 
@@ -106,7 +118,7 @@
         self._running: collections.Counter[
             tuple[ids.PoolName, ids.SoftwareVersion]
         ] = collections.Counter()
-        self._held: dict[tuple[ids.PoolName, ids.SoftwareVersion], float] = {}
+        self._held: dict[str, _Held] = {}
 
     def divide(
         self,
@@ -142,13 +154,13 @@
             return [chosen, old, new]
         return [old, chosen, new]
 
-    def list_waiting(
+    def find_pauses(
         self,
         pool: ids.PoolName,
         endpoints: list[records.EndpointRecord],
         now: float,
-    ) -> frozenset[ids.EndpointId]:
-        """Return endpoints that get no call now; see `Versions`."""
+    ) -> dict[ids.EndpointId, float]:
+        """Return until when endpoints get no call; see `Versions`."""
         pipeline = ids.PipelineName("")
         waiting = {
             one.endpoint
@@ -156,16 +168,19 @@
             if not self._allows(one, pipeline, now)
         }
         run = self.runs.get(pool)
-        if run is None or run.rollout.phase is not Phase.CANARY:
-            return frozenset(waiting)
-        new = [
-            one.endpoint for one in endpoints if one.version == run.record.to
-        ]
-        if run.rollout.prefers_new(pipeline, now):
-            # Each call that is planned now needs what is left of the share.
-            canaries = run.rollout.choose_canaries(now)
-            new = sorted(new, key=lambda one: one not in canaries)[1:]
-        return frozenset(waiting.union(new))
+        if run is not None and run.rollout.phase is Phase.CANARY:
+            new = [
+                one.endpoint
+                for one in endpoints
+                if one.version == run.record.to
+            ]
+            if run.rollout.prefers_new(pipeline, now):
+                # Each call that is planned now needs what is left of the
+                # share.
+                canaries = run.rollout.choose_canaries(now)
+                new = sorted(new, key=lambda one: one not in canaries)[1:]
+            waiting.update(new)
+        return dict.fromkeys(waiting, now + PAUSE_MS)
 
     def _allows(
         self,
@@ -242,10 +257,19 @@
             outcome.value,
         )
 
-    def hold(self, record: records.EndpointRecord, until: float) -> None:
+    def hold(
+        self,
+        record: records.EndpointRecord,
+        handles: abc.Iterable[str],
+        until: float,
+    ) -> None:
         """Keep an endpoint's version in use; see `Versions.hold`."""
-        kind = (record.pool, record.version)
-        self._held[kind] = max(until, self._held.get(kind, 0.0))
+        for handle in handles:
+            self._held[handle] = _Held(record.pool, record.version, until)
+
+    def release(self, handle: str) -> None:
+        """End the use of a result; see `Versions.release`."""
+        self._held.pop(handle, None)
 
     def is_suspect(self, record: records.EndpointRecord) -> bool:
         """Return whether its version is unproven; see `Versions`."""
@@ -267,8 +291,16 @@
             for (name, version), count in self._running.items()
             if name == pool and version != to
         )
-        return running + sum(
-            now < until
-            for (name, version), until in self._held.items()
-            if name == pool and version != to
+        held = sum(
+            one.pool == pool and one.version != to and now < one.until
+            for one in self._held.values()
         )
+        return running + held
+
+    def expire(self, now: float) -> None:
+        """Forget results that have ended by themselves."""
+        self._held = {
+            handle: one
+            for handle, one in self._held.items()
+            if now < one.until
+        }
--- a/chervilshore/controllers/versions.py
+++ b/chervilshore/controllers/versions.py
@@ -1,6 +1,7 @@
 """Interface of what decides which software versions get requests."""
 
 import abc
+from collections import abc as abc_types
 
 import msgspec
 
@@ -58,13 +59,13 @@
         """
 
     @abc.abstractmethod
-    def list_waiting(
+    def find_pauses(
         self,
         pool: ids.PoolName,
         endpoints: list[records.EndpointRecord],
         now: float,
-    ) -> frozenset[ids.EndpointId]:
-        """Return the endpoints of a batch pool that get no call now."""
+    ) -> dict[ids.EndpointId, float]:
+        """Return until when endpoints of a batch pool get no call, if so."""
 
     @abc.abstractmethod
     def record_sent(
@@ -84,8 +85,27 @@
         """Record how a request that was sent ended, and after how long."""
 
     @abc.abstractmethod
-    def hold(self, record: records.EndpointRecord, until: float) -> None:
-        """Record that an endpoint is needed until a time, for its results."""
+    def hold(
+        self,
+        record: records.EndpointRecord,
+        handles: abc_types.Iterable[str],
+        until: float,
+    ) -> None:
+        """Record that an endpoint is needed for its results.
+
+        Parameters
+        ----------
+        record : EndpointRecord
+            The endpoint.
+        handles : iterable of str
+            The results.
+        until : float
+            The time in milliseconds at which they end by themselves.
+        """
+
+    @abc.abstractmethod
+    def release(self, handle: str) -> None:
+        """Record that a result is needed no more."""
 
     @abc.abstractmethod
     def is_suspect(self, record: records.EndpointRecord) -> bool:
@@ -104,14 +124,14 @@
         """Return all candidates as one group; see `Versions.divide`."""
         return [candidates]
 
-    def list_waiting(
+    def find_pauses(
         self,
         pool: ids.PoolName,
         endpoints: list[records.EndpointRecord],
         now: float,
-    ) -> frozenset[ids.EndpointId]:
-        """Return no endpoint; see `Versions.list_waiting`."""
-        return frozenset()
+    ) -> dict[ids.EndpointId, float]:
+        """Return no endpoint; see `Versions.find_pauses`."""
+        return {}
 
     def record_sent(
         self, record: records.EndpointRecord, sent: Sent, now: float
@@ -128,9 +148,17 @@
     ) -> None:
         """Do nothing; see `Versions.record_end`."""
 
-    def hold(self, record: records.EndpointRecord, until: float) -> None:
+    def hold(
+        self,
+        record: records.EndpointRecord,
+        handles: abc_types.Iterable[str],
+        until: float,
+    ) -> None:
         """Do nothing; see `Versions.hold`."""
 
+    def release(self, handle: str) -> None:
+        """Do nothing; see `Versions.release`."""
+
     def is_suspect(self, record: records.EndpointRecord) -> bool:
         """Return False; see `Versions.is_suspect`."""
         return False
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -270,9 +270,14 @@
             return self._refuse_unexecuted(503)
         self.batch_calls.append(call["items"])
         self.active_batch_calls += 1
-        await asyncio.sleep(self._millis / 1000.0)
+        has_failed, factor = self._apply_version_faults(
+            "", self.active_batch_calls
+        )
+        await asyncio.sleep(factor * self._millis / 1000.0)
         self.active_batch_calls -= 1
-        if self.faults.gone:
+        if has_failed:
+            results = [{"reason": "error"} for _ in call["items"]]
+        elif self.faults.gone:
             self.faults.gone -= 1
             results = [{"reason": "gone"} for _ in call["items"]]
         else:
@@ -334,17 +339,13 @@
             return web.Response(
                 status=500, headers=response_headers, body=b"failed"
             )
-        factor = 1.0
-        version_faults = self.version_faults
-        now = asyncio.get_running_loop().time()
-        if version_faults.concern(request.path, self.active, now):
-            if self._random.random() < version_faults.fail_share:
-                self.failed += 1
-                return web.Response(
-                    status=500, headers=response_headers, body=b"failed"
-                )
-            if self._random.random() < version_faults.slow_share:
-                factor = version_faults.slow_factor
+        has_failed, factor = self._apply_version_faults(
+            request.path, self.active
+        )
+        if has_failed:
+            return web.Response(
+                status=500, headers=response_headers, body=b"failed"
+            )
         if self._events:
             return await self._stream(
                 request, headers, response_headers, factor
@@ -352,6 +353,21 @@
         await asyncio.sleep(factor * self._millis / 1000.0)
         return await self._answer(request, response_headers)
 
+    def _apply_version_faults(
+        self, path: str, active: int
+    ) -> tuple[bool, float]:
+        """Return whether a request fails, and the factor on its time."""
+        faults = self.version_faults
+        now = asyncio.get_running_loop().time()
+        if not faults.concern(path, active, now):
+            return False, 1.0
+        if self._random.random() < faults.fail_share:
+            self.failed += 1
+            return True, 1.0
+        if self._random.random() < faults.slow_share:
+            return False, faults.slow_factor
+        return False, 1.0
+
     async def _answer(
         self, request: web.BaseRequest, response_headers: dict[str, str]
     ) -> web.StreamResponse:
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -205,7 +205,9 @@
     return host, new_workers
 
 
-async def serve_stages(deployment, first_ms=5.0, second_ms=5.0, **worker):
+async def serve_stages(
+    deployment, first_ms=5.0, second_ms=5.0, host=None, **worker
+):
     """Start a host, the workers of two batch stages and a model worker."""
     stages = [
         {"service": "cut", "after": [], "size_bytes": 1000},
@@ -219,7 +221,7 @@
             make_service("sew", pieces=make_batching(call_ms=second_ms)),
         ],
     )
-    host = await deployment.add_host()
+    host = await deployment.add_host(**(host or {}))
     await deployment.add_worker("m0", "llm", events=3)
     await deployment.add_worker("c0", "cut", **({"millis": first_ms} | worker))
     await deployment.add_worker("s0", "sew", millis=second_ms)
