--- a/chervilshore/controllers/rollouts.py
+++ b/chervilshore/controllers/rollouts.py
@@ -233,6 +233,8 @@
 
     def _log(self, event: events.Event, run: rolloutversions.Run) -> None:
         described = run.rollout.describe(self._clock.now())
+        for logged in ("pool", "to", "state", "phase"):
+            del described[logged]
         described["waits_for"] = described["waits_for"][:MAX_LOGGED_WAITS]
         events.log_event(
             _LOGGER,
