--- a/chervilshore/decisions/rollouts/schedule.py
+++ b/chervilshore/decisions/rollouts/schedule.py
@@ -36,7 +36,8 @@
 the new one may turn bad."""
 
 CANARY_MS = 2_000.0
-"""Milliseconds after which the next endpoints get the canary's requests."""
+"""Milliseconds after which the next endpoints get the canary's requests, for
+each endpoint that gets them; large pools mostly have long requests."""
 
 CANARY_SHARE = 0.09
 """Share of the requests that the canary gets at most."""
@@ -155,7 +156,7 @@
         """
         ranked = rendezvous.rank(new, "canary")
         count = min(len(ranked), max(1, math.ceil(CANARY_SHARE * old)))
-        turn = int((now - self._started) // CANARY_MS) * count
+        turn = int((now - self._started) // (CANARY_MS * count)) * count
         return frozenset(
             ranked[(turn + index) % len(ranked)] for index in range(count)
         )
--- a/chervilshore/decisions/rollouts/verdict.py
+++ b/chervilshore/decisions/rollouts/verdict.py
@@ -53,6 +53,10 @@
 """Factor on the fraction of bad responses that the controls had, where they
 ran at another time."""
 
+SWITCHED_FRACTION = 0.2
+"""Fraction of failures that is no evidence once there are no controls at all:
+errors of callers or of cut links may begin then, and cannot be told apart."""
+
 MIN_CONTROLS = 10.0
 """Weight of the controls from which the new version is compared."""
 
@@ -204,6 +208,7 @@
             if reference is None or reference.ended < MIN_CONTROLS:
                 return
             fraction = reference.failed / reference.ended
+            fraction = SWITCHED_FRACTION + MOVED_FACTOR * fraction
             self._add_moved(name, _FAILED, observed, fraction, now)
             return
         controls = stratum.controls
@@ -250,7 +255,7 @@
                 continue
             bucket = median + offset
             slow = reference.count_from(bucket - MOVED_MARGIN_BUCKETS)
-            fraction = slow / reference.timed
+            fraction = MOVED_FRACTION + MOVED_FACTOR * slow / reference.timed
             observed = _count_slow(new, bucket)
             self._add_moved(name, offset, observed, fraction, now)
 
@@ -259,16 +264,15 @@
         name: _Name,
         kind: int,
         observed: _Observed,
-        reference: float,
+        fraction: float,
         now: float,
     ) -> None:
-        """Compare with an earlier fraction, as there are no controls now.
+        """Compare with a fraction, as there are no controls now.
 
         The groups are the domains then, if there are several: a bad one
         cannot be told from a bad version there.
         """
         pipeline, domain, _ = name
-        fraction = MOVED_FRACTION + MOVED_FACTOR * reference
         counts = _expect_fraction(observed, min(1.0, fraction))
         if len({other for _, other, _ in self._strata}) > 1 and counts:
             counts = {domain: trends.add_up(counts.values())}
--- a/lab/rollout_schedules.py
+++ b/lab/rollout_schedules.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from chervilshore.decisions.rollouts import evidence as evidences
 from chervilshore.decisions.rollouts import records as rollout_records
 from chervilshore.decisions.rollouts import rollout
 from chervilshore import ids
@@ -89,6 +90,9 @@
     exposed: int = 0
     bad_answers: int = 0
     late_sends: int = 0
+    report_bytes: int = 0
+    largest_report: int = 0
+    played_ms: float = 0.0
 
     @property
     def is_good(self) -> bool:
@@ -235,6 +239,7 @@
                     self.fill(now)
                     break
             now += STEP_MS
+            self.result.played_ms = now
         return self.result
 
     def is_settled(self, now: float) -> bool:
@@ -304,6 +309,7 @@
                 self.result.ended_ms = now
                 self.result.reason = run.reason
             evidence = run.make_evidence()
+            self.count_bytes(evidence)
             targets = self.observers
             if name in self.observers and run.phase is not Phase.CANARY:
                 targets = self.names
@@ -312,6 +318,12 @@
                     if evidence is not None:
                         self.runs[target].absorb(evidence, now)
 
+    def count_bytes(self, evidence: evidences.HostEvidence | None) -> None:
+        if evidence is not None:
+            size = len(msgspec.msgpack.encode(evidence))
+            self.result.report_bytes += size
+            self.result.largest_report = max(self.result.largest_report, size)
+
     def send(self, name: str, now: float) -> None:
         run = self.runs[name]
         pipeline = self.rng.choices(PIPELINES, (0.2, 0.5, 0.3))[0]
@@ -417,6 +429,9 @@
         kind = "good" if result.is_good else "bad"
         row = counts[result.plan.hosts, kind]
         row["all"] += 1
+        row["ms"] += result.played_ms
+        row["bytes"] += result.report_bytes
+        row["largest"] = max(row["largest"], result.largest_report)
         row.update(result.findings)
         if result.findings:
             print(seed, result.findings, result)
@@ -428,9 +443,12 @@
         "wrongly rolled back",
         "late",
     )
-    print("| hosts | version |", " | ".join(columns), "|")
+    names = (*columns, "bytes a second to a host", "largest report")
+    print("| hosts | version |", " | ".join(names), "|")
     for (hosts, kind), row in sorted(counts.items()):
         cells = " | ".join(str(row[column]) for column in columns)
+        per_second = row["bytes"] * 1000.0 / row["ms"]
+        cells += f" | {per_second:.0f} | {row['largest']}"
         print(f"| {hosts} | {kind} | {cells} |")
 
 
