Let no request crash while a new version has no endpoint

Cause: without endpoints of the new version the number of canaries is 0, and it divided a time; all requests of the pool got 500 from the order until the first endpoint was listed.

Change: there are no canaries then. A test crashes endpoints of a new version under sound requests and expects that all are served and none is held back; it failed by the crash above. It passes also without the rule of the quarantine for unproven versions, as the same requests are answered elsewhere.

--- a/chervilshore/decisions/rollouts/schedule.py
+++ b/chervilshore/decisions/rollouts/schedule.py
@@ -154,6 +154,8 @@
         now : float
             The time in milliseconds.
         """
+        if not new:
+            return frozenset()
         ranked = rendezvous.rank(new, "canary")
         count = min(len(ranked), max(1, math.ceil(CANARY_SHARE * old)))
         turn = int((now - self._started) // (CANARY_MS * count)) * count
--- a/tests/rollout_helpers.py
+++ b/tests/rollout_helpers.py
@@ -25,6 +25,7 @@
     "retry_ratio": "0.2",
     "retry_slack": "50",
 }
+BODY = b"the same each time"
 ROUTES = ("look", "find")
 
 
@@ -131,7 +132,9 @@
 
     async def _send(self, host, route):
         try:
-            response, _ = await self.deployment.send(host, f"/{route}/")
+            response, _ = await self.deployment.send(
+                host, f"/{route}/", data=BODY
+            )
         except aiohttp.ClientError:
             # The host was stopped.
             self.statuses[0] += 1
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -167,3 +167,21 @@
     await asyncio.sleep(1.0)
     assertions.assert_that(fleet.count_runs(helpers.NEW), matchers.Equals(new))
     check_all_served(fleet)
+
+
+# Requests like these had been held back, as endpoints ended under them.
+async def test_sound_requests_are_served_though_a_version_crashes(fleet):
+    await fleet.start()
+    await fleet.order()
+    await fleet.add_endpoints(helpers.NEW)
+    for worker in fleet.list_workers(helpers.NEW):
+        worker.faults.crash_body = helpers.BODY
+    await asyncio.sleep(5.0)
+    crashed = sum(
+        bool(worker.runs) for worker in fleet.list_workers(helpers.NEW)
+    )
+    assertions.assert_that(crashed, matchers.Equals(helpers.ENDPOINTS))
+    for host in fleet.deployment.hosts:
+        status = await fleet.deployment.read_status(host)
+        assertions.assert_that(status["held"], matchers.Equals({}))
+    check_all_served(fleet)
