--- a/tests/quarantine_helpers.py
+++ b/tests/quarantine_helpers.py
@@ -101,6 +101,7 @@
             self._world.network.join(self.address),
             random.Random(self._number),
             metrics.Metrics(),
+            self._world.versions,
         )
         await self.quarantine.start()
 
@@ -123,6 +124,8 @@
 
     Attributes
     ----------
+    versions : Versions or None
+        Which versions of endpoints may themselves be at fault.
     crashed_at : list of float
         When requests ended endpoints, in seconds.
     arrivals : list of tuple
@@ -134,6 +137,7 @@
 
     def __init__(self, seed, crash_kind):
         self.crash_kind = crash_kind
+        self.versions = None
         self.rng = random.Random(seed)
         self.network = memory.MemoryNetwork(virtual.LoopClock())
         count = self.rng.randrange(3, 10)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,10 +9,12 @@
 import asyncio
 import os
 
+import msgspec
 import pytest
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.controllers import versions
 from chervilshore import exceptions
 from chervilshore import fingerprints
 from tests import quarantine_helpers as helpers
@@ -161,3 +163,31 @@
         return trials
 
     assertions.assert_that(virtual.run(count_trials()), matchers.Equals(1))
+
+
+class SuspectVersions(versions.AnyVersion):
+    """Endpoints of one version may themselves be at fault."""
+
+    def is_suspect(self, record):
+        return record.version == "v2"
+
+
+@pytest.mark.parametrize(("version", "is_held"), [("v1", True), ("v2", False)])
+def test_endpoints_of_an_unproven_version_are_no_evidence(version, is_held):
+    """The load: a version whose endpoints end under sound requests."""
+
+    async def run():
+        world = helpers.World(1, fingerprints.Kind.PART)
+        world.versions = SuspectVersions()
+        await world.start(1)
+        exchange = world.make_exchange(True)
+        for host in world.hosts:
+            for number in range(4):
+                record = helpers.Endpoint(f"gone{number}").record
+                await host.quarantine.record_loss(
+                    exchange, msgspec.structs.replace(record, version=version)
+                )
+                await asyncio.sleep(0.1)
+        return any(host.quarantine.describe() for host in world.hosts)
+
+    assertions.assert_that(virtual.run(run()), matchers.Equals(is_held))
