--- a/chervilshore/decisions/rollouts/rollout.py
+++ b/chervilshore/decisions/rollouts/rollout.py
@@ -269,9 +269,9 @@
             The time in milliseconds.
         """
         self._view = view
-        self._domains = {
-            record.endpoint: record.domain for record in view.new + view.old
-        }
+        # Attempts at endpoints that have left since are still counted.
+        for record in view.new + view.old:
+            self._domains[record.endpoint] = record.domain
         added = self._evidence.absorb(self._report())
         if added:
             self._judge.add(added, now)
