--- a/chervilshore/decisions/rollouts/exposure.py
+++ b/chervilshore/decisions/rollouts/exposure.py
@@ -2,6 +2,7 @@
 
 import random
 
+from chervilshore.decisions import retryshares
 from chervilshore.decisions.rollouts import records as rollout_records
 from chervilshore import ids
 
@@ -16,12 +17,6 @@
 SLACK_FRACTION = 0.6
 """Fraction of the slack that the canary may use."""
 
-HOST_COUNT_MARGIN = 1.3
-"""Factor on the number of known hosts, as new hosts may not be known yet."""
-
-MIN_SHARING_HOSTS = 10
-"""Minimum number of hosts among which the slack is divided."""
-
 MAX_DUE = 2.0
 """Requests that may be due at a time: more would go to the same endpoints at
 once, and be slow for that."""
@@ -77,7 +72,10 @@
         if rng.random() * hosts < MAX_RANDOM_STARTS:
             self._start = rng.random()
         if has_memory:
-            sharing = max(MIN_SHARING_HOSTS, hosts * HOST_COUNT_MARGIN)
+            sharing = max(
+                retryshares.MIN_SHARING_HOSTS,
+                hosts * retryshares.HOST_COUNT_MARGIN,
+            )
             self._start += SLACK_FRACTION * limits.slack / sharing
         self._due = self._start
         self._pipelines: set[ids.PipelineName] = set()
--- a/chervilshore/decisions/rollouts/rollout.py
+++ b/chervilshore/decisions/rollouts/rollout.py
@@ -283,7 +283,10 @@
         self._advance(now)
         if self.phase is Phase.CONDEMNED:
             return RolloutState.ROLLED_BACK
-        if self.phase is Phase.SWITCHED and not self._list_waits(now):
+        may_complete = (
+            self.phase is Phase.SWITCHED and self._schedule.may_complete(now)
+        )
+        if may_complete and not self._list_waits(now):
             return RolloutState.COMPLETED
         return RolloutState.RUNNING
 
