--- a/chervilshore/controllers/batching.py
+++ b/chervilshore/controllers/batching.py
@@ -40,9 +40,6 @@
 IDLE_CHECK_MS = 50.0
 """Milliseconds between two checks whether jobs are left."""
 
-VERSION_WAIT_MS = 100.0
-"""Milliseconds until a version that gets no call now may get one."""
-
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -165,7 +162,10 @@
         """Free results at the endpoints of a pool; reuse their space."""
         state = self._find_pool(pool)
         if state is not None:
-            self._freer.free(pool, handles, state.add_space)
+            freed = tuple(handles)
+            for handle in freed:
+                self._versions.release(handle)
+            self._freer.free(pool, freed, state.add_space)
 
     def _find_pool(self, pool: ids.PoolName) -> batchpools.PoolState | None:
         """Return a batch pool, started on first use; None without a rule."""
@@ -234,11 +234,10 @@
             and not self._notices.is_leaving(record)
         ]
         state.planner.set_endpoints(usable)
-        waiting = self._versions.list_waiting(pool, usable, now)
+        pauses = self._versions.find_pauses(pool, usable, now)
         for record in usable:
             next_call = self._notices.next_send(record, sole_sender=True)
-            if record.endpoint in waiting:
-                next_call = max(next_call, now + VERSION_WAIT_MS)
+            next_call = max(next_call, pauses.get(record.endpoint, 0.0))
             state.planner.hold(record.endpoint, next_call)
 
     async def _make_call(
--- a/chervilshore/controllers/rollouts.py
+++ b/chervilshore/controllers/rollouts.py
@@ -233,6 +233,8 @@
 
     def _log(self, event: events.Event, run: rolloutversions.Run) -> None:
         described = run.rollout.describe(self._clock.now())
+        for logged in ("pool", "to", "state", "phase"):
+            del described[logged]
         described["waits_for"] = described["waits_for"][:MAX_LOGGED_WAITS]
         events.log_event(
             _LOGGER,
@@ -253,6 +255,7 @@
         while not self.should_stop:
             await self._clock.sleep(STEP_MS)
             now = self._clock.now()
+            self.versions.expire(now)
             if self.versions.runs or self.versions.withdrawn:
                 self._note_hosts(now)
                 self._forget_withdrawn(now)
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -147,7 +147,7 @@
         4130, _WARNING, "no host and no record tells what began a stream"
     )
 
-    ATTEMPT_MEASURED = EventSpec(4130, _INFO, "events of attempt measured")
+    ATTEMPT_MEASURED = EventSpec(4131, _INFO, "events of attempt measured")
 
     # Claims: 5000 to 5999.
     CLAIM_LOG_LOADED = EventSpec(5001, _INFO, "claim log loaded")
