--- a/chervilshore/decisions/rollouts/rollout.py
+++ b/chervilshore/decisions/rollouts/rollout.py
@@ -233,11 +233,10 @@
 
     def absorb(self, evidence: evidences.HostEvidence, now: float) -> None:
         """Take in the evidence of a peer; that of other orders is ignored."""
-        if evidence.revision != self.order.revision:
+        sender = (evidence.host, evidence.incarnation)
+        is_own = sender == (self._host, self._incarnation)
+        if is_own or evidence.revision != self.order.revision:
             return
-        if evidence.host == self._host:
-            if evidence.incarnation == self._incarnation:
-                return
         added = self._evidence.absorb(evidence)
         if added is None:
             return
@@ -337,11 +336,9 @@
         return self._reported
 
     def _adopt(self, phase: Phase, reason: str, now: float) -> None:
-        if phase <= self.phase:
-            return
-        self.phase = phase
-        self.reason = reason
-        self._schedule.record_phase(phase, now)
+        if phase > self.phase:
+            self.phase, self.reason = phase, reason
+            self._schedule.record_phase(phase, now)
 
     def _advance(self, now: float) -> None:
         """Go to the next phase if its time has come and nothing forbids it."""
@@ -349,7 +346,9 @@
         if verdict.finding is verdicts.Finding.BAD:
             self._adopt(Phase.CONDEMNED, verdict.reason, now)
             return
-        is_ready = not verdict.is_suspect and self._has_capacity()
+        is_ready = not verdict.is_suspect and schedules.has_capacity(
+            self._view.new, self._view.old
+        )
         if self.phase is Phase.CANARY:
             is_ready = is_ready and self._judge.compared >= MIN_MOVED_COMPARED
             if is_ready and self._schedule.may_move(
@@ -366,9 +365,6 @@
             reason = verdict.reason or "not proven at the deadline"
             self._adopt(Phase.CONDEMNED, reason, now)
 
-    def _has_capacity(self) -> bool:
-        return schedules.has_capacity(self._view.new, self._view.old)
-
     def _hears_most(self) -> bool:
         others = self._view.hosts - {self._host}
         heard = sum(
@@ -383,7 +379,7 @@
         waits = []
         if not self._schedule.may_complete(now):
             waits.append("the last seconds before the deadline")
-        if not self._has_capacity():
+        if not schedules.has_capacity(self._view.new, self._view.old):
             waits.append("endpoints of the new version")
         running = self._view.old_running
         silent = []
