Write what began streams sooner, and before versions are read

A host also waited 0.5 s before it wrote when the listed versions had changed and all were registered.

Change: hosts write every 4 ms times their number, also below 25 hosts; starts are written before versions are read; the wait for another host's registration is 0.2 s and only while a version is missing.

--- a/chervilshore/controllers/streamstore.py
+++ b/chervilshore/controllers/streamstore.py
@@ -21,14 +21,11 @@
 from chervilshore import objects
 from chervilshore import results
 
-WRITE_INTERVAL_MS = 100.0
-"""Milliseconds between two writes of a host."""
-
 WRITE_INTERVAL_PER_HOST_MS = 4.0
 """Milliseconds between two writes of all hosts together, so that many hosts
 leave room for others at a store that takes 400 writes a second."""
 
-REGISTRATION_MS = 500.0
+REGISTRATION_MS = 200.0
 """Milliseconds in which a host registers the first version of a pool."""
 
 RECORD_TIMEOUT_MS = 500.0
@@ -214,7 +211,9 @@
             await self._has_work.wait()
             self._has_work.clear()
             try:
+                await self._write_starts()
                 await self._register_versions()
+                # What is registered may tell of more versions.
                 await self._write_starts()
             except exceptions.PlatformError as error:
                 # What is written by now is not known; read it again.
@@ -236,13 +235,12 @@
             self._has_written.set()
             self._has_written.clear()
             hosts = len(self._directory.hosts())
-            await self._clock.sleep(
-                max(WRITE_INTERVAL_MS, hosts * WRITE_INTERVAL_PER_HOST_MS)
-            )
+            await self._clock.sleep(hosts * WRITE_INTERVAL_PER_HOST_MS)
 
     async def _register_versions(self) -> None:
         if not self._reader.knows_versions:
-            if not any(map(self._must_register, self._list_unregistered())):
+            missing = self._list_unregistered()
+            if missing and not any(map(self._must_register, missing)):
                 # The host that registers a first version comes before.
                 await self._clock.sleep(REGISTRATION_MS)
             # What was registered long ago is enough here, at a low price.
--- a/lab/stream_starts.py
+++ b/lab/stream_starts.py
@@ -80,10 +80,7 @@
 
     All hosts write as often as they may, with their streams of `RESUMED_S`.
     """
-    interval_ms = max(
-        streamstore.WRITE_INTERVAL_MS,
-        count * streamstore.WRITE_INTERVAL_PER_HOST_MS,
-    )
+    interval_ms = count * streamstore.WRITE_INTERVAL_PER_HOST_MS
     rate = STREAMS_PER_S_AT_370 / 370
     origin = forwarded.StreamOrigin("huvo11a", "v1.2")
     content = msgspec.json.encode(
