--- a/chervilshore/controllers/immediateslots.py
+++ b/chervilshore/controllers/immediateslots.py
@@ -1,7 +1,8 @@
 """Slots that a host assigns by itself, immediately or not at all.
 
-The hosts exchange no messages: each one only limits its own rate of requests
-to cold endpoints.
+The hosts exchange no messages about slots: each one only limits its own rate
+of requests to cold endpoints. What routers know of other hosts' requests comes
+from `capacities`.
 """
 
 from collections import abc as collections_abc
