Log what was expected of an endpoint that is passed over

Cause: the log told that the endpoint of a session was passed over, not why. Change: a field with the milliseconds in which its first event was expected.

--- a/chervilshore/controllers/capacities.py
+++ b/chervilshore/controllers/capacities.py
@@ -63,6 +63,7 @@
     }
     if one.passed_over:
         fields["passed_over"] = one.passed_over
+        fields["passed_over_ms"] = round(one.passed_over_ms)
     return fields
 
 
--- a/chervilshore/decisions/capacity/router.py
+++ b/chervilshore/decisions/capacity/router.py
@@ -46,7 +46,6 @@
 """Weight of the time in which the events after the first one come. It takes a
 slot, while callers read along."""
 
-
 LENGTH_SMOOTHING = 0.05
 """Weight of the newest request in the usual length of answers."""
 
@@ -151,6 +150,7 @@
         compared.sort(key=lambda one: costs[one.record.endpoint])
         if chosen is not home:
             chosen.passed_over = home.record.endpoint
+            chosen.passed_over_ms = home.expected_ms
         return [chosen, *(one for one in compared if one is not chosen)]
 
     def _record_length(self, tokens_out: int) -> None:
--- a/chervilshore/decisions/routing.py
+++ b/chervilshore/decisions/routing.py
@@ -42,6 +42,8 @@
     passed_over : EndpointId
         The endpoint of the prompt's session if this one was preferred to it;
         empty otherwise.
+    passed_over_ms : float
+        Milliseconds in which that one's first event was expected.
     """
 
     record: records.EndpointRecord
@@ -57,6 +59,7 @@
     slowness: float = 1.0
     is_full: bool = False
     passed_over: ids.EndpointId = ids.EndpointId("")
+    passed_over_ms: float = 0.0
 
 
 class StageRequirements(msgspec.Struct, frozen=True):
--- a/tests/test_capacities.py
+++ b/tests/test_capacities.py
@@ -224,9 +224,15 @@
     )
     candidate.expected_ms = 81.4
     candidate.passed_over = "e2"
+    candidate.passed_over_ms = 320.6
     assertions.assert_that(
         capacities.describe_choice(candidate),
         matchers.Equals(
-            {"expected_ms": 81, "slowness": 1.0, "passed_over": "e2"}
+            {
+                "expected_ms": 81,
+                "slowness": 1.0,
+                "passed_over": "e2",
+                "passed_over_ms": 321,
+            }
         ),
     )
