Stop to report on orders that have ended, and move batch pools in part

Cause: a host went on to count and to report after an order had ended, and its loops woke ten times a second without any order.

Change: what has ended is neither counted nor reported, and loops wait for an order. While a batch pool moves, each endpoint of the new version draws every 400 ms whether it gets calls.

--- a/chervilshore/controllers/batchevidence.py
+++ b/chervilshore/controllers/batchevidence.py
@@ -63,9 +63,8 @@
                 now - self._call.started_at,
                 now,
             )
-        self._versions.hold(
-            self._call.record, self._handles, now + batching.result_ttl_ms
-        )
+        until = now + batching.result_ttl_ms
+        self._versions.hold(self._call.record, self._handles, now, until)
 
 
 def _find_outcome(result: batches.ItemResult) -> records.Outcome:
--- a/chervilshore/controllers/rollouts.py
+++ b/chervilshore/controllers/rollouts.py
@@ -1,5 +1,6 @@
 """Carries out the orders to move pools to other software versions."""
 
+import asyncio
 import logging
 import random
 
@@ -104,6 +105,7 @@
         self._metrics = metrics
         self._stored: dict[ids.PoolName, objects.StoredObject] = {}
         self._has_read = False
+        self._has_work = asyncio.Event()
         self._hosts_seen: dict[ids.HostId, float] = {}
         self._invalid: dict[str, int] = {}
 
@@ -133,6 +135,7 @@
             self._follow(record, cache.era)
         if cache.revision:
             self._has_read = True
+        self._has_work.set()
 
     def _log_invalid(self, stored: objects.StoredObject) -> None:
         if self._invalid.get(stored.name) != stored.revision:
@@ -191,7 +194,7 @@
         run = rolloutversions.Run(record, decided, number, era, base)
         self.versions.runs[record.pool] = run
         self.versions.withdrawn.pop((record.pool, record.to), None)
-        self._spread.rollouts[number] = decided
+        self._spread.add(number, decided)
         events.log_event(
             _LOGGER,
             events.Event.ROLLOUT_STARTED,
@@ -253,14 +256,15 @@
     async def _decide(self) -> None:
         """Decide on each order, again and again."""
         while not self.should_stop:
-            await self._clock.sleep(STEP_MS)
+            await self._has_work.wait()
             now = self._clock.now()
-            self.versions.expire(now)
-            if self.versions.runs or self.versions.withdrawn:
-                self._note_hosts(now)
-                self._forget_withdrawn(now)
+            self._note_hosts(now)
+            self._forget_withdrawn(now)
             for run in self.versions.runs.values():
                 self._step(run, now)
+            if self.versions.is_settled:
+                self._has_work.clear()
+            await self._clock.sleep(STEP_MS)
 
     def _step(self, run: rolloutversions.Run, now: float) -> None:
         state = run.rollout.state
@@ -280,12 +284,10 @@
                 self._stored[run.record.pool],
                 self._list_alive(),
             )
-        pool = run.record.pool
-        kinds = metric_types.Metric
+        kinds, pool = metric_types.Metric, run.record.pool
+        share = run.sent_new / max(1, run.sent)
         self._metrics.set(kinds.ROLLOUT_PHASE, run.rollout.phase.value, pool)
-        self._metrics.set(
-            kinds.ROLLOUT_SHARE, run.sent_new / max(1, run.sent), pool
-        )
+        self._metrics.set(kinds.ROLLOUT_SHARE, share, pool)
 
     def _make_view(
         self, run: rolloutversions.Run, now: float
@@ -328,11 +330,9 @@
                 self._hosts_seen[one.host] = now
 
     def _list_alive(self) -> list[ids.HostId]:
-        return [
-            one.host
-            for one in self._catalog.hosts()
-            if one.state is records.HostState.ALIVE
-        ]
+        alive = records.HostState.ALIVE
+        hosts = self._catalog.hosts()
+        return [one.host for one in hosts if one.state is alive]
 
     def _forget_withdrawn(self, now: float) -> None:
         """Forget versions of dropped orders once their endpoints are gone."""
--- a/chervilshore/controllers/rolloutspread.py
+++ b/chervilshore/controllers/rolloutspread.py
@@ -1,5 +1,6 @@
 """Exchanges the evidence of roll-outs with the other hosts."""
 
+import asyncio
 import random
 
 import mode
@@ -7,6 +8,7 @@
 from chervilshore.clients import peers as peer_types
 from chervilshore import clock as clocks
 from chervilshore.controllers import directory as directories
+from chervilshore.decisions.rollouts import records as rollout_records
 from chervilshore.decisions.rollouts import rollout
 from chervilshore import exceptions
 from chervilshore import ids
@@ -53,7 +55,7 @@
     Attributes
     ----------
     rollouts : dict of int to Rollout
-        The orders by number, also those that have ended.
+        The orders by number, also those that have ended; see `add`.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self._peers = peers
         self._rng = rng
         self._urgent = False
+        self._has_running = asyncio.Event()
 
     async def on_start(self) -> None:
         """Register the message handlers."""
@@ -80,6 +83,18 @@
             rolloutmessages.RolloutReportRequest, self._handle_request
         )
 
+    def add(self, number: int, known: rollout.Rollout) -> None:
+        """Report on an order until it has ended."""
+        self.rollouts[number] = known
+        self._has_running.set()
+
+    def _list_running(self) -> dict[int, rollout.Rollout]:
+        return {
+            number: known
+            for number, known in self.rollouts.items()
+            if known.state is rollout_records.RolloutState.RUNNING
+        }
+
     def hurry(self) -> None:
         """Report in the next round."""
         self._urgent = True
@@ -125,13 +140,16 @@
         """Send what has changed to all other hosts."""
         due = 0.0
         while not self.should_stop:
+            await self._has_running.wait()
             await self._clock.sleep(ROUND_MS)
             now = self._clock.now()
-            if not self.rollouts or not (self._urgent or now >= due):
-                continue
-            due = now + self._choose_interval_ms()
-            self._urgent = False
-            self._send_reports(now)
+            has_ended = not self._list_running()
+            if has_ended:
+                self._has_running.clear()
+            if has_ended or self._urgent or now >= due:
+                due = now + self._choose_interval_ms()
+                self._urgent = False
+                self._send_reports(now)
 
     def _send_reports(self, now: float) -> None:
         made = []
@@ -150,13 +168,15 @@
     async def _synchronize(self) -> None:
         """Compare what is known with a random peer, again and again."""
         while not self.should_stop:
+            await self._has_running.wait()
             others = self._list_peers()
-            if self.rollouts and others:
+            if others:
                 await self._pull(self._rng.choice(others))
             await self._clock.sleep(SYNC_REPORTS * self._choose_interval_ms())
 
     async def _pull(self, address: ids.Address) -> None:
-        request = rolloutmessages.RolloutReportRequest(tuple(self.rollouts))
+        numbers = tuple(self._list_running())
+        request = rolloutmessages.RolloutReportRequest(numbers)
         try:
             reply = await self._peers.send_request(
                 address, request, SYNC_TIMEOUT_MS
--- a/chervilshore/controllers/rolloutstatus.py
+++ b/chervilshore/controllers/rolloutstatus.py
@@ -1,5 +1,6 @@
 """Writes the status of roll-outs to the store."""
 
+import asyncio
 import logging
 
 import mode
@@ -84,6 +85,7 @@
         self._store = store
         self._decoders = decoders
         self._wishes: dict[ids.PoolName, _Wish] = {}
+        self._has_wishes = asyncio.Event()
 
     def want(
         self,
@@ -108,6 +110,7 @@
             return
         due = self._clock.now() + self._choose_delay_ms(record, hosts)
         self._wishes[record.pool] = _Wish(record, stored, due)
+        self._has_wishes.set()
 
     def forget(self, pool: ids.PoolName) -> None:
         """Write nothing for a pool, as its status is right or it has none."""
@@ -124,6 +127,10 @@
     @mode.Service.task
     async def _write_wishes(self) -> None:
         while not self.should_stop:
+            await self._has_wishes.wait()
+            if not self._wishes:
+                self._has_wishes.clear()
+                continue
             await self._clock.sleep(ROUND_MS)
             now = self._clock.now()
             for pool, wish in tuple(self._wishes.items()):
--- a/chervilshore/controllers/rolloutversions.py
+++ b/chervilshore/controllers/rolloutversions.py
@@ -22,6 +22,10 @@
 PAUSE_MS = 100.0
 """Milliseconds until a version that gets no call now may get one."""
 
+DRAW_MS = 400.0
+"""Milliseconds for which an endpoint of a batch pool gets calls or none while
+requests move to its version: about as long as a call."""
+
 
 def is_final(state: str) -> bool:
     """Return whether a status says that its order has ended."""
@@ -119,6 +123,16 @@
             tuple[ids.PoolName, ids.SoftwareVersion]
         ] = collections.Counter()
         self._held: dict[str, _Held] = {}
+        self._draws: dict[ids.EndpointId, tuple[float, bool]] = {}
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether there is nothing to decide until the orders change."""
+        return not self.withdrawn and all(
+            run.rollout.state.value == run.record.state
+            and run.rollout.state is not State.RUNNING
+            for run in self.runs.values()
+        )
 
     def divide(
         self,
@@ -167,21 +181,43 @@
             for one in endpoints
             if not self._allows(one, pipeline, now)
         }
-        run = self.runs.get(pool)
-        if run is not None and run.rollout.phase is Phase.CANARY:
-            new = [
-                one.endpoint
-                for one in endpoints
-                if one.version == run.record.to
-            ]
-            if run.rollout.prefers_new(pipeline, now):
-                # Each call that is planned now needs what is left of the
-                # share.
-                canaries = run.rollout.choose_canaries(now)
-                new = sorted(new, key=lambda one: one not in canaries)[1:]
-            waiting.update(new)
+        run = self._find_running(pool)
+        if run is not None and run.rollout.phase <= Phase.MOVING:
+            new = [one for one in endpoints if one.version == run.record.to]
+            if run.rollout.phase is Phase.CANARY:
+                waiting.update(self._choose_waiting(run, new, now))
+            else:
+                waiting.update(
+                    one.endpoint
+                    for one in new
+                    if not self._draw(run, one.endpoint, now)
+                )
         return dict.fromkeys(waiting, now + PAUSE_MS)
 
+    def _choose_waiting(
+        self, run: Run, new: list[records.EndpointRecord], now: float
+    ) -> list[ids.EndpointId]:
+        """Return all endpoints, or all but one if the canary is due a call.
+
+        Each call that is planned now needs what is left of the share.
+        """
+        waiting = [one.endpoint for one in new]
+        if not run.rollout.prefers_new(ids.PipelineName(""), now):
+            return waiting
+        canaries = run.rollout.choose_canaries(now)
+        return sorted(waiting, key=lambda one: one not in canaries)[1:]
+
+    def _draw(self, run: Run, endpoint: ids.EndpointId, now: float) -> bool:
+        """Return whether an endpoint gets calls in this part of a move.
+
+        The answer holds for a while, as plans are made at any moment.
+        """
+        until, drawn = self._draws.get(endpoint, (0.0, False))
+        if now >= until:
+            drawn = run.rollout.prefers_new(ids.PipelineName(""), now)
+            self._draws[endpoint] = now + DRAW_MS, drawn
+        return drawn
+
     def _allows(
         self,
         record: records.EndpointRecord,
@@ -204,6 +240,13 @@
             for other in self._directory.endpoints(record.pool)
         )
 
+    def _find_running(self, pool: ids.PoolName) -> Run | None:
+        """Return a pool's order, None if it has ended or there is none."""
+        run = self.runs.get(pool)
+        if run is None or run.rollout.state is not State.RUNNING:
+            return None
+        return run
+
     def record_sent(
         self,
         record: records.EndpointRecord,
@@ -212,7 +255,7 @@
     ) -> None:
         """Count an attempt that begins; see `Versions.record_sent`."""
         self._running[record.pool, record.version] += 1
-        run = self.runs.get(record.pool)
+        run = self._find_running(record.pool)
         if run is None:
             return
         run.sent += 1
@@ -234,7 +277,7 @@
         self._running[kind] -= 1
         if not self._running[kind]:
             del self._running[kind]
-        run = self.runs.get(record.pool)
+        run = self._find_running(record.pool)
         if run is None:
             return
         run.rollout.record_end(
@@ -261,11 +304,15 @@
         self,
         record: records.EndpointRecord,
         handles: abc.Iterable[str],
+        now: float,
         until: float,
     ) -> None:
         """Keep an endpoint's version in use; see `Versions.hold`."""
         for handle in handles:
             self._held[handle] = _Held(record.pool, record.version, until)
+        # The oldest ones come first and end first.
+        while self._held and next(iter(self._held.values())).until <= now:
+            del self._held[next(iter(self._held))]
 
     def release(self, handle: str) -> None:
         """End the use of a result; see `Versions.release`."""
@@ -296,11 +343,3 @@
             for one in self._held.values()
         )
         return running + held
-
-    def expire(self, now: float) -> None:
-        """Forget results that have ended by themselves."""
-        self._held = {
-            handle: one
-            for handle, one in self._held.items()
-            if now < one.until
-        }
--- a/chervilshore/controllers/versions.py
+++ b/chervilshore/controllers/versions.py
@@ -89,6 +89,7 @@
         self,
         record: records.EndpointRecord,
         handles: abc_types.Iterable[str],
+        now: float,
         until: float,
     ) -> None:
         """Record that an endpoint is needed for its results.
@@ -99,6 +100,8 @@
             The endpoint.
         handles : iterable of str
             The results.
+        now : float
+            The time in milliseconds.
         until : float
             The time in milliseconds at which they end by themselves.
         """
@@ -152,6 +155,7 @@
         self,
         record: records.EndpointRecord,
         handles: abc_types.Iterable[str],
+        now: float,
         until: float,
     ) -> None:
         """Do nothing; see `Versions.hold`."""
--- a/tests/test_batch_rollouts.py
+++ b/tests/test_batch_rollouts.py
@@ -36,7 +36,7 @@
     def record_end(self, record, sent, outcome, millis, now):
         self.ended.append(outcome)
 
-    def hold(self, record, handles, until):
+    def hold(self, record, handles, now, until):
         self.held |= dict.fromkeys(handles, until)
 
 
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -67,7 +67,7 @@
         ]
         order = rollout_records.RolloutOrder("llm", "v2", 12_000.0, 7)
         for name, spread in zip(self.names, self.spreads, strict=True):
-            spread.rollouts[7] = rollout.Rollout(
+            decided = rollout.Rollout(
                 order,
                 name,
                 ids.Incarnation(1),
@@ -76,6 +76,7 @@
                 rng,
                 hosts=count,
             )
+            spread.add(7, decided)
 
     def read(self):
         """Return the order as it is in the store."""
