--- a/chervilshore/decisions/capacity/limits.py
+++ b/chervilshore/decisions/capacity/limits.py
@@ -34,6 +34,10 @@
 PAUSE_HALF_LIFE_MS = 300.0
 """Half-life of the recent pause."""
 
+USUAL_HALF_LIFE_MS = 2000.0
+"""Half-life of the pause whose lowest value is the best one: prompts that are
+read lengthen pauses for a moment at any load."""
+
 MIN_PAUSES = 4.0
 """Recent pauses from which they are judged."""
 
@@ -54,6 +58,7 @@
     def __init__(self) -> None:
         self.limit = FIRST_LIMIT
         self._recent = observations.DecayingSum(PAUSE_HALF_LIFE_MS, 2)
+        self._usual = observations.DecayingSum(USUAL_HALF_LIFE_MS, 2)
         self._best_ms = math.inf
         self._has_fallen = False
         self._seen_at: float | None = None
@@ -76,6 +81,7 @@
             self._has_fallen = True
             self.limit *= REJECTION_FACTOR
         self._recent.add((seen.pauses, seen.pauses_ms), now)
+        self._usual.add((seen.pauses, seen.pauses_ms), now)
         pauses, pauses_ms = self._recent.values
         if pauses >= MIN_PAUSES and pauses_ms > 0.0:
             self._adapt(pauses_ms / pauses, seen.in_flight, now)
@@ -86,8 +92,10 @@
         if self._seen_at is not None:
             elapsed_s = (now - self._seen_at) / 1000.0
         self._seen_at = now
+        pauses, pauses_ms = self._usual.values
         self._best_ms = min(
-            pause_ms, self._best_ms * (1.0 + BEST_DRIFT_PER_S * elapsed_s)
+            pauses_ms / pauses,
+            self._best_ms * (1.0 + BEST_DRIFT_PER_S * elapsed_s),
         )
         gradient = min(1.0, TOLERANCE * self._best_ms / pause_ms)
         if gradient < 1.0:
