--- a/chervilshore/controllers/registration.py
+++ b/chervilshore/controllers/registration.py
@@ -30,6 +30,11 @@
         Knows this host.
     clock : Clock
         Measures the delays between tries.
+
+    Attributes
+    ----------
+    is_registered : bool
+        Whether the entry has been written.
     """
 
     def __init__(
@@ -46,7 +51,7 @@
         self._clock = clock
         self._due = asyncio.Event()
         self._due.set()
-        self._is_registered = False
+        self.is_registered = False
         self._is_leaving = False
 
     def renew(self) -> None:
@@ -56,7 +61,7 @@
     async def unregister(self) -> None:
         """Delete the entry, and write none any more."""
         self._is_leaving = True
-        if not self._is_registered:
+        if not self.is_registered:
             return
         try:
             await self._store.delete(
@@ -90,5 +95,5 @@
                 self._due.set()
                 await self._clock.sleep(retry_delays.next_delay_ms())
             else:
-                self._is_registered = True
+                self.is_registered = True
                 retry_delays.reset()
--- a/lab/rollout_schedules.py
+++ b/lab/rollout_schedules.py
@@ -10,7 +10,6 @@
 """
 
 import collections
-import enum
 import heapq
 import math
 import random
@@ -23,66 +22,24 @@
 from chervilshore.decisions.rollouts import rollout
 from chervilshore import ids
 from chervilshore import records
+from lab import rollout_plans
 
-HOST_COUNTS = (3, 84, 370)
 STEP_MS = 250.0
 REPORT_MS = 500.0
 OBSERVERS = 4
 TOUCH_MS = 4000.0
 LATE_MS = 30_000.0
 POOL = ids.PoolName("pool")
-PIPELINES = ("contract", "report", "suggest")
 OLD = ids.SoftwareVersion("41")
 NEW = ids.SoftwareVersion("42")
 Phase = rollout_records.Phase
 State = rollout_records.RolloutState
 
 
-class Trouble(enum.Enum):
-    """What else goes wrong."""
-
-    NONE = "none"
-    SLOW_ENDPOINTS = "slow endpoints"
-    FAILING_ENDPOINT = "failing endpoint, ejected at times"
-    CRASH = "an endpoint crashes"
-    DOMAIN = "bad domain"
-    CUT = "hosts cut off"
-    RESTART = "all hosts restart"
-    CALLERS = "errors of callers"
-    BURST = "burst of requests"
-    HALF = "one host has half of the traffic"
-
-
-class Fault(enum.Enum):
-    """What is wrong with the version."""
-
-    GOOD = "good"
-    FAILS = "fails"
-    SLOW = "slow"
-    PARTLY_SLOW = "partly slow"
-
-
-class Plan(msgspec.Struct):
-    """One schedule."""
-
-    hosts: int
-    endpoints: int
-    rate: float
-    duration_ms: float
-    trouble: Trouble
-    fault: Fault
-    fraction: float = 0.0
-    factor: float = 1.0
-    begins_ms: float = 0.0
-    pipeline: str = ""
-    load: float = 0.0
-    trouble_ms: tuple[float, float] = (0.0, 0.0)
-
-
 class Result(msgspec.Struct):
     """How it ended."""
 
-    plan: Plan
+    plan: rollout_plans.Plan
     state: State = State.RUNNING
     ended_ms: float = math.inf
     reason: str = ""
@@ -96,7 +53,7 @@
 
     @property
     def is_good(self) -> bool:
-        return self.plan.fault is Fault.GOOD
+        return self.plan.fault is rollout_plans.Fault.GOOD
 
     @property
     def breaks_share(self) -> bool:
@@ -120,44 +77,10 @@
         return found
 
 
-def make_plan(seed: int) -> Plan:
-    """Draw a schedule."""
-    rng = random.Random(seed)
-    hosts = HOST_COUNTS[seed % len(HOST_COUNTS)]
-    plan = Plan(
-        hosts=hosts,
-        endpoints=rng.choice((3, 6, 9, 30)),
-        rate=rng.choice((40.0, 80.0, 120.0)),
-        duration_ms=rng.choice((60_000.0, 90_000.0, 120_000.0)),
-        trouble=rng.choice(list(Trouble)),
-        fault=rng.choice(
-            3 * [Fault.GOOD] + [Fault.FAILS, Fault.SLOW, Fault.PARTLY_SLOW]
-        ),
-    )
-    begins = rng.uniform(0.1, 0.8) * plan.duration_ms
-    plan.trouble_ms = (begins, begins + rng.uniform(5_000.0, 30_000.0))
-    plan.fraction = 1.0
-    if plan.fault is Fault.FAILS:
-        plan.fraction = rng.choice((0.05, 0.1, 0.3, 1.0))
-    elif plan.fault is Fault.SLOW:
-        plan.factor = rng.choice((2.0, 3.0, 5.0))
-    elif plan.fault is Fault.PARTLY_SLOW:
-        plan.fraction = rng.choice((0.2, 0.5))
-        plan.factor = rng.choice((4.0, 8.0))
-    when = rng.choice(("at once", "later", "load", "route"))
-    if when == "later":
-        plan.begins_ms = rng.uniform(0.1, 0.4) * plan.duration_ms
-    elif when == "load":
-        plan.load = 0.7
-    elif when == "route":
-        plan.pipeline = rng.choice(PIPELINES)
-    return plan
-
-
 class Simulation:
     """One schedule that is played."""
 
-    def __init__(self, seed: int, plan: Plan) -> None:
+    def __init__(self, seed: int, plan: rollout_plans.Plan) -> None:
         self.rng = random.Random(seed)
         self.plan = plan
         self.result = Result(plan)
@@ -166,7 +89,7 @@
         )
         self.names = [f"host{number:03}" for number in range(plan.hosts)]
         self.weights = [self.rng.uniform(0.3, 1.7) for _ in self.names]
-        if plan.trouble is Trouble.HALF:
+        if plan.trouble is rollout_plans.Trouble.HALF:
             self.weights[0] = sum(self.weights[1:])
         self.endpoints = {
             version: [
@@ -196,7 +119,7 @@
             for version in (OLD, NEW)
         }
         self.cut = set()
-        if plan.trouble is Trouble.CUT:
+        if plan.trouble is rollout_plans.Trouble.CUT:
             count = max(1, plan.hosts // 10)
             self.cut = set(self.rng.sample(self.names, count))
         self.observers = self.names[-OBSERVERS:]
@@ -260,7 +183,10 @@
     def step(self, now: float) -> None:
         plan = self.plan
         begins = plan.trouble_ms[0]
-        if plan.trouble is Trouble.RESTART and begins <= now < begins + 250:
+        if (
+            plan.trouble is rollout_plans.Trouble.RESTART
+            and begins <= now < begins + 250
+        ):
             for name in self.names:
                 self.start(name, False)
                 self.started_at[name] = now
@@ -269,7 +195,9 @@
             self.end(*heapq.heappop(self.ends)[2:], now)
         self.tell(now)
         rate = plan.rate
-        if plan.trouble is Trouble.BURST and self.is_troubled(now):
+        if plan.trouble is rollout_plans.Trouble.BURST and self.is_troubled(
+            now
+        ):
             rate *= 2.0
         mean = rate * STEP_MS / 1000.0
         count = int(mean) + (self.rng.random() < mean % 1.0)
@@ -326,7 +254,9 @@
 
     def send(self, name: str, now: float) -> None:
         run = self.runs[name]
-        pipeline = self.rng.choices(PIPELINES, (0.2, 0.5, 0.3))[0]
+        pipeline = self.rng.choices(rollout_plans.PIPELINES, (0.2, 0.5, 0.3))[
+            0
+        ]
         self.result.requests += now < self.plan.duration_ms
         versions = [OLD, NEW]
         if run.prefers_new(pipeline, now):
@@ -364,32 +294,42 @@
         failed = rng.random() < 0.002
         bad = (
             record.version == NEW
-            and plan.fault is not Fault.GOOD
+            and plan.fault is not rollout_plans.Fault.GOOD
             and now >= plan.begins_ms
             and plan.pipeline in ("", pipeline)
             and load >= plan.load * 0.5
             and rng.random() < plan.fraction
         )
         if bad:
-            failed |= plan.fault is Fault.FAILS
+            failed |= plan.fault is rollout_plans.Fault.FAILS
             millis *= plan.factor
         if self.is_troubled(now):
             number = int(record.endpoint.partition("-")[2])
             hit = number in self.victims[record.version]
             trouble = plan.trouble
-            if trouble is Trouble.SLOW_ENDPOINTS and hit:
+            if trouble is rollout_plans.Trouble.SLOW_ENDPOINTS and hit:
                 millis *= 4.0
-            elif trouble is Trouble.FAILING_ENDPOINT and hit:
+            elif trouble is rollout_plans.Trouble.FAILING_ENDPOINT and hit:
                 # Ejected for most of the time.
                 failed |= rng.random() < 0.3
-            elif trouble is Trouble.DOMAIN and record.domain == "b":
+            elif (
+                trouble is rollout_plans.Trouble.DOMAIN
+                and record.domain == "b"
+            ):
                 failed |= rng.random() < 0.3
                 millis *= rng.choice((1.0, 3.0))
-            elif trouble is Trouble.CALLERS and rng.random() < 0.05:
+            elif (
+                trouble is rollout_plans.Trouble.CALLERS
+                and rng.random() < 0.05
+            ):
                 failed = True
-            elif trouble is Trouble.CUT and name in self.cut:
+            elif trouble is rollout_plans.Trouble.CUT and name in self.cut:
                 failed |= rng.random() < 0.5
-            elif trouble is Trouble.CRASH and hit and rng.random() < 0.05:
+            elif (
+                trouble is rollout_plans.Trouble.CRASH
+                and hit
+                and rng.random() < 0.05
+            ):
                 self.gone.add(record.endpoint)
         if record.endpoint in self.gone:
             failed = True
@@ -416,7 +356,7 @@
 
 def play(seed: int) -> Result:
     """Play the schedule of a seed."""
-    return Simulation(seed, make_plan(seed)).play()
+    return Simulation(seed, rollout_plans.make_plan(seed)).play()
 
 
 def main(arguments: list[str]) -> None:
--- a/tests/rollout_helpers.py
+++ b/tests/rollout_helpers.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from standins import workers
+from standins import workerfaults
 from tests import gateway_helpers as helpers
 
 OLD, NEW = "v1", "v2"
@@ -83,7 +83,7 @@
                 millis=5.0,
                 version=version,
             )
-            worker.version_faults = workers.VersionFaults(**faults)
+            worker.version_faults = workerfaults.VersionFaults(**faults)
 
     async def order(self, to=NEW, duration=DURATION_SECONDS, name="ledger"):
         """Write an order as an operator does."""
--- a/tests/test_batch_rollouts.py
+++ b/tests/test_batch_rollouts.py
@@ -13,7 +13,7 @@
 from chervilshore import exceptions
 from chervilshore import records
 from chervilshore.rules import model
-from standins import workers
+from standins import workerfaults
 from tests import gateway_helpers as helpers
 from tests import rollout_helpers
 
@@ -119,7 +119,7 @@
         worker = await deployment.add_worker(
             f"n{number}", "cut", millis=5.0, version="v2"
         )
-        worker.version_faults = workers.VersionFaults(**faults)
+        worker.version_faults = workerfaults.VersionFaults(**faults)
 
 
 async def call_until(deployment, state, **faults):
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -93,7 +93,9 @@
 
 async def test_host_that_starts_beside_others_has_no_retries_saved(deployment):
     first, _ = await gateway_helpers.serve_plain(deployment)
-    await deployment.wait_until(lambda: first._catalog._registered)
+    await deployment.wait_until(
+        lambda: first._catalog._registration.is_registered
+    )
     second = await deployment.add_host()
     await deployment.wait_ready(second, 1)
     alone, beside = (one._budget.describe()["left"] for one in (first, second))
--- a/tests/test_rollout_daemons.py
+++ b/tests/test_rollout_daemons.py
@@ -12,6 +12,7 @@
 from testtools import matchers
 
 from standins import site
+from standins import workerfaults
 from standins import workers
 from tests import rollout_helpers as helpers
 
@@ -66,7 +67,7 @@
         )
         for zone in site.ZONES:
             worker = workers.Worker(f"new-{zone}", millis=10.0, version="v9")
-            worker.version_faults = workers.VersionFaults(**faults)
+            worker.version_faults = workerfaults.VersionFaults(**faults)
             await worker.start()
             self.new.append(worker)
             await self.store.write(
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -58,7 +58,7 @@
         self.first_events = 0
         self.ended = 0
 
-    async def _stream(self, request, headers, response_headers):
+    async def _stream(self, request, headers, response_headers, factor):
         response = workers.web.StreamResponse(
             headers=response_headers | {"Content-Type": "text/event-stream"}
         )
