Log what endpoints refuse, and on what grounds it counts as not run

Hypotheses 1 and 2 of docs/incidents/refused-and-run.md could not be told apart: nothing said what a response that refuses, or whose status says so, named, whether its connection had carried an exchange before, or whether it states that the request has not run. No decision changes.

--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -148,6 +148,11 @@
     )
 
     ATTEMPT_MEASURED = EventSpec(4131, _INFO, "events of attempt measured")
+    ENDPOINT_REFUSED = EventSpec(
+        4132,
+        _INFO,
+        "endpoint refused a request, or used a status that says so",
+    )
 
     # Claims: 5000 to 5999.
     CLAIM_LOG_LOADED = EventSpec(5001, _INFO, "claim log loaded")
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -305,7 +305,8 @@
                 state.exchange.withdraw_send()
             else:
                 state.possible_runs += 1
-            self._log_mismatch(state.exchange, error)
+            if isinstance(error, exceptions.AnswerMismatch):
+                self._log_mismatch(state.exchange.request, slot.record, error)
             raise AttemptError(
                 slot.record, outcome, text_chunks, error
             ) from error
@@ -384,14 +385,16 @@
         )
 
     def _log_mismatch(
-        self, exchange: base.Exchange, error: exceptions.EndpointError
+        self,
+        request: ids.RequestId,
+        record: records.EndpointRecord,
+        error: exceptions.AnswerMismatch,
     ) -> None:
-        if not isinstance(error, exceptions.AnswerMismatch):
-            return
         self._metrics.count(metrics.Metric.ANSWERS_DROPPED, "mismatch")
         events.log_event(
             _LOGGER,
             events.Event.ANSWER_DROPPED,
-            request=exchange.request,
+            request=request,
+            endpoint=record.endpoint,
             detail=error,
         )
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -172,7 +172,7 @@
             options.host, self._clock, self._catalog, self._batch_pools
         )
         self._client = forwarding.ForwardClient(
-            self._connections, self._clock, notice_log.record
+            self._connections, self._clock, notice_log.record, self._metrics
         )
         self._quarantine = quarantine.Quarantine(
             options.host,
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -110,6 +110,13 @@
         ("reason",),
         "Answers of endpoints that belong to no running attempt.",
     )
+    ENDPOINT_REFUSALS = _counter(
+        "chervilshore_endpoint_refusals_total",
+        ("named", "connection", "statement"),
+        "Responses that say, or whose status says, that a request has not "
+        "run: whether they name it ('own', 'other', 'none'), come on a 'new' "
+        "or 'kept' connection, and state it ('explicit', 'status').",
+    )
 
     # Grants, routing and limits.
     ENDPOINTS_OWNED = _gauge(
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -12,6 +12,7 @@
 from chervilshore import exceptions
 from chervilshore import forwarded
 from chervilshore import ids
+from chervilshore import metrics
 from chervilshore import notices
 from chervilshore.platform import headers
 from chervilshore.platform import names
@@ -39,10 +40,12 @@
         pool: connectionpool.ConnectionPool,
         clock: clocks.Clock,
         notice_sink: notices.Sink,
+        counters: metrics.Metrics,
     ) -> None:
         self._pool = pool
         self._clock = clock
         self._notice_sink = notice_sink
+        self._metrics = counters
 
     async def call(
         self, record: records.EndpointRecord, call: endpoints.Call
@@ -74,7 +77,9 @@
                     await processes.check_process(connection, record)
                 left_ms = max(1, int(deadline - self._clock.now()))
                 connection.send(_make_request(record, call, left_ms))
+                sent_at = self._clock.now()
                 head = await connection.read_head()
+                self._record_refusal(connection, head, record, call, sent_at)
                 _check_attempt(connection, head, call)
                 headers.pass_notice(record, head, self._notice_sink)
                 response = await self._read_response(
@@ -105,6 +110,43 @@
             cold=float(head.get_header(names.COLD) or 0) > 0,
         )
 
+    def _record_refusal(
+        self,
+        connection: connections.Connection,
+        head: connections.ResponseHead,
+        record: records.EndpointRecord,
+        call: endpoints.Call,
+        sent_at: float,
+    ) -> None:
+        """Log and count a response that may say that a request has not run.
+
+        Whether it does, and is the response to this request, is decided
+        later; the line tells on what grounds.
+        """
+        if not _is_not_executed(head) and (
+            head.status not in names.NOT_RUN_STATUSES
+        ):
+            return
+        attempt_id = head.get_header(names.ATTEMPT_ID)
+        named = _describe_name(attempt_id, call.binding.request)
+        is_explicit = head.get_header(names.NOT_EXECUTED) is not None
+        statement = "explicit" if is_explicit else "status"
+        state = "kept" if connection.reused else "new"
+        self._metrics.count(
+            metrics.Metric.ENDPOINT_REFUSALS, named, state, statement
+        )
+        events.log_event(
+            _LOGGER,
+            events.Event.ENDPOINT_REFUSED,
+            request=call.binding.request,
+            endpoint=record.endpoint,
+            status=head.status,
+            statement=statement,
+            named=named if named != "other" else attempt_id,
+            connection=state,
+            millis=round(self._clock.now() - sent_at, 1),
+        )
+
     async def _read_response(
         self,
         connection: connections.Connection,
@@ -181,6 +223,13 @@
             raise exceptions.EndpointRejected(f"status {status}", response)
 
 
+def _describe_name(attempt_id: str | None, request: ids.RequestId) -> str:
+    """Say whether a response names the request that was sent."""
+    if attempt_id is None:
+        return "none"
+    return "own" if attempt_id == request else "other"
+
+
 def _is_not_executed(head: connections.ResponseHead) -> bool:
     return (
         head.get_header(names.NOT_EXECUTED) is not None or head.status == 421
@@ -202,7 +251,8 @@
         connection.identified = False
     elif attempt_id != call.binding.request:
         raise exceptions.AnswerMismatch(
-            f"expected {call.binding.request}, got {attempt_id}"
+            f"expected {call.binding.request}, got {attempt_id}, "
+            f"status {head.status}"
         )
 
 
