--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from chervilshore.clients import memory
 from chervilshore import clock as clocks
 from tests import gateway_helpers
+from tests import repeater_helpers
 
 KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
@@ -47,3 +48,11 @@
     await new_deployment.start()
     yield new_deployment
     await new_deployment.stop()
+
+
+@pytest.fixture
+async def repeater():
+    worker = repeater_helpers.Repeater()
+    await worker.start()
+    yield worker
+    worker.stop()
