Believe no refusal on a kept connection that does not name its request

What callers saw: 503 'not run, try again' for a request that ran (REFUSED), and requests that ran at two endpoints (TWICE).

Cause: responses are assigned to requests by their place on a connection. A refusal without an id was taken for that of the request in flight unless an earlier response on the same connection had also lacked one; an endpoint that writes an old refusal of another connection, or of a batch call, once more on a kept connection was believed.

Change: for a request that must not run twice, a refusal on a connection that has carried another exchange must name it. Otherwise it is a mismatch: the connection is closed and the caller is told that the outcome is not known (502). A refusal on a new connection may still lack the id, as nothing old can be on it.

--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -243,17 +243,26 @@
 ) -> None:
     """Check that a response answers this call, not an earlier one.
 
-    A refusal may lack the id. A second copy of it could come late and pass
-    for the refusal of the next request on the connection.
+    A refusal may lack the id. On a connection that has carried another
+    exchange it may be an old one, written once more, so that it proves
+    nothing about a request that must not run twice.
+
+    Raises
+    ------
+    exceptions.AnswerMismatch
+        The response names another request, or none where it has to.
     """
     attempt_id = head.get_header(names.ATTEMPT_ID)
-    if attempt_id is None and _is_not_executed(head):
+    if attempt_id == call.binding.request:
+        return
+    may_lack_id = call.repeatable or not connection.reused
+    if attempt_id is None and may_lack_id and _is_not_executed(head):
         connection.identified = False
-    elif attempt_id != call.binding.request:
-        raise exceptions.AnswerMismatch(
-            f"expected {call.binding.request}, got {attempt_id}, "
-            f"status {head.status}"
-        )
+        return
+    raise exceptions.AnswerMismatch(
+        f"expected {call.binding.request}, got {attempt_id}, "
+        f"status {head.status}"
+    )
 
 
 def _check_success(head: connections.ResponseHead) -> None:
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -148,7 +148,8 @@
         if expected_instance != self.name:
             return web.Response(
                 status=421,
-                headers={"Chervilshore-Instance-Id": self.name},
+                headers={"Chervilshore-Instance-Id": self.name}
+                | _echo_attempt(headers),
             )
         if request.path == "/report":
             if self.faults.silent_reports:
@@ -174,7 +175,7 @@
     async def _run_batch_call(self, call: dict) -> web.Response:
         if self.faults.shed:
             self.faults.shed -= 1
-            return self._refuse_unexecuted(503)
+            return self._refuse_unexecuted(503, {})
         self.batch_calls.append(call["items"])
         self.active_batch_calls += 1
         has_failed, factor = self._apply_version_faults(
@@ -196,8 +197,11 @@
             {"items": results}, headers=self._make_notice()
         )
 
-    def _refuse_unexecuted(self, status: int) -> web.Response:
+    def _refuse_unexecuted(
+        self, status: int, request_headers: dict[str, str]
+    ) -> web.Response:
         headers = {"Chervilshore-Not-Executed": "1"} | self._make_notice()
+        headers |= _echo_attempt(request_headers)
         if self.faults.retry_after:
             headers["Retry-After"] = self.faults.retry_after
         return web.Response(status=status, headers=headers)
@@ -219,10 +223,10 @@
         faults = self.faults
         if faults.shed:
             faults.shed -= 1
-            return self._refuse_unexecuted(503)
+            return self._refuse_unexecuted(503, headers)
         if faults.gone:
             faults.gone -= 1
-            return self._refuse_unexecuted(409)
+            return self._refuse_unexecuted(409, headers)
         attempt = headers.get("chervilshore-attempt-id", "")
         self.runs.append(attempt)
         if faults.mute:
@@ -331,3 +335,9 @@
             return True
         is_new = not last_event_id
         return is_new and bool(faults.cut_new) and number > faults.cut_new
+
+
+def _echo_attempt(headers: dict[str, str]) -> dict[str, str]:
+    """Return the header by which a response names its request, if it can."""
+    attempt = headers.get("chervilshore-attempt-id")
+    return {"Chervilshore-Attempt-Id": attempt} if attempt else {}
