Close a connection on which inputs were refused as gone

What callers saw: 503 for a request that ran (REFUSED).

Cause: after a 409 for results that are gone, the batch stages run again and the request goes to the same endpoint, mostly on the same connection. A second copy of the refusal names the request and was taken for the answer to the second send.

Change: the connection is closed after such a refusal of a request that must not run twice. Refusals of other kinds need no change, as an endpoint that has refused a request gets it only once.

--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -26,6 +26,9 @@
 
 EVENT_STREAM = "text/event-stream"
 
+INPUTS_GONE_STATUS = 409
+"""Status with which an endpoint refuses a request whose inputs are gone."""
+
 MAX_BODY_BYTES = 16_000_000
 """Largest response body that is not a stream."""
 
@@ -102,7 +105,12 @@
         except BaseException:
             connection.close()
             raise
-        self._pool.release(record.address, connection, head)
+        if _lacks_inputs(head) and not call.repeatable:
+            # The request comes to this endpoint again. On this connection a
+            # second copy of the refusal would name it as well.
+            connection.close()
+        else:
+            self._pool.release(record.address, connection, head)
         self._raise_for_status(head, response, call)
         return endpoints.Reply(
             {"response": response},
@@ -210,11 +218,11 @@
     ) -> None:
         """Raise the error that a response stands for, if it is one."""
         status = head.status
+        if _lacks_inputs(head):
+            raise exceptions.InputsGone(
+                "result of a batch stage no longer available"
+            )
         if _is_not_executed(head):
-            if status == 409:
-                raise exceptions.InputsGone(
-                    "result of a batch stage no longer available"
-                )
             raise exceptions.EndpointBusy(f"status {status}")
         if status in names.NOT_RUN_STATUSES and not call.repeatable:
             # Passed on, it would promise what the endpoint does not say.
@@ -236,6 +244,10 @@
     )
 
 
+def _lacks_inputs(head: connections.ResponseHead) -> bool:
+    return head.status == INPUTS_GONE_STATUS and _is_not_executed(head)
+
+
 def _check_attempt(
     connection: connections.Connection,
     head: connections.ResponseHead,
