Answer 502, not 503, if a repeat of a request that ran is refused

Cause: the family of the code was kept true, but not its status. The class is that of REFUSED: a status that promises without the statement of an endpoint.

Change: 2005 has status 502. A test over all codes holds that a status that promises belongs to the family NOT RUN (but for 3003, which is given for idempotency keys only, and forwarded requests have none).

Evidence: before, test_run_whose_repeat_is_refused_is_not_denied said 503 != 502, and the test over all codes FAILED is not NOT RUN; both pass. 111 tests of tables, lost answers, gateway and pages pass.

--- a/chervilshore/results.py
+++ b/chervilshore/results.py
@@ -111,7 +111,7 @@
         2004, _FAILED, 502, "The stream broke and could not be resumed."
     )
     STAGE_UNSERVED = Result(
-        2005, _FAILED, 503, "A stage ran; a later one could not be run."
+        2005, _FAILED, 502, "A stage ran; a later one could not be run."
     )
     CALLER_GONE = Result(
         2006, _FAILED, 499, "The caller left before the end of the answer."
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -162,3 +162,13 @@
         names.NOT_RUN_STATUSES,
         matchers.Not(matchers.Contains(response.status)),
     )
+
+
+# Guards against 503, which promises "not run", for a request that has run and
+# whose repeat found no endpoint.
+async def test_run_whose_repeat_is_refused_is_not_denied(deployment):
+    host, (worker,) = await helpers.serve_plain(deployment)
+    worker.faults.reset = 1
+    response, _ = await deployment.send(host, "/look/")
+    assertions.assert_that(worker.runs, matchers.Equals([response.attempt]))
+    assertions.assert_that(response.status, matchers.Equals(502))
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -7,6 +7,7 @@
 from testtools import matchers
 
 from chervilshore import events
+from chervilshore.platform import names
 from chervilshore import results
 from chervilshore import tables
 
@@ -33,3 +34,18 @@
     for code in results.Code:
         family = families[code.value.number // 1000]
         assertions.assert_that(code.value.family, matchers.Is(family))
+
+
+# Guards against a status that promises "not run" for a request that may have
+# run. Forwarded requests have no keys.
+def test_status_that_promises_no_run_is_of_a_code_that_says_so():
+    promising = {
+        code
+        for code in results.Code
+        if code.value.status in names.NOT_RUN_STATUSES
+        and code is not results.Code.CLAIM_UNKNOWN
+    }
+    for code in promising:
+        assertions.assert_that(
+            code.value.family, matchers.Is(results.Family.NOT_RUN)
+        )
