Believe no refusal of what may run once unless it names its request

The soak of real processes found a way that was left: an endpoint writes an old refusal without an id on a new connection, before its answer.

Cause: a refusal without an id was still believed on a connection that had carried no exchange.

Change: only a refusal that names the request proves that it has not run, on any connection. For requests that may be repeated one without an id still counts, and its connection is closed, as a second copy could pass for another response. That replaces the mark of connections (identified), the choice of connections by it and the bound on marked ones: less state for the same promise.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -9,10 +9,6 @@
 from chervilshore import exceptions
 from chervilshore import ids
 
-MAX_UNIDENTIFIED = 4
-"""Idle connections to an address on which responses did not name their
-requests: endpoints bound their connections, and few requests may use these."""
-
 Check = collections_abc.Callable[[connections.ResponseHead, bytes], None]
 
 
@@ -56,7 +52,6 @@
         self,
         address: ids.Address,
         max_idle_ms: float = connections.DEFAULT_IDLE_MS,
-        identified: bool = False,
     ) -> connections.Connection:
         """Return an idle connection from the pool, or open a new one.
 
@@ -67,9 +62,6 @@
         ----------
         max_idle_ms : float
             Milliseconds after which an idle connection is not reused.
-        identified : bool
-            Whether a connection is not reused on which a response did not
-            name its request; a second copy of it may still come.
 
         Raises
         ------
@@ -85,8 +77,6 @@
                 and connection.is_open()
                 and self._connector.may_reuse(connection)
             )
-            if usable and identified and not connection.identified:
-                continue
             idle_connections.remove(connection)
             if usable:
                 return connection
@@ -131,13 +121,8 @@
     def _keep(
         self, address: ids.Address, connection: connections.Connection
     ) -> None:
-        kept = self._idle_by_address.setdefault(address, [])
-        unidentified = sum(not one.identified for one in kept)
-        if not connection.identified and unidentified >= MAX_UNIDENTIFIED:
-            connection.close()
-            return
         connection.idle_since = self._clock.now()
-        kept.append(connection)
+        self._idle_by_address.setdefault(address, []).append(connection)
 
     async def fetch(
         self,
--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -94,8 +94,6 @@
         Milliseconds for which it may be kept idle.
     reused : bool
         Whether it has carried an exchange before.
-    identified : bool
-        Whether each response on it has named the request that it answers.
     relay : HostId
         The peer that relays it; empty for a direct connection.
     process : InstanceId
@@ -107,7 +105,6 @@
         self.idle_since = 0.0
         self.idle_ms = DEFAULT_IDLE_MS
         self.reused = False
-        self.identified = True
         self.relay = ids.HostId("")
         self.process = ids.InstanceId("")
         self._transport: asyncio.Transport | None = None
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -58,9 +58,7 @@
         max_idle_ms = (
             connections.DEFAULT_IDLE_MS if call.repeatable else FRESH_IDLE_MS
         )
-        connection = await self._pool.acquire(
-            record.address, max_idle_ms, identified=not call.repeatable
-        )
+        connection = await self._pool.acquire(record.address, max_idle_ms)
         if connection.relay:
             events.log_event(
                 _LOGGER,
@@ -83,7 +81,7 @@
                 sent_at = self._clock.now()
                 head = await connection.read_head()
                 self._record_refusal(connection, head, record, call, sent_at)
-                _check_attempt(connection, head, call)
+                _check_attempt(head, call)
                 headers.pass_notice(record, head, self._notice_sink)
                 response = await self._read_response(
                     connection, head, record, call
@@ -105,9 +103,7 @@
         except BaseException:
             connection.close()
             raise
-        if _lacks_inputs(head) and not call.repeatable:
-            # The request comes to this endpoint again. On this connection a
-            # second copy of the refusal would name it as well.
+        if _may_pass_again(head):
             connection.close()
         else:
             self._pool.release(record.address, connection, head)
@@ -248,16 +244,22 @@
     return head.status == INPUTS_GONE_STATUS and _is_not_executed(head)
 
 
+def _may_pass_again(head: connections.ResponseHead) -> bool:
+    """Return whether a second copy could pass for a later response.
+
+    One without an id could do so for any request that may be repeated. A
+    request whose inputs are gone is named, but comes to the endpoint again.
+    """
+    return head.get_header(names.ATTEMPT_ID) is None or _lacks_inputs(head)
+
+
 def _check_attempt(
-    connection: connections.Connection,
-    head: connections.ResponseHead,
-    call: endpoints.Call,
+    head: connections.ResponseHead, call: endpoints.Call
 ) -> None:
     """Check that a response answers this call, not an earlier one.
 
-    A refusal may lack the id. On a connection that has carried another
-    exchange it may be an old one, written once more, so that it proves
-    nothing about a request that must not run twice.
+    A refusal without the id may be an old one that the endpoint writes once
+    more, so that it proves nothing about a request that must not run twice.
 
     Raises
     ------
@@ -265,16 +267,13 @@
         The response names another request, or none where it has to.
     """
     attempt_id = head.get_header(names.ATTEMPT_ID)
-    if attempt_id == call.binding.request:
-        return
-    may_lack_id = call.repeatable or not connection.reused
-    if attempt_id is None and may_lack_id and _is_not_executed(head):
-        connection.identified = False
+    if attempt_id is None and call.repeatable and _is_not_executed(head):
         return
-    raise exceptions.AnswerMismatch(
-        f"expected {call.binding.request}, got {attempt_id}, "
-        f"status {head.status}"
-    )
+    if attempt_id != call.binding.request:
+        raise exceptions.AnswerMismatch(
+            f"expected {call.binding.request}, got {attempt_id}, "
+            f"status {head.status}"
+        )
 
 
 def _check_success(head: connections.ResponseHead) -> None:
