Let every response name its request

What could happen: a request that may be repeated ran at more endpoints than its route allows, and was answered 503 although it ran, as old refusals without an id were still believed for it and not counted as possible runs.

Change: a response that does not name the request is a mismatch, whatever its status and kind of request. Its connection is closed.

Tests: 20 unnamed refusals of requests that may be repeated get 502 instead of 503, as they prove nothing; that none of their connections is kept is asserted as before.

--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -103,7 +103,9 @@
         except BaseException:
             connection.close()
             raise
-        if _may_pass_again(head):
+        if _lacks_inputs(head):
+            # The request comes to this endpoint again. On this connection a
+            # second copy of the refusal would name it as well.
             connection.close()
         else:
             self._pool.release(record.address, connection, head)
@@ -244,31 +246,15 @@
     return head.status == INPUTS_GONE_STATUS and _is_not_executed(head)
 
 
-def _may_pass_again(head: connections.ResponseHead) -> bool:
-    """Return whether a second copy could pass for a later response.
-
-    One without an id could do so for any request that may be repeated. A
-    request whose inputs are gone is named, but comes to the endpoint again.
-    """
-    return head.get_header(names.ATTEMPT_ID) is None or _lacks_inputs(head)
-
-
 def _check_attempt(
     head: connections.ResponseHead, call: endpoints.Call
 ) -> None:
     """Check that a response answers this call, not an earlier one.
 
     A refusal without the id may be an old one that the endpoint writes once
-    more, so that it proves nothing about a request that must not run twice.
-
-    Raises
-    ------
-    exceptions.AnswerMismatch
-        The response names another request, or none where it has to.
+    more, so that it proves nothing about this request.
     """
     attempt_id = head.get_header(names.ATTEMPT_ID)
-    if attempt_id is None and call.repeatable and _is_not_executed(head):
-        return
     if attempt_id != call.binding.request:
         raise exceptions.AnswerMismatch(
             f"expected {call.binding.request}, got {attempt_id}, "
