Answer 408 to no caller whose head has been read

What callers saw: 408, which promises 'not run, and never will be', for a request that ran (REFUSED).

Cause: after a stall in the grace period of a late head, the rest of the head and the timer are due in the same round of the event loop. The bytes are parsed first and wake the task that serves the connection; the timer then writes 408 and closes the transport, and the task still takes the request. Mostly the close cancels it before its handler begins. If a part of an earlier answer is still buffered, the connection lives until that is sent, and the request runs.

Change: the timer does nothing if a head has been read that no handler has taken yet.

Evidence: tests/test_listener.py sets the order of events by a loop whose time jumps. Before: ([200, 408], ['/large', '/late']) != ([200, 200], ['/large', '/late']), a 408 for what ran; without the large answer before it ([408], []) != ([200], ['/late']), a true 408 for a head that had come. Both pass now, and a head that does not come is still late.

--- a/chervilshore/listener.py
+++ b/chervilshore/listener.py
@@ -157,12 +157,15 @@
         self._head_timer = None
         if self.transport is None or self.transport.is_closing():
             return
+        if self._messages:
+            # The head was read in this round of the event loop, and its
+            # request will be served.
+            return
         caller = self.transport.get_extra_info("peername")
         events.log_event(
             _LOGGER,
             events.Event.HEAD_LATE,
             caller=caller and f"{caller[0]}:{caller[1]}",
-            heads_read=len(self._messages),
         )
         self.transport.write(HEAD_TIMEOUT_RESPONSE)
         self.force_close()
