Make each call to the platform on a connection of its own

What could happen: a claim, lease or configuration that was not stored counts as stored, or one object is read as another: two runs for one key, two holders of a lease.

Cause: responses of the platform name no call. aiohttp keeps a connection in its pool although bytes come on it, and takes them for the response to the next call, so that a second copy of an earlier response acknowledges a write that the platform refused. Its revisions do not help: the response to a write has none that was asked for.

Change: sessions.open_single_use opens a new connection for each call, so that no older response can be on it.

Evidence: tests/test_second_copies.py with a platform that sends its answers twice, at once or when the next call has come. Before: DID NOT RAISE VersionConflict, and b'mine' != b'of another host', each in both orders; now they pass.

--- a/chervilshore/clients/rest.py
+++ b/chervilshore/clients/rest.py
@@ -7,6 +7,7 @@
 
 from chervilshore.clients import bodies
 from chervilshore.clients import platform
+from chervilshore.clients import sessions
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import metrics
@@ -43,7 +44,7 @@
         self._base = f"http://{address}"
         self._timeout_ms = timeout_ms
         self._counters = counters
-        self._source = (source, 0) if source else None
+        self._source = source
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -155,8 +156,7 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(local_addr=self._source)
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = sessions.open_single_use(self._source)
         return self._session
 
     def _count_call(self, method: str, outcome: str) -> None:
--- a/tests/repeater_helpers.py
+++ b/tests/repeater_helpers.py
@@ -61,10 +61,8 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
                 line, *rest = head.strip().split("\r\n")
                 headers = dict(one.split(": ", 1) for one in rest)
-                headers[":path"] = line.split(" ")[1]
-                body = await reader.readexactly(
-                    int(headers.get("content-length", "0"))
-                )
+                headers[":method"], headers[":path"], _ = line.split(" ")
+                body = await _read_body(reader, headers)
                 answer = self._answer(headers, body)
                 copy = answer if self.copy is not Copy.NEVER else b""
                 writer.write(late)
@@ -112,6 +110,29 @@
         return head.encode() + content
 
 
+async def _read_body(reader, headers):
+    if headers.get("transfer-encoding") != "chunked":
+        return await reader.readexactly(
+            int(headers.get("content-length", "0"))
+        )
+    body = b""
+    while size := int(await reader.readline(), 16):
+        body += await reader.readexactly(size)
+        await reader.readline()
+    await reader.readline()
+    return body
+
+
+def make_answer(content=b"", status=200, **headers):
+    """Return an answer; underscores in names of headers become hyphens."""
+    lines = "".join(
+        f"{name.replace('_', '-')}: {value}\r\n"
+        for name, value in headers.items()
+    )
+    head = f"HTTP/1.1 {status} OK\r\nContent-Length: {len(content)}\r\n"
+    return f"{head}{lines}\r\n".encode() + content
+
+
 def make_refusal(attempt="", status=503):
     """Return a refusal; it names no request if there is no attempt id."""
     named = f"Chervilshore-Attempt-Id: {attempt}\r\n" if attempt else ""
--- /dev/null
+++ b/tests/test_second_copies.py
@@ -0,0 +1,75 @@
+"""Answers of the platform, engines and hosts that come once more.
+
+They name no call, so that a second copy of an answer to an earlier call on a
+connection could pass for the answer to the next one.
+"""
+
+import asyncio
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore.clients import rest
+from chervilshore import exceptions
+from tests import repeater_helpers
+
+TIMEOUT_MS = 1000.0
+PAUSE_SECONDS = 0.05
+"""Longer than a repeater takes to send the second copy."""
+
+BOTH = (repeater_helpers.Copy.AFTER, repeater_helpers.Copy.BEFORE)
+
+
+class RepeatingPlatform(repeater_helpers.Repeater):
+    """A platform that sends its answers twice."""
+
+    def __init__(self):
+        super().__init__()
+        self.objects = {"taken": (b"of another host", 7)}
+
+    def _answer(self, headers, body):
+        key = headers[":path"].removeprefix("/objects/")
+        if headers[":method"] == "put":
+            if key in self.objects:
+                return repeater_helpers.make_answer(status=412)
+            self.objects[key] = body, 10 + len(self.objects)
+        value, version = self.objects[key]
+        return repeater_helpers.make_answer(value, X_Version=version)
+
+
+@pytest.fixture(params=BOTH)
+async def platform(request):
+    server = RepeatingPlatform()
+    server.copy = request.param
+    await server.start()
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+async def platform_client(platform):
+    rest_client = rest.RestPlatform(platform.address, TIMEOUT_MS)
+    yield rest_client
+    await rest_client.close()
+
+
+# Guards against two runs for one key: a claim that was not stored, as another
+# host's was there, counted as stored by the copy of an earlier answer.
+async def test_copy_of_an_answer_to_a_write_does_not_acknowledge_another(
+    platform_client,
+):
+    await platform_client.create("free", b"mine")
+    await asyncio.sleep(PAUSE_SECONDS)
+    with pytest.raises(exceptions.VersionConflict):
+        await platform_client.create("taken", b"mine")
+
+
+# Guards against a claim, lease or head that is read as it was, or as another.
+async def test_copy_of_a_read_object_is_no_other_object(platform_client):
+    await platform_client.create("free", b"mine")
+    for _ in range(2):
+        for key, value in (("free", b"mine"), ("taken", b"of another host")):
+            await asyncio.sleep(PAUSE_SECONDS)
+            stored = await platform_client.get(key)
+            assertions.assert_that(stored.value, matchers.Equals(value))
