Send each order to an engine on a connection of its own

What could happen: an order that an engine has run is sent to it again, as the copy of its earlier state says that it has not; or an order that the engine refused counts as done, and reaches it never.

Change: calls to engines use the sessions that open a connection for each call, as those to the platform do.

Evidence: with kept connections the new test says '' != 'o1' (the state before the order), in both orders of copies; it passes now.

--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 
-import aiohttp
 from aiohttp import web
 import mode
 
@@ -12,6 +11,7 @@
 from chervilshore.clients import engines
 from chervilshore.clients import models
 from chervilshore.clients import rest
+from chervilshore.clients import sessions
 from chervilshore.clients import zeromq
 from chervilshore import clock as clocks
 from chervilshore.controllers import claimreader
@@ -162,9 +162,7 @@
 
     def _make_orders(self) -> orders.OrderService:
         options = self._options
-        source = (options.source_ip, 0) if options.source_ip else None
-        connector = aiohttp.TCPConnector(local_addr=source)
-        self._order_session = aiohttp.ClientSession(connector=connector)
+        self._order_session = sessions.open_single_use(options.source_ip)
         terms = orders.Terms(
             load_spacing_ms=options.load_interval_ms,
             lease=leases.Terms(
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -6,12 +6,17 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.clients import engines
 from chervilshore.clients import rest
+from chervilshore.clients import sessions
+from chervilshore.decisions import orders
 from chervilshore import exceptions
+from chervilshore import records
 from tests import repeater_helpers
 
 TIMEOUT_MS = 1000.0
@@ -73,3 +78,41 @@
             await asyncio.sleep(PAUSE_SECONDS)
             stored = await platform_client.get(key)
             assertions.assert_that(stored.value, matchers.Equals(value))
+
+
+class RepeatingEngine(repeater_helpers.Repeater):
+    """An engine that sends its answers twice; runs orders it is asked to."""
+
+    def _answer(self, headers, body):
+        if headers[":method"] == "get":
+            last = self.runs[-1] if self.runs else ""
+            state = msgspec.json.encode(orders.EngineState(last_order=last))
+            return repeater_helpers.make_answer(state)
+        if self.refusals:
+            return self.refusals.pop(0)
+        self.runs.append(msgspec.json.decode(body)["order"])
+        return repeater_helpers.make_answer(b"{}")
+
+
+# Guards against an order that an engine gets twice, as the copy of an earlier
+# state says that it has not run, or one that counts as done and has not run.
+@pytest.mark.parametrize("copy", BOTH)
+async def test_copy_of_an_engines_answer_settles_no_order(copy):
+    engine = RepeatingEngine()
+    engine.copy = copy
+    await engine.start()
+    record = records.EndpointRecord("e", "p", "a", engine.address)
+    call = engines.OrderCall("o1", orders.OrderKind.LOAD, "m", 1)
+    async with sessions.open_single_use() as session:
+        engine_client = engines.HttpEngineClient(session)
+        await engine_client.read(record, TIMEOUT_MS)
+        await asyncio.sleep(PAUSE_SECONDS)
+        await engine_client.send(record, call, lambda: True, TIMEOUT_MS)
+        await asyncio.sleep(PAUSE_SECONDS)
+        state = await engine_client.read(record, TIMEOUT_MS)
+        assertions.assert_that(state.last_order, matchers.Equals("o1"))
+        await asyncio.sleep(PAUSE_SECONDS)
+        engine.refusals = [repeater_helpers.make_answer(status=409)]
+        with pytest.raises(exceptions.LeaseLost):
+            await engine_client.send(record, call, lambda: True, TIMEOUT_MS)
+    engine.stop()
