Take no changes from an answer that is older than the watch

What could happen: a worker that has left is used again, and stays (DRAIN).

Cause: the second copy of the answer to an earlier watch or check, on a connection on which nothing came since, shows a worker ready that another connection has shown to be removed. The cache, which compares revisions of objects that it has, puts it back, and does not ask for the removal again, as it keeps the higher position.

Change: changes at a position that the caller has passed are left out. Before, only those of an earlier era were.

Evidence: test_copy_of_an_answer_to_a_watch_brings_no_object_back before: {} != {'w0': StoredObject(name='w0', revision=8, ...)}; it passes now.

--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -142,16 +142,15 @@
         era, response = await self._read(path, _EVENTS_DECODER, timeout_ms)
         if era > objects.read_era(since):
             raise exceptions.StoreRestored(path)
-        if era < objects.read_era(since):
-            # A late answer from before the store was restored.
+        position = objects.make_position(era, response.current_rev)
+        if position <= since:
+            # Nothing has changed, or this is a late answer to an earlier call.
             return objects.Changes((), since)
         changes = tuple(
             objects.Change(_convert(event.object, era), event.deleted)
             for event in response.events
         )
-        return objects.Changes(
-            changes, objects.make_position(era, response.current_rev)
-        )
+        return objects.Changes(changes, position)
 
     async def put(self, kind: str, name: str, content: bytes) -> None:
         """See `ObjectStore.put`."""
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -14,8 +14,12 @@
 from chervilshore.clients import engines
 from chervilshore.clients import rest
 from chervilshore.clients import sessions
+from chervilshore import clock as clocks
+from chervilshore.decisions import objectcache
 from chervilshore.decisions import orders
 from chervilshore import exceptions
+from chervilshore import objects
+from chervilshore.platform import store
 from chervilshore import records
 from tests import repeater_helpers
 
@@ -116,3 +120,66 @@
         with pytest.raises(exceptions.LeaseLost):
             await engine_client.send(record, call, lambda: True, TIMEOUT_MS)
     engine.stop()
+
+
+class RepeatingStore(repeater_helpers.Repeater):
+    """A metadata store that sends its answers twice.
+
+    Attributes
+    ----------
+    answers : list of bytes
+        The answers to the next calls.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.answers = []
+
+    def _answer(self, headers, body):
+        return self.answers.pop(0)
+
+
+def make_object(name, revision, **fields):
+    return {"metadata": {"name": name, "revision": revision}, **fields}
+
+
+def make_store_answer(status=200, /, **content):
+    return repeater_helpers.make_answer(msgspec.json.encode(content), status)
+
+
+@pytest.fixture(params=BOTH)
+async def metadata_store(request):
+    server = RepeatingStore()
+    server.copy = request.param
+    await server.start()
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+async def store_client(metadata_store):
+    opened = store.MetadataStore(
+        metadata_store.address, clocks.SystemClock(), TIMEOUT_MS
+    )
+    yield opened
+    await opened.close()
+
+
+# Guards against DRAIN: a worker that has left is used again, as an earlier
+# answer to a watch shows it ready.
+async def test_copy_of_an_answer_to_a_watch_brings_no_object_back(
+    metadata_store, store_client
+):
+    written = {"object": make_object("w0", 8), "deleted": False}
+    metadata_store.answers = [
+        make_store_answer(events=[written], current_rev=9),
+        make_store_answer(events=[], current_rev=12),
+    ]
+    cache = objectcache.ObjectCache()
+    cache.merge(await store_client.watch("servers", 5, 500.0), 0.0)
+    await asyncio.sleep(PAUSE_SECONDS)
+    # The check of the watch uses another connection.
+    removal = objects.Change(objects.StoredObject("w0", 12, b""), removed=True)
+    cache.merge(objects.Changes((removal,), 12), 0.0)
+    cache.merge(await store_client.poll("servers", cache.revision), 0.0)
+    assertions.assert_that(cache.objects, matchers.Equals({}))
