Write to the store and list it on connections of their own

What could happen: a host's own object or the status of a rollout counts as written and is not; a last page passes for a whole listing, so that all other endpoints are given up (and are left out later too, as removed ones that a restored store has back).

Cause: responses of the store name no call, and those to writes and listings have nothing by which an older one shows.

Change: these calls, which are rare, do not use kept connections. Watches and checks do; their answers show their position.

Evidence: tests/test_second_copies.py before: ['w1'] != ['w0', 'w1'] (both orders of copies), DID NOT RAISE VersionConflict, DID NOT RAISE ObjectChanged; all pass now, as do tests/test_late_answers.py, test_gateway_store.py, test_storereader.py, test_storerestore.py and test_sharedstore.py.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -146,6 +146,7 @@
         timeout_ms: float,
         max_bytes: int = 1_000_000,
         check: Check = accept,
+        single_use: bool = False,
     ) -> tuple[connections.ResponseHead, bytes]:
         """Send a request and read the complete response.
 
@@ -158,6 +159,9 @@
         check : callable
             Raises `EndpointBroken` for a response that answers another
             request, so that its connection is closed.
+        single_use : bool
+            Whether the request gets a connection of its own, on which no
+            older response can come.
 
         Returns
         -------
@@ -171,7 +175,9 @@
         exceptions.EndpointBroken
             The response was lost, incomplete, too large or too late.
         """
-        connection = await self.acquire(address)
+        connection = await (
+            self._open(address) if single_use else self.acquire(address)
+        )
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
                 connection.send(request)
@@ -190,7 +196,10 @@
         except BaseException:
             connection.close()
             raise
-        self.release(address, connection, head)
+        if single_use:
+            connection.close()
+        else:
+            self.release(address, connection, head)
         return head, bytes(content)
 
     def close_idle(self, address: ids.Address) -> None:
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -139,7 +139,9 @@
     ) -> objects.Changes:
         revision = objects.read_revision(since)
         path = f"/objects/{kind}?watch={revision}&{query}"
-        era, response = await self._read(path, _EVENTS_DECODER, timeout_ms)
+        era, response = await self._read(
+            path, _EVENTS_DECODER, timeout_ms, single_use=False
+        )
         if era > objects.read_era(since):
             raise exceptions.StoreRestored(path)
         position = objects.make_position(era, response.current_rev)
@@ -224,10 +226,16 @@
             )
 
     async def _read(
-        self, path: str, decoder, timeout_ms: float | None = None
+        self,
+        path: str,
+        decoder,
+        timeout_ms: float | None = None,
+        single_use: bool = True,
     ) -> tuple[int, typing.Any]:
         """Return the era of the store and the decoded response."""
-        head, content = await self._call("GET", path, timeout_ms=timeout_ms)
+        head, content = await self._call(
+            "GET", path, timeout_ms=timeout_ms, single_use=single_use
+        )
         if head.status == 410:
             raise exceptions.HistoryGone(path)
         if head.status != 200:
@@ -240,7 +248,14 @@
         path: str,
         body: bytes = b"",
         timeout_ms: float | None = None,
+        single_use: bool = True,
     ) -> tuple[connections.ResponseHead, bytes]:
+        """Make a call.
+
+        Responses name no call. On a kept connection the second copy of an
+        earlier one could pass for the response to a later call; the changes
+        of a watch show by their position that they are older.
+        """
         headers = [("Host", self._address), ("Content-Length", str(len(body)))]
         if body:
             headers.append(("Content-Type", "application/json"))
@@ -248,7 +263,11 @@
         limit_ms = self.timeout_ms if timeout_ms is None else timeout_ms
         try:
             head, content = await self._find_pool(path).fetch(
-                self._address, request, limit_ms, MAX_RESPONSE_BYTES
+                self._address,
+                request,
+                limit_ms,
+                MAX_RESPONSE_BYTES,
+                single_use=single_use,
             )
         except exceptions.EndpointUnreached as error:
             self._count_call(method, "unavailable")
@@ -267,8 +286,8 @@
         """Return the connections of the kind of objects that a path names.
 
         Responses do not name their kind. A second copy of one could pass for
-        the response to a later call on its connection; as that is of the
-        same kind, the revisions of the objects show which ones are older.
+        the response to a later watch on its connection, which is of the same
+        kind, so that its position shows that it is older.
         """
         kind = path.removeprefix("/objects/").partition("?")[0]
         kind = kind.partition("/")[0]
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -183,3 +183,60 @@
     cache.merge(objects.Changes((removal,), 12), 0.0)
     cache.merge(await store_client.poll("servers", cache.revision), 0.0)
     assertions.assert_that(cache.objects, matchers.Equals({}))
+
+
+# Guards against endpoints that are given up, as the copy of the last page of
+# a listing passes for a whole one.
+async def test_copy_of_a_page_is_no_listing(metadata_store, store_client):
+    def list_pages():
+        names = ("w0", "w1")
+        return [
+            make_store_answer(
+                items=[make_object(name, 5)],
+                has_more=name != names[-1],
+                current_rev=9,
+            )
+            for name in names
+        ]
+
+    metadata_store.answers = list_pages() + list_pages()
+    for _ in range(2):
+        listing = await store_client.list("servers")
+        await asyncio.sleep(PAUSE_SECONDS)
+        assertions.assert_that(
+            [stored.name for stored in listing.objects],
+            matchers.Equals(["w0", "w1"]),
+        )
+
+
+# Guards against a host's own object that counts as stored and is not.
+async def test_copy_of_an_answer_acknowledges_no_other_write(
+    metadata_store, store_client
+):
+    metadata_store.answers = [
+        make_store_answer(**make_object("one", 8, spec={})),
+        make_store_answer(409, **make_object("two", 7, spec={})),
+        make_store_answer(409, **make_object("three", 7, spec={})),
+    ]
+    await store_client.replace("hosts", "one", b"{}", 7)
+    for name in ("two", "three"):
+        await asyncio.sleep(PAUSE_SECONDS)
+        with pytest.raises(exceptions.VersionConflict):
+            await store_client.replace("hosts", name, b"{}", 6)
+
+
+# Guards against the status of a rollout that counts as written and is not.
+async def test_copy_of_an_answer_acknowledges_no_other_status(
+    metadata_store, store_client
+):
+    metadata_store.answers = [
+        make_store_answer(**make_object("one", 8, status={})),
+        make_store_answer(409, **make_object("two", 9, status={})),
+    ]
+    first, second = (
+        objects.StoredObject(name, 7, b"{}") for name in ("one", "two")
+    )
+    await store_client.put_status("rollouts", first, b"{}")
+    await asyncio.sleep(PAUSE_SECONDS)
+    with pytest.raises(exceptions.ObjectChanged):
+        await store_client.put_status("rollouts", second, b"{}")
