Check in the callers' library that an answer names its request

What callers could see: the answer to an earlier request as that to their own (MIXED), or NOT RUN for a request that runs; its key then keeps it from running twice. Hosts write no answer twice, so that only a proxy before them could cause it; not reported.

Cause: the library sent no request id, and took whatever came next on a kept connection for the answer.

Change: each send has an id, which the host repeats; an answer without it is lost. A resend uses a new connection, as on the kept one the answers would be one behind for good.

Evidence: test_callers_take_no_answer_to_another_request before: {'input': 0} != {'input': 1}, both orders of copies; with the id alone: AnswerLost: no answer within 1000 ms. It passes now.

--- a/chervilshore/client.py
+++ b/chervilshore/client.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from chervilshore.clients import sessions
 from chervilshore import clock as clocks
 from chervilshore import exceptions
 from chervilshore import ids
@@ -17,6 +18,9 @@
 RESEND_HEADER = "X-Resend"
 """Header with the number of earlier sends of the request that may have run."""
 
+REQUEST_HEADER = "X-Request-Id"
+"""Header with the request id, which an answer repeats."""
+
 MIN_RESEND_DELAY_MS = 5.0
 """Minimum delay before a request is sent again."""
 
@@ -110,6 +114,7 @@
         self._clock = clock or clocks.SystemClock()
         self._rng = rng or random.Random()
         self._session: aiohttp.ClientSession | None = None
+        self._resend_session: aiohttp.ClientSession | None = None
 
     def set_addresses(
         self, addresses: collections_abc.Sequence[ids.Address]
@@ -119,8 +124,9 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._resend_session):
+            if session is not None:
+                await session.close()
 
     async def request(
         self,
@@ -210,13 +216,12 @@
         timeout = aiohttp.ClientTimeout(
             total=(remaining_ms + ANSWER_GRACE_MS) / 1000.0
         )
+        headers = self._make_headers(pending, remaining_ms)
         try:
-            async with self._open().post(
-                url,
-                data=pending.body,
-                headers=self._make_headers(pending, remaining_ms),
-                timeout=timeout,
+            async with self._choose_session(pending).post(
+                url, data=pending.body, headers=headers, timeout=timeout
             ) as response:
+                self._check_request(response, headers[REQUEST_HEADER])
                 answer = await self._read(response, pending)
         except aiohttp.ClientConnectorError as error:
             # No connection, so nothing was sent and a resend is safe.
@@ -242,6 +247,7 @@
             "Content-Type": "application/json",
             "X-Team": self._team,
             "X-Deadline-Ms": str(int(remaining_ms)),
+            REQUEST_HEADER: uuid.uuid4().hex,
             **pending.headers,
         }
         if pending.key:
@@ -252,6 +258,14 @@
             headers["Accept"] = "text/event-stream"
         return headers
 
+    def _check_request(
+        self, response: aiohttp.ClientResponse, request: str
+    ) -> None:
+        """Check that an answer is not that to an earlier request."""
+        answered = response.headers.get(REQUEST_HEADER)
+        if answered != request:
+            raise AnswerLost(f"expected {request}, got {answered}")
+
     async def _read(
         self, response: aiohttp.ClientResponse, pending: "_PendingRequest"
     ) -> Answer:
@@ -278,7 +292,17 @@
         except msgspec.DecodeError as error:
             raise AnswerLost(f"cannot decode the answer: {error}") from error
 
-    def _open(self) -> aiohttp.ClientSession:
+    def _choose_session(
+        self, pending: "_PendingRequest"
+    ) -> aiohttp.ClientSession:
+        """Return the session for a send; a resend gets a new connection.
+
+        On a kept connection the answer that was lost may still come.
+        """
+        if pending.sends > 1:
+            if self._resend_session is None:
+                self._resend_session = sessions.open_single_use(limit=0)
+            return self._resend_session
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0)
             self._session = aiohttp.ClientSession(connector=connector)
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -11,6 +11,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore import client
 from chervilshore.clients import engines
 from chervilshore.clients import rest
 from chervilshore.clients import sessions
@@ -240,3 +241,37 @@
     await asyncio.sleep(PAUSE_SECONDS)
     with pytest.raises(exceptions.ObjectChanged):
         await store_client.put_status("rollouts", second, b"{}")
+
+
+class RepeatingHost(repeater_helpers.Repeater):
+    """A host that sends its answers twice, as a proxy before it may do."""
+
+    def _answer(self, headers, body):
+        request = headers.get("x-request-id", "made-by-the-host")
+        content = msgspec.json.encode(
+            {
+                "request": request,
+                "code": 0,
+                "family": "DONE",
+                "result": msgspec.json.decode(body),
+                "end": True,
+            }
+        )
+        return repeater_helpers.make_answer(content, X_Request_Id=request)
+
+
+# Guards against the answer to an earlier request that a caller takes for its
+# own: MIXED, and NOT RUN for a request that runs.
+@pytest.mark.parametrize("copy", BOTH)
+async def test_callers_take_no_answer_to_another_request(copy):
+    host = RepeatingHost()
+    host.copy = copy
+    await host.start()
+    caller = client.Client([host.address], "team")
+    for number in range(6):
+        body = {"input": number}
+        answer = await caller.request("look", body, TIMEOUT_MS)
+        assertions.assert_that(answer.result, matchers.Equals(body))
+        await asyncio.sleep(PAUSE_SECONDS)
+    await caller.close()
+    host.stop()
