Believe no old refusal of a request that may be repeated either

What could happen: a request that may be repeated runs at more endpoints than its route allows (BUDGET), and is answered 503, which says that it has not run; a stream goes on at another endpoint while the one before still works on it, as its connection is kept (TWICE; this by reading, no test).

Cause: asks for the name of the request only where it must run once at most. An old refusal on a kept connection counted as the answer to other requests as before, was not counted as a possible run, and left the connection, with the request on it, in the pool.

Change: on a connection that has carried another exchange, every refusal must name its request. One that does not ends the attempt as a lost answer: it counts against max_attempts, and the connection is closed, which ends the work.

--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -257,7 +257,7 @@
 
     A refusal may lack the id. On a connection that has carried another
     exchange it may be an old one, written once more, so that it proves
-    nothing about a request that must not run twice.
+    nothing about this request.
 
     Raises
     ------
@@ -267,8 +267,8 @@
     attempt_id = head.get_header(names.ATTEMPT_ID)
     if attempt_id == call.binding.request:
         return
-    may_lack_id = call.repeatable or not connection.reused
-    if attempt_id is None and may_lack_id and _is_not_executed(head):
+    is_refusal = not connection.reused and _is_not_executed(head)
+    if attempt_id is None and is_refusal:
         connection.identified = False
         return
     raise exceptions.AnswerMismatch(
--- a/tests/test_old_refusals.py
+++ b/tests/test_old_refusals.py
@@ -40,10 +40,10 @@
     await deployment.store.write("servers", name, entry)
 
 
-async def serve(deployment, repeaters):
+async def serve(deployment, repeaters, kind="non_idempotent", **route):
     """Start a host with two endpoints and keep a connection to each."""
     await deployment.configure(
-        [helpers.make_route("look", "ledger", kind="non_idempotent")],
+        [helpers.make_route("look", "ledger", kind=kind, **route)],
         [helpers.make_service("ledger")],
     )
     host = await deployment.add_host()
@@ -126,3 +126,22 @@
     await asyncio.sleep(0.1)
     assertions.assert_that(repeater.runs, matchers.Equals(["one"]))
     assertions.assert_that(response.status, HONEST)
+
+
+# Guards against BUDGET and against NOT RUN for a request that may be repeated
+# and runs: an old refusal made it run at more endpoints than its route allows.
+async def test_old_refusals_do_not_exceed_the_attempts_of_a_route(
+    deployment, repeaters
+):
+    host = await serve(
+        deployment, repeaters, kind="idempotent", max_attempts=1
+    )
+    for repeater in repeaters:
+        repeater.strays = [repeater_helpers.make_refusal()]
+    response, _ = await deployment.send(host, "/look/")
+    await asyncio.sleep(0.1)
+    runs = [run for repeater in repeaters for run in repeater.runs]
+    assertions.assert_that(
+        (response.status, runs.count(response.attempt)),
+        matchers.Equals((502, 1)),
+    )
