Take no answer to a request for the report of a process

What could happen: a stream that is resumed is sent to another process of its endpoint than the one that is listed, and runs there. Its caller gets nothing of it, as the response to the request must name it; an attempt is spent.

Change: a response that names a request is no report.

Evidence: test_copy_of_an_answer_is_no_report_of_a_process before: DID NOT RAISE EndpointUnreached. Two tests of guards that hold come with it: a reply of a peer after its timeout, and a refusal without a binding.

--- a/chervilshore/platform/processes.py
+++ b/chervilshore/platform/processes.py
@@ -76,6 +76,8 @@
         )
     )
     head = await connection.read_head()
+    if head.get_header(names.ATTEMPT_ID) is not None:
+        raise exceptions.EndpointBroken("answer to a request, not a report")
     content = bytearray()
     async for data in connection.read_body():
         content += data
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -12,7 +12,11 @@
 from testtools import matchers
 
 from chervilshore import client
+from chervilshore.clients import connections
+from chervilshore.clients import connectors
+from chervilshore.clients import endpoints
 from chervilshore.clients import engines
+from chervilshore.clients import models
 from chervilshore.clients import rest
 from chervilshore.clients import sessions
 from chervilshore import clock as clocks
@@ -20,6 +24,8 @@
 from chervilshore.decisions import orders
 from chervilshore import exceptions
 from chervilshore import objects
+from chervilshore.platform import documents
+from chervilshore.platform import processes
 from chervilshore.platform import store
 from chervilshore import records
 from tests import repeater_helpers
@@ -275,3 +281,67 @@
         await asyncio.sleep(PAUSE_SECONDS)
     await caller.close()
     host.stop()
+
+
+class RefusingService(repeater_helpers.Repeater):
+    """A plain service whose refusals name no call."""
+
+    def _answer(self, headers, body):
+        return repeater_helpers.make_answer(status=429)
+
+
+# Guards against NOT RUN by a refusal that names no call.
+async def test_refusal_without_a_binding_does_not_say_not_run():
+    service = RefusingService()
+    await service.start()
+    record = records.EndpointRecord("e", "p", "a", service.address)
+    opened = endpoints.Sessions()
+    call = endpoints.Call(
+        records.Binding("r1", "do", 1, "e"), {}, 5000.0, path="/"
+    )
+    with pytest.raises(exceptions.AnswerMismatch):
+        await models.PlainClient(opened).call(record, call)
+    await opened.close()
+    service.stop()
+
+
+class ReportingEndpoint(repeater_helpers.Repeater):
+    """An endpoint that was started at another time than is listed."""
+
+    def _answer(self, headers, body):
+        if headers[":path"] == "/report":
+            return repeater_helpers.make_answer(b'{"born": 8}')
+        return super()._answer(headers, body)
+
+
+# Guards against a resumed stream that is sent to another process than the one
+# that is listed, as the copy of an earlier answer passed for its report.
+async def test_copy_of_an_answer_is_no_report_of_a_process():
+    endpoint = ReportingEndpoint()
+    endpoint.copy = repeater_helpers.Copy.AFTER
+    await endpoint.start()
+    connection = await connectors.DirectConnector().connect(
+        endpoint.address, TIMEOUT_MS
+    )
+    connection.send(
+        connections.Request(
+            "GET",
+            "/",
+            [("Host", "a"), ("Chervilshore-Attempt-Id", "one")],
+        )
+    )
+    head = await connection.read_head()
+    async for _ in connection.read_body():
+        pass
+    connection.prepare_reuse(head)
+    record = records.EndpointRecord(
+        "e",
+        "p",
+        "a",
+        endpoint.address,
+        instance=documents.make_instance("e", 7),
+    )
+    with pytest.raises(exceptions.EndpointUnreached):
+        await processes.check_process(connection, record)
+    connection.close()
+    endpoint.stop()
--- a/tests/test_zeromq.py
+++ b/tests/test_zeromq.py
@@ -52,6 +52,28 @@
         assertions.assert_that(replies, matchers.Equals(list(range(1, 501))))
 
 
+# Guards against a late reply that is taken for that to the next request.
+async def test_a_reply_after_its_timeout_answers_no_other_request():
+    release = asyncio.Event()
+
+    async def reply_when_asked(sender, message):
+        if message.generation == 1:
+            await release.wait()
+        else:
+            release.set()
+            # The late reply comes first.
+            await asyncio.sleep(0.05)
+        return reply_at_once(sender, message)
+
+    async with run() as one, run() as two:
+        two.handle(messages.Ping, reply_when_asked)
+        ping = messages.Ping(generation=1)
+        with pytest.raises(exceptions.PeerError):
+            await one.send_request(two.address, ping, 200.0)
+        reply = await send_ping(one, two.address, 7)
+        assertions.assert_that(reply, matchers.Equals(8))
+
+
 async def test_a_peer_restarted_at_its_address_is_reconnected():
     async with run() as one:
         async with run() as two:
