Give each pool a retry budget of its own

Cause: a host had one retry budget for all pools, which the requests for all of them filled. The users' bound holds for each service: retry_ratio x the requests for it + retry_slack. While one pool serves and a smaller one fails, the requests of the first paid for retries at the second.

Change: `RetryBudgets` keeps a bucket for each pool with the same share of the slack. A pool that is first used after a start has no tokens saved. The state at the ready address has a section `retries`, and the gauge chervilshore_pool_retries tells tokens and retries by pool.

Evidence: tests/test_resends.py, one host, 400 requests for a pool that serves, 40 for one that rejects all: before the change 40 arrivals beyond the first ("40 matches GreaterThan(18.0)"), 18 allowed; it passes now. The single test whose access to the budget changes (tests/test_power_loss.py) asks for the same pool's tokens with the same bounds.

Conclusion: one way in which the bound can be exceeded.

--- a/chervilshore/decisions/retries.py
+++ b/chervilshore/decisions/retries.py
@@ -1,6 +1,7 @@
 """When an attempt may be retried or hedged."""
 
 import abc
+from collections import abc as collections_abc
 
 from chervilshore import clock as clocks
 from chervilshore.decisions import deadlines
@@ -40,6 +41,10 @@
         """Return whether a retry may be made now, and count it if so."""
 
 
+FindBudget = collections_abc.Callable[[ids.PoolName], RetryPolicy]
+"""Returns the retry budget of a pool."""
+
+
 class AlwaysRetry(RetryPolicy):
     """The baseline: allows every retry."""
 
--- a/chervilshore/filters/stage.py
+++ b/chervilshore/filters/stage.py
@@ -24,8 +24,8 @@
         Measures deadlines.
     runner : AttemptRunner
         Makes the attempts.
-    budget : RetryPolicy
-        Limits the retries.
+    find_budget : callable
+        Returns the retry budget of a pool.
     hedging : Hedging or None
         Decides when a hedge is started; None for no hedges.
     quarantine : Quarantine or None
@@ -37,13 +37,13 @@
         self,
         clock: clocks.Clock,
         runner: attempt.AttemptRunner,
-        budget: retries.RetryPolicy,
+        find_budget: retries.FindBudget,
         hedging: retries.Hedging | None = None,
         quarantine: quarantines.Quarantine | None = None,
     ) -> None:
         self._clock = clock
         self._runner = runner
-        self._budget = budget
+        self._find_budget = find_budget
         self._hedging = hedging
         self._quarantine = quarantine
 
@@ -75,7 +75,7 @@
             answer.
         """
         state = attempt.StageState(exchange, index, value)
-        self._budget.record_first_attempt()
+        self._find_budget(state.pool.name).record_first_attempt()
         while True:
             if self._quarantine is not None:
                 self._quarantine.check(exchange)
@@ -182,8 +182,9 @@
         # An attempt that reached no endpoint put no load on any, so another
         # one needs no retry budget.
         costs_no_retry = error.outcome is records.Outcome.UNREACHED
+        budget = self._find_budget(state.pool.name)
         if not attempts_left or not (
-            costs_no_retry or self._budget.acquire_retry(now)
+            costs_no_retry or budget.acquire_retry(now)
         ):
             broken = results.Code.STAGE_BROKEN
             self._fail(
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -24,7 +24,7 @@
 from chervilshore.decisions import ejection
 from chervilshore.decisions import endpointnotices
 from chervilshore.decisions import paths
-from chervilshore.decisions import retries
+from chervilshore.decisions import retrybudgets
 from chervilshore.decisions import retryshares
 from chervilshore.decisions import routing
 from chervilshore.decisions import shedding
@@ -234,8 +234,8 @@
             shedding.NoShedding(),
             self._metrics,
         )
-        self._budget = retries.RetryBudget(
-            *retryshares.split_retry_budget(
+        self._budgets = retrybudgets.RetryBudgets(
+            retryshares.split_retry_budget(
                 self._options, self._max_known_hosts
             )
         )
@@ -244,7 +244,7 @@
         runner = stage.StageRunner(
             self._clock,
             attempts,
-            self._budget,
+            self._budgets.find,
             quarantine=self._quarantine,
         )
         self._cutoff = cutoff.CutoffFilter(self._clock)
@@ -270,11 +270,11 @@
         if known > self._max_known_hosts:
             if self._max_known_hosts == 1:
                 # All hosts may have ended at once, with their shares used.
-                self._budget.drop_tokens(self._clock.now())
+                self._budgets.drop_tokens(self._clock.now())
             self._max_known_hosts = known
             self._notices.record_hosts(known)
-            self._budget.reconfigure(
-                *retryshares.split_retry_budget(self._options, known)
+            self._budgets.reconfigure(
+                retryshares.split_retry_budget(self._options, known)
             )
 
     @property
@@ -310,6 +310,7 @@
         if request.path == "/metrics":
             self._catalog.report(self._metrics)
             self._capacities.report()
+            self._report_retries()
             return web.Response(
                 body=self._metrics.render(), content_type="text/plain"
             )
@@ -323,19 +324,27 @@
                 "held": self._quarantine.describe(),
                 "streams": self._streams.describe(),
                 "capacity": self._capacities.describe(),
+                "retries": self._budgets.describe(),
                 "paths_lost_ms": self._paths.describe(self._clock.now()),
             },
             status=200 if ready else 503,
         )
 
+    def _report_retries(self) -> None:
+        for pool, budget in self._budgets.describe().items():
+            for state, value in budget.items():
+                self._metrics.set(
+                    metrics.Metric.POOL_RETRIES, value, pool, state
+                )
+
     def reload(self, options: settings.Settings) -> None:
         """Apply the new values of the settings that can change."""
         self._options = options
         self._connections.connect_ms = options.connect_ms
         self._tunnels.connect_ms = options.connect_ms
         self._store.timeout_ms = options.platform_ms
-        self._budget.reconfigure(
-            *retryshares.split_retry_budget(options, self._max_known_hosts)
+        self._budgets.reconfigure(
+            retryshares.split_retry_budget(options, self._max_known_hosts)
         )
 
     async def drain(self) -> None:
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -174,6 +174,12 @@
         (),
         "Retries that the budget has denied since the start.",
     )
+    POOL_RETRIES = _gauge(
+        "chervilshore_pool_retries",
+        ("pool", "state"),
+        "The retry budget of a pool on this host: tokens 'left' "
+        "now, retries 'allowed' and 'denied' since the start.",
+    )
     TEAM_SHARES = _gauge(
         "chervilshore_team_shares",
         (),
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -273,7 +273,10 @@
             self._metrics,
         )
         runner = stage.StageRunner(
-            self._clock, attempts, chosen.retry_policy, chosen.hedging
+            self._clock,
+            attempts,
+            lambda pool: chosen.retry_policy,
+            chosen.hedging,
         )
         self._cutoff = cutoff.CutoffFilter(self._clock)
         steps = (
--- a/tests/request_helpers.py
+++ b/tests/request_helpers.py
@@ -121,6 +121,5 @@
         shedding.NoShedding(),
         metrics.Metrics(),
     )
-    return stage.StageRunner(
-        clock, runner, budget or retries.AlwaysRetry(), hedging
-    )
+    budget = budget or retries.AlwaysRetry()
+    return stage.StageRunner(clock, runner, lambda pool: budget, hedging)
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -98,6 +98,9 @@
     )
     second = await deployment.add_host()
     await deployment.wait_ready(second, 1)
-    alone, beside = (one._budget.describe()["left"] for one in (first, second))
+    alone, beside = (
+        one._budgets.find("ledger").describe()["left"]
+        for one in (first, second)
+    )
     assertions.assert_that(alone, matchers.Not(matchers.LessThan(1.0)))
     assertions.assert_that(beside, matchers.LessThan(1.0))
--- /dev/null
+++ b/tests/test_resends.py
@@ -0,0 +1,62 @@
+"""Sends of a request beyond the first, counted at stand-ins of endpoints."""
+
+import asyncio
+import collections
+
+from testtools import assertions
+from testtools import matchers
+
+from tests import gateway_helpers as helpers
+
+RATIO = 0.2
+SLACK = 10
+BUDGET = {
+    "retry_ratio": str(RATIO),
+    "retry_slack": str(SLACK),
+    "retry_window_ms": "60000",
+}
+
+
+def count_repeats(workers):
+    """Count the arrivals beyond the first of each request."""
+    arrivals = collections.Counter(
+        received["chervilshore-attempt-id"]
+        for worker in workers
+        for received in worker.received
+    )
+    return sum(arrivals.values()) - len(arrivals)
+
+
+async def send_all(deployment, host, path, count, **options):
+    """Send requests at once; return how many had each status."""
+    answers = await asyncio.gather(
+        *(deployment.send(host, path, **options) for _ in range(count))
+    )
+    return collections.Counter(response.status for response, _ in answers)
+
+
+# Guards against retries at one pool that requests of another pool pay for.
+async def test_requests_of_one_pool_pay_for_no_retry_of_another(deployment):
+    await deployment.configure(
+        [
+            helpers.make_route("calm", "sound"),
+            helpers.make_route("sad", "bad"),
+        ],
+        [helpers.make_service("sound"), helpers.make_service("bad")],
+    )
+    host = await deployment.add_host(**BUDGET)
+    await deployment.add_worker("w0", "sound")
+    refusing = [
+        await deployment.add_worker(f"b{number}", "bad") for number in range(4)
+    ]
+    for worker in refusing:
+        worker.faults.shed = 1000
+    await deployment.wait_ready(host, 5)
+    count = 40
+    for _ in range(count):
+        await send_all(deployment, host, "/calm/", 10)
+        await send_all(deployment, host, "/sad/", 1)
+    allowed = RATIO * count + SLACK
+    assertions.assert_that(
+        count_repeats(refusing), matchers.Not(matchers.GreaterThan(allowed))
+    )
