Keep the retries that hosts save up within a small slack

Cause: a host's share of the retry slack in a window is divided into the size of its token bucket and what the bucket earns in a window. A bucket holds one token at least. With less than two retries of slack for a host that is more than half of its share, and what it earned came on top.

Change: a bucket earns in a window what the share leaves beside its size.

Evidence: tests/test_retrybudgets.py, bounds from the slack: before the change nine hosts with a slack of 12 could make 13.6 retries without a request, 76 with 100 114.5, and 300 with 400 453.8.

The users' two deployments are not concerned: 52 for 6 hosts and 58 for 9.

--- a/chervilshore/decisions/retryshares.py
+++ b/chervilshore/decisions/retryshares.py
@@ -36,9 +36,8 @@
     window_seconds = options.retry_window_ms / clocks.MILLIS_PER_SECOND
     ratio = options.retry_ratio * RETRY_RATIO_FRACTION
     # A token bucket allows its burst plus its refill within one window, so
-    # each of them gets half of the retries per window.
-    return (
-        ratio,
-        retries_per_window / 2.0 / window_seconds,
-        max(1.0, retries_per_window / 2.0),
-    )
+    # each of them gets half of the retries per window, but a bucket that
+    # cannot hold one token allows none at all.
+    burst = max(1.0, retries_per_window / 2.0)
+    refill = max(0.0, retries_per_window - burst)
+    return ratio, refill / window_seconds, burst
