Count the attempts of a request together over runs of its batch stages

What callers saw: nothing.

Cause: the state of the last stage of a forwarded request was made anew each time its batch stages had run. So after results that were gone - the runs before no longer counted: a request whose route allows two could run at four endpoints; - the request counted as another first attempt, and earned a second time for the retry budget; - and it earned at its first attempt, after its batch stages. The requests of a backlog, which callers had sent in several windows, filled the budget in the one in which they were released.

Change: `StageRunner.begin` makes the state when the request arrives, and `run_attempts` goes on with it. A request earns once, when it arrives. The state has a module of its own.

Evidence: tests/test_retrybudgets.py. On the code before: runs before and after inputs are gone, "4 != 3"; tokens when a request arrives, "0.0 != 0.5". The tests that name the changed method and parameter are as strict as before.

--- a/chervilshore/decisions/retries.py
+++ b/chervilshore/decisions/retries.py
@@ -7,8 +7,8 @@
 from chervilshore.decisions import deadlines
 from chervilshore import ids
 
-RETRIES_PER_ATTEMPT = 0.1
-"""Retry tokens that each first attempt earns."""
+RETRIES_PER_REQUEST = 0.1
+"""Retry tokens that each request earns."""
 
 HEDGES_PER_ATTEMPT = 0.01
 """Hedge tokens that each first attempt earns."""
@@ -33,8 +33,8 @@
     """Decides whether one more attempt may be made."""
 
     @abc.abstractmethod
-    def record_first_attempt(self) -> None:
-        """Record the first attempt of a stage."""
+    def record_request(self) -> None:
+        """Record a request of a caller."""
 
     @abc.abstractmethod
     def acquire_retry(self, now: float) -> bool:
@@ -48,8 +48,8 @@
 class AlwaysRetry(RetryPolicy):
     """The baseline: allows every retry."""
 
-    def record_first_attempt(self) -> None:
-        """Record nothing; see `RetryPolicy.record_first_attempt`."""
+    def record_request(self) -> None:
+        """Record nothing; see `RetryPolicy.record_request`."""
 
     def acquire_retry(self, now: float) -> bool:
         """Allow it; see `RetryPolicy.acquire_retry`."""
@@ -57,15 +57,15 @@
 
 
 class RetryBudget(RetryPolicy):
-    """A token bucket that allows retries in proportion to first attempts.
+    """A token bucket that allows retries in proportion to requests.
 
     Each host has its own. As each bounds retries to a fraction of the host's
-    first attempts, all together are bound to that fraction of the cluster's.
+    requests, all together are bound to that fraction of the cluster's.
 
     Parameters
     ----------
-    tokens_per_attempt : float
-        Tokens that a first attempt earns.
+    tokens_per_request : float
+        Tokens that a request earns.
     tokens_per_second : float
         Tokens that each second earns.
     max_tokens : float
@@ -74,11 +74,11 @@
 
     def __init__(
         self,
-        tokens_per_attempt: float = RETRIES_PER_ATTEMPT,
+        tokens_per_request: float = RETRIES_PER_REQUEST,
         tokens_per_second: float = MIN_RETRIES_PER_SECOND,
         max_tokens: float = MAX_RETRY_TOKENS,
     ) -> None:
-        self._tokens_per_attempt = tokens_per_attempt
+        self._tokens_per_request = tokens_per_request
         self._tokens_per_second = tokens_per_second
         self._max_tokens = max_tokens
         self._tokens = max_tokens
@@ -88,26 +88,24 @@
 
     def reconfigure(
         self,
-        tokens_per_attempt: float,
+        tokens_per_request: float,
         tokens_per_second: float,
         max_tokens: float,
     ) -> None:
         """Change the rates and the size; surplus tokens are dropped."""
-        self._tokens_per_attempt = tokens_per_attempt
+        self._tokens_per_request = tokens_per_request
         self._tokens_per_second = tokens_per_second
         self._max_tokens = max_tokens
-        self._tokens = min(self._tokens, max_tokens)
+        self._add_tokens(0.0)
 
     def drop_tokens(self, now: float) -> None:
         """Drop all tokens, as an earlier process may have used them."""
         self._tokens = 0.0
         self._filled_at = now
 
-    def record_first_attempt(self) -> None:
-        """Add tokens; see `RetryPolicy.record_first_attempt`."""
-        self._tokens = min(
-            self._max_tokens, self._tokens + self._tokens_per_attempt
-        )
+    def record_request(self) -> None:
+        """Add tokens; see `RetryPolicy.record_request`."""
+        self._add_tokens(self._tokens_per_request)
 
     def acquire_retry(self, now: float) -> bool:
         """Use a token if there is one; see `RetryPolicy.acquire_retry`."""
@@ -134,9 +132,12 @@
                 / clocks.MILLIS_PER_SECOND
                 * self._tokens_per_second
             )
-            self._tokens = min(self._max_tokens, self._tokens + earned)
+            self._add_tokens(earned)
         self._filled_at = now
 
+    def _add_tokens(self, count: float) -> None:
+        self._tokens = min(self._max_tokens, self._tokens + count)
+
 
 class Hedging:
     """Starts a second attempt when the first one takes unusually long.
@@ -173,7 +174,7 @@
 
     def record_first_attempt(self) -> None:
         """Record the first attempt of a stage that may be hedged."""
-        self._hedge_budget.record_first_attempt()
+        self._hedge_budget.record_request()
 
     def hedge_delay_ms(self, pool: ids.PoolName, now: float) -> float | None:
         """Return how long to wait for the first attempt, in milliseconds.
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -13,14 +13,12 @@
 from chervilshore.decisions import shedding
 from chervilshore import events
 from chervilshore import exceptions
-from chervilshore.filters import base
-from chervilshore.filters import pools
+from chervilshore.filters import stagestate
 from chervilshore import ids
 from chervilshore import metriclabels
 from chervilshore import metrics
 from chervilshore import records
 from chervilshore import results
-from chervilshore.rules import model
 
 MAX_UNCONFIRMED_SLOTS = 20
 """Maximum slots in a row that may expire before an attempt uses them."""
@@ -78,62 +76,6 @@
         self.response = getattr(cause, "response", None)
 
 
-class StageState:
-    """State of one stage of a request over all its attempts.
-
-    Parameters
-    ----------
-    exchange : Exchange
-        The request.
-    index : int
-        The position of the stage in the pipeline.
-    value : dict
-        The body of the request and the outputs of the earlier stages.
-
-    Attributes
-    ----------
-    remaining_pools : tuple of PoolName
-        The pools of this stage and of the later ones.
-    attempts : int
-        Number of attempts started.
-    possible_runs : int
-        Number of failed attempts that may have run at their endpoint.
-    tried_endpoints : frozenset of EndpointId
-        Endpoints at which an attempt was started.
-    excluded : frozenset of EndpointId
-        Endpoints whose attempt at this stage failed.
-    text_chunks : list of str
-        Generated text that is kept from broken attempts.
-    domains : tuple of DomainId
-        The only failure domains to use; empty allows all.
-    """
-
-    def __init__(
-        self, exchange: base.Exchange, index: int, value: dict
-    ) -> None:
-        names = pools.list_pools(exchange)[index:]
-        self.exchange = exchange
-        self.stage = exchange.pipeline.stages[index]
-        self.pool: model.Pool = exchange.rules.pools[names[0]]
-        self.remaining_pools = names
-        self.value = value
-        self.attempts = 0
-        self.possible_runs = 0
-        self.tried_endpoints: frozenset[ids.EndpointId] = frozenset()
-        self.excluded: frozenset[ids.EndpointId] = frozenset()
-        self.text_chunks: list[str] = []
-        route = exchange.rules.route_for(
-            exchange.pipeline, exchange.team, self.stage.name
-        )
-        self.domains = route.domains if route else ()
-
-    @property
-    def is_streamed(self) -> bool:
-        """Whether text is sent to the caller while it is generated."""
-        engine = self.pool.kind is records.EndpointKind.ENGINE
-        return engine and self.exchange.sink is not None
-
-
 class AttemptRunner:
     """Makes attempts.
 
@@ -172,7 +114,9 @@
         self._metrics = counters
         self._labels = metriclabels.EndpointLabels()
 
-    async def run(self, state: StageState, hedge: bool = False) -> dict:
+    async def run(
+        self, state: stagestate.StageState, hedge: bool = False
+    ) -> dict:
         """Make one attempt.
 
         Parameters
@@ -205,7 +149,7 @@
         return await self._call(state, slot)
 
     async def _acquire_slot(
-        self, state: StageState, hedge: bool
+        self, state: stagestate.StageState, hedge: bool
     ) -> slots.Slot:
         requirements = self._make_requirements(state, hedge)
         if hedge:
@@ -241,7 +185,7 @@
         raise exceptions.RefusalError(results.Code.NO_ENDPOINT)
 
     def _make_requirements(
-        self, state: StageState, hedge: bool
+        self, state: stagestate.StageState, hedge: bool
     ) -> routing.StageRequirements:
         exchange = state.exchange
         request_class = exchange.rules.class_of(exchange.pipeline)
@@ -272,23 +216,25 @@
             pause_ms=exchange.pipeline.gap_ms,
         )
 
-    def _choose_deadline(self, state: StageState) -> float:
+    def _choose_deadline(self, state: stagestate.StageState) -> float:
         return self._deadlines.stage_deadline(
             state.remaining_pools, state.exchange.deadline, self._clock.now()
         )
 
-    def _choose_settle_ms(self, state: StageState) -> float:
+    def _choose_settle_ms(self, state: stagestate.StageState) -> float:
         if not state.exchange.continues_without_caller:
             return 0.0
         remaining_ms = state.exchange.deadline - self._choose_deadline(state)
         return max(0.0, remaining_ms) + SETTLE_MS
 
-    def _read_prefix(self, state: StageState) -> str:
+    def _read_prefix(self, state: stagestate.StageState) -> str:
         if state.pool.kind is not records.EndpointKind.ENGINE:
             return ""
         return str(state.value.get("input", ""))[:PREFIX_CHARS]
 
-    async def _call(self, state: StageState, slot: slots.Slot) -> dict:
+    async def _call(
+        self, state: stagestate.StageState, slot: slots.Slot
+    ) -> dict:
         text_chunks = list(state.text_chunks)
         call = self._make_call(state, slot, text_chunks)
         client = self._clients[state.pool.kind]
@@ -317,7 +263,10 @@
         return reply.value
 
     def _make_call(
-        self, state: StageState, slot: slots.Slot, text_chunks: list[str]
+        self,
+        state: stagestate.StageState,
+        slot: slots.Slot,
+        text_chunks: list[str],
     ) -> endpoints.Call:
         exchange = state.exchange
         pipeline = exchange.pipeline
@@ -347,7 +296,7 @@
         )
 
     def _make_sink(
-        self, state: StageState, text_chunks: list[str]
+        self, state: stagestate.StageState, text_chunks: list[str]
     ) -> endpoints.TextSink:
         sink = state.exchange.sink
 
@@ -360,7 +309,7 @@
 
     def _record_result(
         self,
-        state: StageState,
+        state: stagestate.StageState,
         slot: slots.Slot,
         outcome: records.Outcome,
         reply: endpoints.Reply,
--- a/chervilshore/filters/forward.py
+++ b/chervilshore/filters/forward.py
@@ -10,6 +10,7 @@
 from chervilshore.filters import attempt
 from chervilshore.filters import base
 from chervilshore.filters import stage
+from chervilshore.filters import stagestate
 from chervilshore import results
 
 MAX_BATCH_STAGE_RUNS = 2
@@ -53,13 +54,15 @@
         """Run the batch stages of a request and forward it.
 
         The batch stages run again if the endpoint no longer has their
-        results when the request arrives there.
+        results when the request arrives there. The attempts before and after
+        count together.
 
         Raises
         ------
         exceptions.RefusalError
             A batch stage failed, or the request could not be forwarded.
         """
+        state = self._runner.begin(exchange, FORWARDING_STAGE, {})
         for _ in range(MAX_BATCH_STAGE_RUNS):
             stage_results = await self._batch_stage_runner.run_stages(exchange)
             exchange.delivery = msgspec.structs.replace(
@@ -71,7 +74,7 @@
                     self._batch_stage_runner.free_results, stage_results
                 )
             try:
-                return await self._forward(exchange)
+                return await self._forward(exchange, state)
             except exceptions.InputsGone as error:
                 inputs_gone = error
             finally:
@@ -80,9 +83,11 @@
             results.Code.NO_ENDPOINT, str(inputs_gone)
         ) from inputs_gone
 
-    async def _forward(self, exchange: base.Exchange) -> base.Answer:
+    async def _forward(
+        self, exchange: base.Exchange, state: stagestate.StageState
+    ) -> base.Answer:
         try:
-            output = await self._runner.run(exchange, FORWARDING_STAGE, {})
+            output = await self._runner.run_attempts(state)
         except exceptions.RefusalError as error:
             cause = error.__cause__
             from_endpoint = isinstance(cause, attempt.AttemptError)
--- a/chervilshore/filters/stage.py
+++ b/chervilshore/filters/stage.py
@@ -8,6 +8,7 @@
 from chervilshore import exceptions
 from chervilshore.filters import attempt
 from chervilshore.filters import base
+from chervilshore.filters import stagestate
 from chervilshore import records
 from chervilshore import results
 
@@ -47,10 +48,10 @@
         self._hedging = hedging
         self._quarantine = quarantine
 
-    async def run(
+    def begin(
         self, exchange: base.Exchange, index: int, value: dict
-    ) -> dict:
-        """Run one stage.
+    ) -> stagestate.StageState:
+        """Return the state of a stage that a request needs.
 
         Parameters
         ----------
@@ -60,6 +61,24 @@
             The position of the stage in the pipeline.
         value : dict
             The body of the request and the outputs of the earlier stages.
+        """
+        state = stagestate.StageState(exchange, index, value)
+        self._find_budget(state.pool.name).record_request()
+        return state
+
+    async def run(
+        self, exchange: base.Exchange, index: int, value: dict
+    ) -> dict:
+        """Run one stage; see `begin` and `run_attempts`."""
+        return await self.run_attempts(self.begin(exchange, index, value))
+
+    async def run_attempts(self, state: stagestate.StageState) -> dict:
+        """Make attempts at a stage until one succeeds or none may follow.
+
+        Parameters
+        ----------
+        state : StageState
+            The state of the stage. It counts the attempts of all calls.
 
         Returns
         -------
@@ -74,8 +93,7 @@
             The stage could not be run, or no attempt returned a complete
             answer.
         """
-        state = attempt.StageState(exchange, index, value)
-        self._find_budget(state.pool.name).record_first_attempt()
+        exchange = state.exchange
         while True:
             if self._quarantine is not None:
                 self._quarantine.check(exchange)
@@ -109,13 +127,15 @@
             return results.Code.STAGE_BROKEN
         return results.Code.OUTCOME_UNKNOWN
 
-    async def _run_attempt(self, state: attempt.StageState) -> dict:
+    async def _run_attempt(self, state: stagestate.StageState) -> dict:
         hedge_delay_ms = self._choose_hedge_delay(state)
         if hedge_delay_ms is None:
             return await self._runner.run(state)
         return await self._run_hedged(state, hedge_delay_ms)
 
-    def _choose_hedge_delay(self, state: attempt.StageState) -> float | None:
+    def _choose_hedge_delay(
+        self, state: stagestate.StageState
+    ) -> float | None:
         if self._hedging is None or state.is_streamed:
             return None
         if not state.exchange.pipeline.repeatable:
@@ -124,7 +144,7 @@
         return self._hedging.hedge_delay_ms(state.pool.name, self._clock.now())
 
     async def _run_hedged(
-        self, state: attempt.StageState, hedge_delay_ms: float
+        self, state: stagestate.StageState, hedge_delay_ms: float
     ) -> dict:
         """Run an attempt, and hedge it if it takes longer than the delay."""
         running = {asyncio.ensure_future(self._runner.run(state))}
@@ -160,7 +180,7 @@
         raise failure
 
     def _check_retry(
-        self, state: attempt.StageState, error: attempt.AttemptError
+        self, state: stagestate.StageState, error: attempt.AttemptError
     ) -> None:
         """Return if another attempt may follow; else raise a refusal."""
         repeatable = state.exchange.pipeline.repeatable
@@ -193,7 +213,7 @@
         state.excluded |= {error.record.endpoint}
 
     def _keep_text(
-        self, state: attempt.StageState, error: attempt.AttemptError
+        self, state: stagestate.StageState, error: attempt.AttemptError
     ) -> None:
         """Keep generated text if the next attempt can resume after it.
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -11,11 +11,11 @@
     budget = retries.RetryBudget()
     allowed = 0
     for index in range(2000):
-        budget.record_first_attempt()
+        budget.record_request()
         # Every attempt fails, and is retried up to three times.
         allowed += sum(budget.acquire_retry(index * 10.0) for _ in range(3))
     earned = (
-        2000 * retries.RETRIES_PER_ATTEMPT
+        2000 * retries.RETRIES_PER_REQUEST
         + 20 * retries.MIN_RETRIES_PER_SECOND
     )
     assertions.assert_that(
--- a/tests/test_retrybudgets.py
+++ b/tests/test_retrybudgets.py
@@ -1,15 +1,116 @@
-"""Retry budgets of pools."""
+"""Retry budgets of pools, and what one request uses of them."""
 
+import asyncio
+
+import msgspec
 import pytest
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.controllers import batchstages
+from chervilshore.decisions import retries
 from chervilshore.decisions import retrybudgets
 from chervilshore.decisions import retryshares
+from chervilshore import exceptions
+from chervilshore.filters import forward
+from chervilshore import forwarded
 from chervilshore import ids
+from chervilshore import results
 from tests import gateway_helpers
+from tests import request_helpers as helpers
 
 POOL = ids.PoolName("pool")
+BROKEN = exceptions.EndpointBroken("broken")
+GONE = exceptions.InputsGone("gone")
+
+
+class FakeBatchStages:
+    """Batch stages that end when they are told to."""
+
+    def __init__(self):
+        self.may_end = asyncio.Event()
+        self.may_end.set()
+        self.error = None
+        self.runs = 0
+
+    async def run_stages(self, exchange):
+        self.runs += 1
+        await self.may_end.wait()
+        if self.error is not None and self.runs > 1:
+            raise self.error
+        return batchstages.BatchStageResults()
+
+    def free_results(self, stage_results):
+        pass
+
+
+def make_budget(**changes):
+    values = {
+        "tokens_per_request": 0.0,
+        "tokens_per_second": 0.0,
+        "max_tokens": 2.0,
+    }
+    return retries.RetryBudget(**values | changes)
+
+
+def make_filter(clock, outcomes, budget, attempts=2):
+    """Return a filter, its client, and a request to endpoints that fail."""
+    rules = helpers.make_rules()
+    exchange = helpers.make_exchange(rules)
+    exchange.pipeline = msgspec.structs.replace(
+        exchange.pipeline, attempts=attempts
+    )
+    left = list(outcomes)
+
+    async def plan(call):
+        error = left.pop(0)
+        if error is not None:
+            raise error
+        response = forwarded.Response(200, [])
+        return helpers.endpoints.Reply({"response": response})
+
+    names = ["e1", "e2", "e3", "e4"]
+    client = helpers.FakeClient(dict.fromkeys(names, plan))
+    runner = helpers.make_runner(
+        clock, helpers.FakeSlots(names), client, budget=budget
+    )
+    batch_stages = FakeBatchStages()
+    return (
+        forward.ForwardFilter(clock, batch_stages, runner),
+        client,
+        batch_stages,
+        exchange,
+    )
+
+
+# Guards against requests that run at more endpoints than their pipeline
+# allows, as their batch stages have run again in between.
+async def test_runs_before_and_after_inputs_are_gone_count_together(clock):
+    outcomes = [BROKEN, GONE, BROKEN, BROKEN, None]
+    step, client, _, exchange = make_filter(
+        clock, outcomes, make_budget(max_tokens=10.0), attempts=2
+    )
+    with pytest.raises(exceptions.RefusalError) as caught:
+        await step.run(exchange)
+    assertions.assert_that(
+        caught.value.code, matchers.Is(results.Code.STAGE_BROKEN)
+    )
+    assertions.assert_that(len(client.calls), matchers.Equals(3))
+
+
+# Guards against tokens that a backlog of requests earns when it is released,
+# in one window, though callers sent them over several.
+async def test_requests_earn_tokens_when_they_arrive_and_once(clock):
+    budget = make_budget(tokens_per_request=0.5)
+    budget.drop_tokens(0.0)
+    step, _, batch_stages, exchange = make_filter(clock, [GONE, None], budget)
+    batch_stages.may_end.clear()
+    running = asyncio.ensure_future(step.run(exchange))
+    await clock.advance(1)
+    assertions.assert_that(budget.describe()["left"], matchers.Equals(0.5))
+    batch_stages.may_end.set()
+    await running
+    assertions.assert_that(budget.describe()["left"], matchers.Equals(0.5))
 
 
 def test_pools_first_used_after_a_start_have_no_tokens_saved():
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -245,7 +245,7 @@
     source = helpers.FakeSlots(plans)
     client = helpers.FakeClient(plans)
     budget = retries.RetryBudget(
-        tokens_per_attempt=0.0, tokens_per_second=0.0, max_tokens=0.0
+        tokens_per_request=0.0, tokens_per_second=0.0, max_tokens=0.0
     )
     runner = helpers.make_runner(clock, source, client, budget=budget)
     exchange = helpers.make_exchange(rules)
