Cut a stream that has begun if the next answer is no stream

Cause: an answer below 500 counts as the answer of the request, whatever the caller has got before; the text is not relayed, but the code is OK, and with it the ingress writes the end of the stream.

Change: once the head has been sent, only a 200 with a stream of events may follow. Anything else is an answer that does not go on with the stream (7003, reason "stream"): its body is not read, its connection is closed, and the stream goes on at another endpoint if retries are left, else it is cut. Besides, a relay says itself whether the stream has ended; without that no answer counts as its end. The content type is compared without case, so that "Text/Event-Stream" is not buffered as a body.

Not affected before: errors of 500 and above, refusals with the mark, closes, resets, bytes without a head, answers without a stamp, of another request or with an encoding.

--- a/chervilshore/exceptions.py
+++ b/chervilshore/exceptions.py
@@ -179,7 +179,21 @@
 
 
 class AnswerMismatch(EndpointBroken):
-    """The response belongs to another request, stage or attempt."""
+    """The response belongs to another request, stage or attempt.
+
+    Attributes
+    ----------
+    reason : str
+        The reason in the metric of dropped answers.
+    """
+
+    reason = "mismatch"
+
+
+class StreamMismatch(AnswerMismatch):
+    """The response does not go on with the stream that the caller has."""
+
+    reason = "stream"
 
 
 class CallerGone(ChervilshoreError):
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -390,7 +390,7 @@
         record: records.EndpointRecord,
         error: exceptions.AnswerMismatch,
     ) -> None:
-        self._metrics.count(metrics.Metric.ANSWERS_DROPPED, "mismatch")
+        self._metrics.count(metrics.Metric.ANSWERS_DROPPED, error.reason)
         events.log_event(
             _LOGGER,
             events.Event.ANSWER_DROPPED,
--- a/chervilshore/filters/forward.py
+++ b/chervilshore/filters/forward.py
@@ -95,4 +95,10 @@
             return base.Answer(
                 results.Code.STAGE_FAILED, response=cause.response
             )
+        relay = exchange.relay
+        if relay is not None and relay.head_sent and not relay.is_complete:
+            raise exceptions.RefusalError(
+                results.Code.STREAM_BROKEN,
+                f"status {output['response'].status} after the stream",
+            )
         return base.Answer(results.Code.OK, response=output["response"])
--- a/chervilshore/forwarded.py
+++ b/chervilshore/forwarded.py
@@ -130,6 +130,8 @@
     ----------
     head_sent : bool
         Whether the head of the answer has been sent to the caller.
+    is_complete : bool
+        Whether the stream has ended, and all of it has been sent.
     last_event_id : int or None
         The id of the last event that was sent to the caller.
     origin : StreamOrigin or None
@@ -158,6 +160,7 @@
 
     def __init__(self) -> None:
         self.head_sent = False
+        self.is_complete = False
         self.last_event_id: int | None = None
         self.origin: StreamOrigin | None = None
         self.needs_version = False
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -108,7 +108,8 @@
     ANSWERS_DROPPED = _counter(
         "chervilshore_answers_dropped_total",
         ("reason",),
-        "Answers of endpoints that belong to no running attempt.",
+        "Answers of endpoints that belong to no running attempt, or do not go "
+        "on with a stream.",
     )
     ENDPOINT_REFUSALS = _counter(
         "chervilshore_endpoint_refusals_total",
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -164,10 +164,9 @@
     ) -> forwarded.Response:
         if not _is_not_executed(head):
             _check_success(head)
+            _check_continuation(head, call)
         response = forwarded.Response(head.status, _select_headers(head))
-        content_type = head.get_header("content-type") or ""
-        streams = head.status == 200 and content_type.startswith(EVENT_STREAM)
-        if streams and call.relay is not None:
+        if _is_stream(head) and call.relay is not None:
             await self._relay(connection, response, record, call)
             return response
         content = bytearray()
@@ -209,6 +208,7 @@
             raise exceptions.EndpointBroken("stream ended within an event")
         if not relay.head_sent:
             raise exceptions.EndpointBroken("stream ended without an event")
+        relay.is_complete = True
 
     def _raise_for_status(
         self,
@@ -284,6 +284,33 @@
         raise exceptions.EndpointBroken("response has a content encoding")
 
 
+def _check_continuation(
+    head: connections.ResponseHead, call: endpoints.Call
+) -> None:
+    """Check that a response can go on with a stream that has begun.
+
+    Its body is not awaited, which need not end.
+
+    Raises
+    ------
+    exceptions.StreamMismatch
+        The response is no stream of events.
+    """
+    has_begun = call.relay is not None and call.relay.head_sent
+    if not has_begun or head.status >= 500 or _is_stream(head):
+        return
+    content_type = head.get_header("content-type")
+    raise exceptions.StreamMismatch(
+        f"status {head.status}, {content_type}, after the stream has begun"
+    )
+
+
+def _is_stream(head: connections.ResponseHead) -> bool:
+    content_type = head.get_header("content-type") or ""
+    is_event_stream = content_type.lower().startswith(EVENT_STREAM)
+    return head.status == 200 and is_event_stream
+
+
 def _select_headers(head: connections.ResponseHead) -> forwarded.Headers:
     return [
         (name, value)
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -190,6 +190,17 @@
         async with self.open(host, path, **options) as response:
             return response, await response.read()
 
+    async def read_stream(self, host, path, headers=()):
+        """Send a request; return its answer, body and completeness."""
+        content = b""
+        async with self.open(host, path, headers=headers) as response:
+            try:
+                async for data in response.content.iter_any():
+                    content += data
+            except aiohttp.ClientError:
+                return response, content, False
+        return response, content, True
+
 
 async def serve_plain(deployment, count=1, limits=None, host=None, **route):
     """Start a host and plain workers."""
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -7,7 +7,6 @@
 import asyncio
 import re
 
-import aiohttp
 import pytest
 from testtools import assertions
 from testtools import matchers
@@ -69,15 +68,9 @@
 
 async def read_events(deployment, host, headers=()):
     """Send a request; return its id, status, whole events and completeness."""
-    content = b""
-    async with deployment.open(host, "/say/", headers=headers) as response:
-        try:
-            async for data in response.content.iter_any():
-                content += data
-        except aiohttp.ClientError:
-            is_complete = False
-        else:
-            is_complete = True
+    response, content, is_complete = await deployment.read_stream(
+        host, "/say/", headers
+    )
     found = re.findall(rb"id: (\d+)\ndata: (\S+)\n\n", content)
     return (
         response.attempt,
