Skip the odd entries of the store, and follow the others

What callers saw: hosts stopped following the list of endpoints and of all other kinds until they were started again, or half of the requests of a pool ended with 500.

Cause: a response of the store was decoded as a whole. One entry that was nested over 1,000 deep raised RecursionError, which is no DecodeError; nothing caught it, and the service that reads the store ended while its process went on. One NaN, Infinity or half a character made a whole listing invalid, again and again. Endpoints with a port over 65535 were used: the connection raised OverflowError, and the request ended with 500. Slots of hundreds of digits passed as well.

Change: if a response cannot be decoded, it is divided into objects without recursion (storeanswers), and each one is decoded by itself; the content is kept as bytes. Entries of endpoints and hosts are checked: nesting, lengths, bounds of numbers, an IPv4 address (nothing else was ever connected to without a look-up) and a port, and a name that headers may hold. One that fails names nothing to use, with one log line for each change (4145, 20 at a time) and a gauge; objects without a readable name have 4146 and a counter. All decoders of what other programs write go through contents.decode. Connectors and tunnels take any odd address for one that is not reached. test_any_entry_is_decoded_or_ignored has ContentInvalid in place of None.

Evidence, tests on the code before, by the final table of 130 odd entries and 6 odd names: both tests with daemons: TimeoutError (a new endpoint is not used after 5 s, before and after the start); store client: RecursionError; requests beside odd entries: TimeoutError; hosts that follow each other: [2, 2, 2, 2, 2] != [3, 3, 3, 3, 3], twice; odd addresses: OverflowError, ValueError twice; the probes of odd hosts ended in unhandled ZMQErrors. One at a time, 6 requests: port 65536: 3 of 6 answered 500; 5000 deep in a field that is skipped: the reader ended; NaN, Infinity and half a character: nothing more was followed. With the change 344 tests of these modules pass.

--- a/chervilshore/clients/connectors.py
+++ b/chervilshore/clients/connectors.py
@@ -68,7 +68,7 @@
                 return await asyncio.get_running_loop().create_connection(
                     make_protocol, host, int(port), local_addr=self._source
                 )
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, OverflowError, ValueError) as error:
             events.log_event(
                 _LOGGER,
                 events.Event.CONNECTION_FAILED,
--- a/chervilshore/clients/tunnels.py
+++ b/chervilshore/clients/tunnels.py
@@ -87,7 +87,7 @@
     except BaseException as error:
         if handshake is not None:
             handshake.transport.abort()
-        if isinstance(error, OSError | TimeoutError):
+        if isinstance(error, OSError | OverflowError | ValueError):
             raise exceptions.RelayUnavailable(
                 f"{relay}: {type(error).__name__} {error}"
             ) from error
--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -10,6 +10,7 @@
 from chervilshore.controllers import configuration as configurations
 from chervilshore.controllers import decoders as decoding
 from chervilshore.controllers import directory as directories
+from chervilshore.controllers import entries
 from chervilshore.controllers import membership as memberships
 from chervilshore.controllers import registration
 from chervilshore.controllers import storereader
@@ -87,6 +88,8 @@
     ----------
     caches : dict of str to ObjectCache
         The cached objects of each kind.
+    entries : dict of str to Entries
+        Which objects are of use, of the kinds that have many writers.
     on_hosts_listed : callable
         Called when the store has listed the hosts.
     on_rollouts : callable
@@ -128,6 +131,14 @@
                 restore_grace_ms=RESTORE_GRACE_MS
             )
             watch_delays_ms[decoders.rollouts] = WATCH_DELAY_MS
+        self.entries = {
+            decoders.endpoints: entries.Entries(
+                decoders.endpoints, decoders.read_endpoint
+            ),
+            decoders.hosts: entries.Entries(
+                decoders.hosts, decoders.read_host
+            ),
+        }
         self.on_rollouts = lambda: None
         self._registration = registration.Registration(
             store, decoders, membership, clock
@@ -219,6 +230,10 @@
     def report(self, metrics: metric_types.Metrics) -> None:
         """Set the metrics of the store; see `StoreReader.report`."""
         self._reader.report(metrics)
+        for kind, found in self.entries.items():
+            metrics.set(
+                metric_types.Metric.ENTRIES_SKIPPED, len(found.skipped), kind
+            )
 
     def describe(self) -> dict[str, object]:
         """Return a summary as JSON values, for operators."""
@@ -334,14 +349,10 @@
 
     def _apply_endpoints(self) -> None:
         cache = self.caches[self._decoders.endpoints]
-        listed = [
-            self._decoders.read_endpoint(stored.name, stored.content)
-            for stored in cache.objects.values()
-        ]
-        changed, removed = self._table.update(
-            (record for record in listed if record is not None),
-            self._clock.now(),
+        listed = self.entries[self._decoders.endpoints].decode(
+            cache.objects.values()
         )
+        changed, removed = self._table.update(listed, self._clock.now())
         position = objects.describe_position(cache.revision)
         for record in changed:
             events.log_event(
@@ -365,16 +376,11 @@
 
     def _apply_hosts(self) -> None:
         cache = self.caches[self._decoders.hosts]
-        found = [
-            self._decoders.read_host(stored.name, stored.content)
-            for stored in cache.objects.values()
-        ]
+        found = self.entries[self._decoders.hosts].decode(
+            cache.objects.values()
+        )
         me = self._membership.me.host
-        others = [
-            record
-            for record in found
-            if record is not None and record.host != me
-        ]
+        others = [record for record in found if record.host != me]
         self._senders.record_listed(others)
         self._membership.propose(others)
         self.on_hosts_listed()
--- a/chervilshore/controllers/decoders.py
+++ b/chervilshore/controllers/decoders.py
@@ -23,8 +23,8 @@
         Decodes the configuration; raises `exceptions.RulesError` if it is
         not valid.
     read_endpoint, read_host : callable
-        Decode an object from its name and content; return None if it
-        cannot be used.
+        Decode an object from its name and content; raise
+        `exceptions.ContentInvalid` if it cannot be used.
     write_host : callable
         Encodes this host's own record.
     read_rollout : callable
@@ -42,11 +42,9 @@
     rules_name: str
     read_rules: collections_abc.Callable[[bytes], model.Rules]
     read_endpoint: collections_abc.Callable[
-        [str, bytes], records.EndpointRecord | None
-    ]
-    read_host: collections_abc.Callable[
-        [str, bytes], records.HostRecord | None
+        [str, bytes], records.EndpointRecord
     ]
+    read_host: collections_abc.Callable[[str, bytes], records.HostRecord]
     write_host: collections_abc.Callable[[records.HostRecord], bytes]
     read_rollout: collections_abc.Callable[
         [objects.StoredObject], records.RolloutRecord | None
--- a/chervilshore/controllers/streamreader.py
+++ b/chervilshore/controllers/streamreader.py
@@ -9,9 +9,11 @@
 import xxhash
 
 from chervilshore import clock as clocks
+from chervilshore import contents
 from chervilshore.controllers import directory as directories
 from chervilshore.decisions import storedstreams
 from chervilshore import events
+from chervilshore import exceptions
 from chervilshore import forwarded
 from chervilshore import ids
 from chervilshore import objects
@@ -242,8 +244,8 @@
 ) -> typing.Any:
     """Return the content of an object, or None if it cannot be read."""
     try:
-        return decoder.decode(stored.content)
-    except msgspec.DecodeError as error:
+        return contents.decode(decoder, stored.content)
+    except exceptions.ContentInvalid as error:
         events.log_event(
             _LOGGER,
             events.Event.STREAMS_UNREADABLE,
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -154,6 +154,13 @@
         "endpoint refused a request, or used a status that says so",
     )
 
+    ENTRY_SKIPPED = EventSpec(
+        4145, _WARNING, "entry of the store cannot be used"
+    )
+    OBJECTS_UNREADABLE = EventSpec(
+        4146, _WARNING, "objects of the store without a readable name"
+    )
+
     # Claims: 5000 to 5999.
     CLAIM_LOG_LOADED = EventSpec(5001, _INFO, "claim log loaded")
     CLAIM_LOG_UNWRITABLE = EventSpec(5002, _WARNING, "claim log not writable")
--- a/chervilshore/exceptions.py
+++ b/chervilshore/exceptions.py
@@ -84,6 +84,10 @@
         self.change = change
 
 
+class ContentInvalid(ChervilshoreError):
+    """What another program has written cannot be read or used."""
+
+
 class PlatformError(ChervilshoreError):
     """A call to the platform failed."""
 
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -318,6 +318,16 @@
         ("call", "outcome"),
         "Calls to the platform.",
     )
+    ENTRIES_SKIPPED = _gauge(
+        "chervilshore_store_entries_skipped",
+        ("kind",),
+        "Entries that are in the store and cannot be used.",
+    )
+    OBJECTS_UNREADABLE = _counter(
+        "chervilshore_store_objects_unreadable_total",
+        ("kind",),
+        "Objects in responses of the store whose name cannot be read.",
+    )
     STORE_UNCONFIRMED = _gauge(
         "chervilshore_store_unconfirmed_seconds",
         ("kind",),
--- a/chervilshore/platform/batches.py
+++ b/chervilshore/platform/batches.py
@@ -5,6 +5,7 @@
 from chervilshore.clients import batches
 from chervilshore.clients import connectionpool
 from chervilshore.clients import connections
+from chervilshore import contents
 from chervilshore import exceptions
 from chervilshore import notices
 from chervilshore.platform import headers
@@ -105,8 +106,8 @@
         copy of an earlier response shows by handles that are known.
         """
         try:
-            results = _RESULTS_DECODER.decode(content).items
-        except msgspec.DecodeError as error:
+            results = contents.decode(_RESULTS_DECODER, content).items
+        except exceptions.ContentInvalid as error:
             raise exceptions.EndpointBroken(str(error)) from error
         if len(results) != count:
             raise exceptions.EndpointBroken(
--- a/chervilshore/platform/documents.py
+++ b/chervilshore/platform/documents.py
@@ -6,10 +6,14 @@
 field names.
 """
 
+import ipaddress
 import math
+import re
+import typing
 
 import msgspec
 
+from chervilshore import contents
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import records
@@ -125,18 +129,32 @@
     tenants: list[_Tenant] | None = None
 
 
+MAX_PORT = 65_535
+
+MAX_SLOTS = 1_000_000
+"""Requests that no endpoint runs at a time."""
+
+MAX_COLD_MS = 86_400_000.0
+"""Milliseconds for which no endpoint stays cold: a day."""
+
+MAX_BORN = 1 << 53
+"""Bound of whole numbers that all programs read alike in JSON."""
+
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+
+
 class _Server(msgspec.Struct):
     """An endpoint; `service` is its pool and `zone` its failure domain."""
 
-    service: str
-    addr: str
-    zone: str
-    state: str
-    version: str = ""
+    service: contents.Name
+    addr: contents.Name
+    zone: contents.Name
+    state: contents.Name
+    version: contents.Name = ""
     """Version of its software."""
-    slots: int = 0
-    cold_left_ms: float = 0.0
-    born: int = 0
+    slots: typing.Annotated[int, msgspec.Meta(le=MAX_SLOTS)] = 0
+    cold_left_ms: typing.Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0.0
+    born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)] = 0
     """Start time of the endpoint's process in Unix milliseconds; it tells
     processes apart that use the same name one after the other."""
 
@@ -154,8 +172,8 @@
         The content is not a valid configuration.
     """
     try:
-        decoded = _CONFIG_DECODER.decode(content)
-    except msgspec.DecodeError as error:
+        decoded = contents.decode(_CONFIG_DECODER, content)
+    except exceptions.ContentInvalid as error:
         raise exceptions.RulesError(str(error)) from error
     pools = {}
     for service in decoded.services:
@@ -259,28 +277,24 @@
     )
 
 
-def decode_endpoint(
-    name: str, content: bytes
-) -> records.EndpointRecord | None:
+def decode_endpoint(name: str, content: bytes) -> records.EndpointRecord:
     """Decode the entry of an endpoint.
 
-    Returns
-    -------
-    EndpointRecord or None
-        None if the entry is invalid or the endpoint is neither ready nor
-        draining.
+    Raises
+    ------
+    exceptions.ContentInvalid
+        The entry names no endpoint to use.
     """
-    try:
-        decoded = _SERVER_DECODER.decode(content)
-    except msgspec.DecodeError:
-        return None
+    _check_name(name)
+    decoded = contents.decode(_SERVER_DECODER, content)
     if decoded.state not in (READY, DRAINING):
-        return None
-    host, _, port = decoded.addr.rpartition(":")
-    if not host or not port.isdigit():
-        return None
+        raise exceptions.ContentInvalid(f"state {decoded.state!r}")
     if not math.isfinite(decoded.cold_left_ms):
-        return None
+        raise exceptions.ContentInvalid("cold for ever")
+    host = _split_address(decoded.addr)
+    # Connections are opened to addresses of this kind without a look-up.
+    if not isinstance(host, ipaddress.IPv4Address):
+        raise exceptions.ContentInvalid(f"address {decoded.addr!r}")
     state = records.EndpointState
     return records.EndpointRecord(
         endpoint=ids.EndpointId(name),
@@ -295,15 +309,47 @@
     )
 
 
+def _check_name(name: str) -> None:
+    """Check a name that is to be in headers and logs."""
+    if not 0 < len(name) <= contents.MAX_NAME_LENGTH:
+        raise exceptions.ContentInvalid(f"name of {len(name)} characters")
+    if not name.isascii() or not name.isprintable() or " " in name:
+        raise exceptions.ContentInvalid("name with other characters")
+
+
+def _split_address(
+    text: str,
+) -> ipaddress.IPv4Address | ipaddress.IPv6Address:
+    """Return the host of an address that something may listen at."""
+    host, _, port = text.rpartition(":")
+    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
+        raise exceptions.ContentInvalid(f"port of address {text!r}")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    try:
+        found = ipaddress.ip_address(host)
+    except ValueError as error:
+        raise exceptions.ContentInvalid(f"address {text!r}") from error
+    if found.is_unspecified or found.is_multicast:
+        raise exceptions.ContentInvalid(f"address {text!r}")
+    return found
+
+
 def make_instance(endpoint: ids.EndpointId, born: int) -> ids.InstanceId:
     """Return the name of the process of an endpoint that started then."""
     return ids.InstanceId(f"{endpoint}/{born}")
 
 
+MAX_HOST_CAPACITY = 1_000_000.0
+"""Bound of the setting `capacity`."""
+
+
 class _Host(msgspec.Struct):
-    domain: str
-    peer: str
-    capacity: float = 1.0
+    domain: contents.Name
+    peer: contents.Name
+    capacity: typing.Annotated[
+        float, msgspec.Meta(gt=0.0, le=MAX_HOST_CAPACITY)
+    ] = 1.0
 
 
 _HOST_DECODER = msgspec.json.Decoder(_Host)
@@ -316,12 +362,17 @@
     )
 
 
-def decode_host(name: str, content: bytes) -> records.HostRecord | None:
-    """Decode the entry of an entry host; None if it is invalid."""
-    try:
-        decoded = _HOST_DECODER.decode(content)
-    except msgspec.DecodeError:
-        return None
+def decode_host(name: str, content: bytes) -> records.HostRecord:
+    """Decode the entry of an entry host.
+
+    Raises
+    ------
+    exceptions.ContentInvalid
+        The entry names no host.
+    """
+    _check_name(name)
+    decoded = contents.decode(_HOST_DECODER, content)
+    _split_address(decoded.peer)
     return records.HostRecord(
         host=ids.HostId(name),
         domain=ids.DomainId(decoded.domain),
--- a/chervilshore/platform/processes.py
+++ b/chervilshore/platform/processes.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chervilshore.clients import connections
+from chervilshore import contents
 from chervilshore import exceptions
 from chervilshore.platform import documents
 from chervilshore.platform import names
@@ -89,7 +90,7 @@
     if head.status != 200:
         return 0
     try:
-        return _REPORT_DECODER.decode(content).born
-    except msgspec.DecodeError:
+        return contents.decode(_REPORT_DECODER, content).born
+    except exceptions.ContentInvalid:
         # An endpoint of another kind answers what it likes.
         return 0
--- a/chervilshore/platform/rollouts.py
+++ b/chervilshore/platform/rollouts.py
@@ -1,20 +1,28 @@
 """Decodes the platform's orders of roll-outs and encodes their status."""
 
-import math
+import typing
 
 import msgspec
 
+from chervilshore import contents
+from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import objects
 from chervilshore import records
 
 
+MAX_DURATION_S = 1e9
+"""Seconds that no order allows; more than 30 years."""
+
+
 class _Order(msgspec.Struct):
     """An order to move a pool, the `service`, to a software version."""
 
-    service: str
-    to: str
-    duration_s: float
+    service: contents.Name
+    to: contents.Name
+    duration_s: typing.Annotated[
+        float, msgspec.Meta(gt=0.0, le=MAX_DURATION_S)
+    ]
 
 
 class _Status(msgspec.Struct):
@@ -38,13 +46,11 @@
         answers an order of another version, counts as none.
     """
     try:
-        order = _ORDER_DECODER.decode(stored.content)
-    except msgspec.DecodeError:
+        order = contents.decode(_ORDER_DECODER, stored.content)
+    except exceptions.ContentInvalid:
         return None
     if not order.service or not order.to:
         return None
-    if not math.isfinite(order.duration_s) or order.duration_s <= 0.0:
-        return None
     return records.RolloutRecord(
         pool=ids.PoolName(order.service),
         to=ids.SoftwareVersion(order.to),
@@ -56,8 +62,8 @@
 
 def _decode_state(content: bytes, to: str) -> str:
     try:
-        status = _STATUS_DECODER.decode(content)
-    except msgspec.DecodeError:
+        status = contents.decode(_STATUS_DECODER, content)
+    except exceptions.ContentInvalid:
         return ""
     return status.state if status.to == to else ""
 
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -1,5 +1,8 @@
 """Client for the platform's metadata store over HTTP."""
 
+from collections import abc as collections_abc
+import logging
+import re
 import typing
 import urllib.parse
 
@@ -8,11 +11,13 @@
 from chervilshore.clients import connectionpool
 from chervilshore.clients import connections
 from chervilshore import clock as clocks
+from chervilshore import events
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import metrics
 from chervilshore import objects
 from chervilshore.platform import names
+from chervilshore.platform import storeanswers
 
 WATCH_TIMEOUT_MARGIN_MS = 1000.0
 """Milliseconds that a watch call may take beyond its own wait time."""
@@ -21,37 +26,12 @@
 """Largest response body; a page has approximately 1 MB."""
 
 
-class _Metadata(msgspec.Struct):
-    name: str
-    revision: int = 0
-    created_at: msgspec.Raw = msgspec.Raw(b"")
+_ERA = re.compile(r"[0-9]{1,4}")
+"""Form of an era: positions in the store must fit into 63 bits."""
 
+_Decode = collections_abc.Callable[[bytes], tuple[typing.Any, list[str]]]
 
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-    status: msgspec.Raw = msgspec.Raw(objects.NO_STATUS)
-
-
-class _Page(msgspec.Struct):
-    items: list[_Object]
-    has_more: bool = False
-    current_rev: int = 0
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    current_rev: int = 0
-
-
-_OBJECT_DECODER = msgspec.json.Decoder(_Object)
-_PAGE_DECODER = msgspec.json.Decoder(_Page)
-_EVENTS_DECODER = msgspec.json.Decoder(_Events)
+_LOGGER = logging.getLogger(__name__)
 
 
 class MetadataStore(objects.ObjectStore):
@@ -105,18 +85,24 @@
             path = f"/objects/{kind}"
             if query:
                 path += f"?{urllib.parse.urlencode(query)}"
-            era, page = await self._read(path, _PAGE_DECODER)
+            head, content = await self._read(path)
+            era = _read_era(path, head)
+            page = self._decode(kind, path, content, storeanswers.decode_page)
             if position is None:
                 position = objects.make_position(era, page.current_rev)
             if era != objects.read_era(position):
                 raise exceptions.StoreRestored(path)
             for item in page.items:
                 objects_by_name[item.metadata.name] = _convert(item, era)
-                after = item.metadata.name
             if not page.has_more or not page.items:
                 return objects.Listing(
                     tuple(objects_by_name.values()), position
                 )
+            last = page.items[-1].metadata.name
+            if last == after:
+                # The same page would follow again and again.
+                raise exceptions.PlatformUnavailable(f"{path}: no end")
+            after = last
 
     async def watch(
         self, kind: str, since: int, wait_ms: float
@@ -139,7 +125,11 @@
     ) -> objects.Changes:
         revision = objects.read_revision(since)
         path = f"/objects/{kind}?watch={revision}&{query}"
-        era, response = await self._read(path, _EVENTS_DECODER, timeout_ms)
+        head, content = await self._read(path, timeout_ms)
+        era = _read_era(path, head)
+        response = self._decode(
+            kind, path, content, storeanswers.decode_events
+        )
         if era > objects.read_era(since):
             raise exceptions.StoreRestored(path)
         if era < objects.read_era(since):
@@ -187,8 +177,8 @@
                 f"{kind}/{name}: {head.status}"
             )
         try:
-            stored = _OBJECT_DECODER.decode(answer)
-        except msgspec.DecodeError as error:
+            stored = storeanswers.decode_object(answer)
+        except exceptions.ContentInvalid as error:
             raise exceptions.PlatformUnknown(f"{path}: {error}") from error
         return _convert(stored, objects.read_era(revision)).revision
 
@@ -210,7 +200,10 @@
         if head.status not in (200, 409):
             raise exceptions.PlatformUnavailable(f"{path}: {head.status}")
         era = _read_era(path, head)
-        present = _convert(_decode(path, content, _OBJECT_DECODER), era)
+        try:
+            present = _convert(storeanswers.decode_object(content), era)
+        except exceptions.ContentInvalid as error:
+            raise exceptions.PlatformUnavailable(f"{path}: {error}") from error
         if head.status == 409:
             raise exceptions.ObjectChanged(path, present)
         return present
@@ -225,15 +218,37 @@
             )
 
     async def _read(
-        self, path: str, decoder, timeout_ms: float | None = None
-    ) -> tuple[int, typing.Any]:
-        """Return the era of the store and the decoded response."""
+        self, path: str, timeout_ms: float | None = None
+    ) -> tuple[connections.ResponseHead, bytes]:
         head, content = await self._call("GET", path, timeout_ms=timeout_ms)
         if head.status == 410:
             raise exceptions.HistoryGone(path)
         if head.status != 200:
             raise exceptions.PlatformUnavailable(f"{path}: {head.status}")
-        return _read_era(path, head), _decode(path, content, decoder)
+        return head, content
+
+    def _decode(
+        self, kind: str, path: str, content: bytes, decode: _Decode
+    ) -> typing.Any:
+        """Decode a response, without the objects that cannot be read."""
+        try:
+            answer, reasons = decode(content)
+        except exceptions.ContentInvalid as error:
+            raise exceptions.PlatformUnavailable(f"{path}: {error}") from error
+        if reasons:
+            # They have no name by which they could be told apart.
+            events.log_event(
+                _LOGGER,
+                events.Event.OBJECTS_UNREADABLE,
+                kind=kind,
+                objects=len(reasons),
+                reason=reasons[0],
+            )
+            if self._counters is not None:
+                self._counters.count(
+                    metrics.Metric.OBJECTS_UNREADABLE, kind, by=len(reasons)
+                )
+        return answer
 
     async def _call(
         self,
@@ -290,23 +305,16 @@
 
 def _read_era(path: str, head: connections.ResponseHead) -> int:
     text = head.get_header(names.ERA) or "0"
-    if not text.isdigit():
+    if not _ERA.fullmatch(text):
         raise exceptions.PlatformUnavailable(f"{path}: era {text[:80]}")
     return int(text)
 
 
-def _decode(path: str, content: bytes, decoder) -> typing.Any:
-    try:
-        return decoder.decode(content)
-    except msgspec.DecodeError as error:
-        raise exceptions.PlatformUnavailable(f"{path}: {error}") from error
-
-
-def _convert(item: _Object, era: int) -> objects.StoredObject:
+def _convert(item: storeanswers.Object, era: int) -> objects.StoredObject:
     return objects.StoredObject(
         item.metadata.name,
         objects.make_position(era, item.metadata.revision),
         bytes(item.spec),
         bytes(item.status),
-        bytes(item.metadata.created_at).decode(),
+        bytes(item.metadata.created_at).decode("utf-8", "replace"),
     )
