Follow the store beside many large entries

What callers saw: a host stopped following the list of endpoints, or one that started while the store was away did not get ready.

Cause: the store bounds the parts of a listing, not the answer to a watch. A dozen entries of 1 MB made it larger than the 8 MB that are read; the call failed and was made again from the same revision, without end. And copies of the objects for a peer, with the contents of entries that name nothing, were larger than the 2 MB of a message between hosts, which ends the connection.

Change: a watch whose answer is too large counts as history that is gone, so that the kind is listed again in parts. Copies leave out the content of entries that cannot be used and of domains that are out, of which the name is all that counts, and the status of kinds that have none of use.

Left: entries that can be used and have hundreds of kilobytes in fields that are not read are copied whole.

--- a/chervilshore/controllers/catalog.py
+++ b/chervilshore/controllers/catalog.py
@@ -227,6 +227,18 @@
         """Return the era of the store; see `Directory.read_era`."""
         return max(cache.era for cache in self.caches.values())
 
+    def copy(
+        self, kind: str, stored: objects.StoredObject
+    ) -> objects.StoredObject:
+        """Return what peers need of an object; messages have a limit."""
+        if kind in self.entries or kind == self._decoders.domains:
+            is_used = kind in self.entries and not (
+                stored.name in self.entries[kind].skipped
+            )
+            content = stored.content if is_used else objects.NO_CONTENT
+            return objects.StoredObject(stored.name, stored.revision, content)
+        return stored
+
     def report(self, metrics: metric_types.Metrics) -> None:
         """Set the metrics of the store; see `StoreReader.report`."""
         self._reader.report(metrics)
--- a/chervilshore/controllers/catalogsync.py
+++ b/chervilshore/controllers/catalogsync.py
@@ -72,13 +72,16 @@
         for kind, revision in request.revisions.items():
             cache = self._catalog.caches.get(kind)
             if cache is not None and cache.revision > revision:
+                copies = [
+                    self._catalog.copy(kind, entry)
+                    for entry in cache.objects.values()
+                ]
                 stored = tuple(
                     (entry.name, entry.revision, entry.content)
-                    for entry in cache.objects.values()
+                    for entry in copies
                 )
                 details = tuple(
-                    (entry.status, entry.created)
-                    for entry in cache.objects.values()
+                    (entry.status, entry.created) for entry in copies
                 )
                 if all(one[0] == objects.NO_STATUS for one in details):
                     # Hosts of earlier builds know no details.
--- a/chervilshore/objects.py
+++ b/chervilshore/objects.py
@@ -40,6 +40,9 @@
     return {"era": read_era(position), "revision": read_revision(position)}
 
 
+NO_CONTENT = b"null"
+"""The content of an object that has none or none of use, as JSON."""
+
 NO_STATUS = b"null"
 """The status of an object to which none has been written, as JSON."""
 
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -125,7 +125,14 @@
     ) -> objects.Changes:
         revision = objects.read_revision(since)
         path = f"/objects/{kind}?watch={revision}&{query}"
-        head, content = await self._read(path, timeout_ms)
+        try:
+            head, content = await self._read(path, timeout_ms)
+        except exceptions.PlatformUnavailable as error:
+            if isinstance(error.__cause__, exceptions.ResponseTooLarge):
+                # Listings come in parts, so that any number of large
+                # objects can be read.
+                raise exceptions.HistoryGone(path) from error
+            raise
         era = _read_era(path, head)
         response = self._decode(
             kind, path, content, storeanswers.decode_events
--- a/tests/test_odd_entries_daemons.py
+++ b/tests/test_odd_entries_daemons.py
@@ -26,6 +26,9 @@
 SETTLE_SECONDS = 3.0
 """Seconds in which hosts look for others."""
 
+MAX_ENTRY_BYTES = 1_000_000
+"""Size of an entry that the store may hold."""
+
 POLL_SECONDS = 0.05
 
 
@@ -103,6 +106,22 @@
         assertions.assert_that(response.status, matchers.Equals(200))
 
 
+# Copies that are larger than messages may be never arrived.
+async def test_daemon_that_starts_without_the_store_learns_from_others(
+    deployment, daemons
+):
+    await write_odd_entries(deployment)
+    await deployment.store.write(
+        "evacuations", "elsewhere", "x" * MAX_ENTRY_BYTES
+    )
+    await serve(deployment, daemons)
+    deployment.store.faults.refuse = 503
+    await daemons[0].restart(signal.SIGKILL)
+    async with asyncio.timeout(helpers.WAIT_SECONDS):
+        await daemons[0].wait_ready()
+    await follow(daemons, 1)
+
+
 # An address that is none ended the tasks that probe hosts.
 async def test_daemons_probe_others_beside_odd_entries_of_hosts(
     deployment, daemons, tmp_path
