Take a peer address that is none for a host that does not answer

What callers saw: nothing yet. Tasks that probe hosts ended in errors that nothing logged as events.

Cause: the socket for an address that ZeroMQ does not take raised ZMQError out of send, into whichever task sends: probes, gossip, requests.

--- a/chervilshore/clients/peers.py
+++ b/chervilshore/clients/peers.py
@@ -5,6 +5,8 @@
 from collections import abc as collections_abc
 import typing
 
+import msgspec
+
 from chervilshore import clock as clocks
 from chervilshore import exceptions
 from chervilshore import ids
@@ -20,6 +22,29 @@
 """Gets the sender's address and a message; returns the reply or None."""
 
 
+class PeerCounts(msgspec.Struct):
+    """Traffic counts of one host.
+
+    Parameters
+    ----------
+    sent, received : int
+        Messages.
+    sent_bytes, received_bytes : int
+        Bytes of messages, without the overhead of the transport.
+    dropped : int
+        Messages dropped at a full queue or a limit, or after the stop.
+    garbage : int
+        Invalid messages and failed handshakes.
+    """
+
+    sent: int = 0
+    received: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    dropped: int = 0
+    garbage: int = 0
+
+
 class PeerTransport(abc.ABC):
     """Sends messages to other entry hosts and dispatches received ones.
 
--- a/chervilshore/clients/zeromq.py
+++ b/chervilshore/clients/zeromq.py
@@ -53,29 +53,6 @@
 )
 
 
-class PeerCounts(msgspec.Struct):
-    """Traffic counts of one host.
-
-    Parameters
-    ----------
-    sent, received : int
-        Messages.
-    sent_bytes, received_bytes : int
-        Bytes of messages, without the overhead of the transport.
-    dropped : int
-        Messages dropped at a full queue or a limit, or after the stop.
-    garbage : int
-        Invalid messages and failed handshakes.
-    """
-
-    sent: int = 0
-    received: int = 0
-    sent_bytes: int = 0
-    received_bytes: int = 0
-    dropped: int = 0
-    garbage: int = 0
-
-
 class _PeerConnection(msgspec.Struct):
     socket: zmq.Socket
     used_at: float
@@ -101,7 +78,7 @@
 
     Attributes
     ----------
-    counts : PeerCounts
+    counts : peers.PeerCounts
         Traffic so far.
     """
 
@@ -115,8 +92,8 @@
         source: str = "",
     ) -> None:
         super().__init__()
-        self.counts = PeerCounts()
-        self._published = PeerCounts()
+        self.counts = peers.PeerCounts()
+        self._published = peers.PeerCounts()
         self._address = address
         self._clock = clock
         self._metrics = metrics
@@ -210,7 +187,7 @@
     def _publish(self) -> None:
         if self._metrics is None:
             return
-        for name in PeerCounts.__struct_fields__:
+        for name in peers.PeerCounts.__struct_fields__:
             value = getattr(self.counts, name)
             increase = value - getattr(self._published, name)
             setattr(self._published, name, value)
@@ -256,7 +233,11 @@
         if connection is None:
             socket = self._make_socket(zmq.DEALER)
             source = f"{self._source}:0;" if self._source else ""
-            socket.connect(f"tcp://{source}{to}")
+            try:
+                socket.connect(f"tcp://{source}{to}")
+            except zmq.ZMQError:
+                socket.close(0)
+                raise
             self._add_reader(socket, self._drain_dealer)
             connection = self._connections[to] = _PeerConnection(socket, 0.0)
         connection.used_at = self._clock.now()
@@ -269,7 +250,13 @@
             self.counts.dropped += 1
             return
         envelope = wire.Envelope(self._address, number, False, message)
-        socket = self._connect(to)
+        try:
+            socket = self._connect(to)
+        except zmq.ZMQError:
+            # Addresses come from other hosts, and from entries of the store.
+            self.counts.dropped += 1
+            self._count_garbage("address")
+            return
         self._send_frames(socket, [wire.encode(envelope)])
         asyncio.get_running_loop().call_soon(self._drain_dealer, socket)
 
