Read numbers in headers only from a bounded count of ASCII digits

Cause: str.isdigit() holds for other digits too, such as a superscript 2, which float() and int() refuse; and int() refuses over 4300 digits.

Change: Keep-Alive timeouts of up to 9 ASCII digits and event ids of up to 15 count; others are as if there were none. Tokens of prompt parts, which only choose an endpoint, are brought into bounds.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc as collections_abc
+import re
 import socket
 
 import h11
@@ -47,6 +48,8 @@
 """Status that the parser suggests if a head, a trailer or the header of a
 chunk is too large."""
 
+_SECONDS = re.compile(r"[0-9]{1,9}")
+
 Headers = list[tuple[str, str]]
 
 
@@ -278,7 +281,7 @@
 def _read_idle_ms(head: ResponseHead) -> float:
     for part in (head.get_header("keep-alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and _SECONDS.fullmatch(value):
             seconds = float(value)
             return seconds * clocks.MILLIS_PER_SECOND * IDLE_FRACTION
     return DEFAULT_IDLE_MS
--- a/chervilshore/platform/requests.py
+++ b/chervilshore/platform/requests.py
@@ -2,6 +2,7 @@
 
 from collections import abc as collections_abc
 import math
+import re
 
 from chervilshore import forwarded
 from chervilshore import ids
@@ -34,6 +35,8 @@
 MAX_TOKENS = 100_000_000
 """Largest number of tokens that a request may state."""
 
+_EVENT_ID = re.compile(r"[0-9]{1,15}")
+
 
 def decode_request(
     method: str,
@@ -89,7 +92,9 @@
             first.get(names.PIECES, ""), MAX_ITEMS_PER_STAGE
         ),
         item_key=first.get(names.PIECE_KEY, ""),
-        last_event_id=int(last_event_id) if last_event_id.isdigit() else None,
+        last_event_id=int(last_event_id)
+        if _EVENT_ID.fullmatch(last_event_id)
+        else None,
         resumes=ids.RequestId(first.get(names.RESUMES, "").strip()),
     )
 
@@ -124,5 +129,10 @@
     prompt_parts = []
     for part in text.split(",")[:MAX_PARTS]:
         name, _, tokens = part.strip().partition(":")
-        prompt_parts.append(forwarded.PromptPart(name, int(tokens or 0)))
+        prompt_parts.append(forwarded.PromptPart(name, _parse_tokens(tokens)))
     return tuple(prompt_parts)
+
+
+def _parse_tokens(text: str) -> int:
+    """Return the tokens of a part, which only choose its endpoint."""
+    return max(0, min(int(text or 0), MAX_TOKENS))
--- /dev/null
+++ b/tests/test_odd_numbers.py
@@ -0,0 +1,92 @@
+"""Numbers in headers that are no ASCII digits, or too long."""
+
+import asyncio
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore.clients import connectionpool
+from chervilshore.clients import connections
+from chervilshore import clock as clocks
+from chervilshore import exceptions
+from chervilshore.platform import requests
+from chervilshore.platform import store as store_clients
+
+DIGITS = ("²", "٣", "1²", "9" * 5000)
+"""Digits that `int` or `float` does not read, or reads without a bound."""
+
+
+def decode(**headers):
+    pairs = [(name.replace("_", "-"), headers[name]) for name in headers]
+    return requests.decode_request("GET", "/a", pairs, b"")
+
+
+@pytest.mark.parametrize("text", [*DIGITS, "", "x", "-1"])
+def test_event_id_that_is_no_number_names_no_event(text):
+    assertions.assert_that(
+        decode(last_event_id=text).last_event_id, matchers.Is(None)
+    )
+
+
+def test_tokens_of_a_prompt_part_are_bounded():
+    parts = decode(chervilshore_prompt_prefix=f"a:{'9' * 400},b:-1").parts
+    assertions.assert_that(
+        [part.tokens for part in parts],
+        matchers.Equals([requests.MAX_TOKENS, 0]),
+    )
+
+
+@pytest.mark.parametrize("text", DIGITS)
+def test_keep_alive_timeout_that_is_no_number_is_the_default(text):
+    head = connections.ResponseHead(200, [("keep-alive", f"timeout={text}")])
+    assertions.assert_that(
+        connections._read_idle_ms(head),
+        matchers.Equals(connections.DEFAULT_IDLE_MS),
+    )
+
+
+@pytest.mark.parametrize("text", [*DIGITS, "-1", "70000"])
+def test_era_that_is_no_small_number_is_a_failed_call(text):
+    head = connections.ResponseHead(200, [("store-era", text)])
+    with pytest.raises(exceptions.PlatformUnavailable):
+        store_clients._read_era("/objects/servers", head)
+
+
+RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+    b"Keep-Alive: timeout=\xb2\r\n\r\nok"
+)
+
+
+class Server(asyncio.Protocol):
+    """Answers each request with the same bytes."""
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.transport.write(RESPONSE)
+
+
+# A timeout that is no number was an error after the whole response.
+async def test_response_with_an_odd_keep_alive_timeout_is_complete():
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(Server, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = connectionpool.ConnectionPool(clocks.SystemClock(), 1000.0)
+    request = connections.Request("GET", "/", [("Host", "a")])
+    try:
+        for _ in range(2):
+            head, content = await pool.fetch(
+                f"127.0.0.1:{port}", request, 5000.0
+            )
+            assertions.assert_that(
+                (head.status, content), matchers.Equals((200, b"ok"))
+            )
+    finally:
+        pool.close()
+        server.close()
+        await server.wait_closed()
+        # Closes the transports before the loop ends.
+        await asyncio.sleep(0.01)
