Let only events that follow go on with a stream

Callers saw: a stream broke off after event 2, and in its middle came the text of an error, an error's whole head, events that they had, or event 4 without event 3; or the next endpoint sent no event at all, and the stream ended as if it were complete (ORDER, MIXED).

Cause: a 200 with a stream of events was relayed as it came. An endpoint that ignores Last-Event-Id, fails once its head is out, or writes a second head into its body was joined to what the caller had. "Ended without an event" was an error only before the head was sent.

Change: decisions/eventpositions.py knows how far a stream has come. On streams that may be resumed ids have to rise. Comments may come. A continuation without an event is no end. What does not follow is not sent: the stream goes on at another endpoint, or is cut (7003, reason "stream"). After an event without an id a stream is not resumed; it was resumed after the id before.

Left: a caller resumes at a host that saw none of the stream, and the endpoint leaves events out: the host cannot tell. An endpoint that rightly sends nothing after the last event makes the caller see a cut stream.

--- a/chervilshore/eventstreams.py
+++ b/chervilshore/eventstreams.py
@@ -20,14 +20,15 @@
 
     Attributes
     ----------
-    last_event_id : int or None
-        The id of the last complete event that had one.
+    event_ids : list of int or None
+        The ids of the events that the last bytes completed, None for an
+        event without one. Comments are no events.
     events : int
-        The complete events so far.
+        The complete events and comments so far.
     """
 
     def __init__(self) -> None:
-        self.last_event_id: int | None = None
+        self.event_ids: list[int | None] = []
         self.events = 0
         self._buffer = bytearray()
         self._searched = 0
@@ -41,6 +42,7 @@
             An event is too large.
         """
         self._buffer += data
+        self.event_ids = []
         end = 0
         # An end that was cut may begin shortly before the new bytes.
         start = max(0, self._searched - _END_BYTES + 1)
@@ -65,4 +67,11 @@
     def _record_event_id(self, event: bytes) -> None:
         match = _EVENT_ID.search(event)
         if match:
-            self.last_event_id = int(match.group(1))
+            self.event_ids.append(int(match.group(1)))
+        elif not _is_comment(event):
+            self.event_ids.append(None)
+
+
+def _is_comment(event: bytes) -> bool:
+    lines = event.splitlines()
+    return all(not line or line.startswith(b":") for line in lines)
--- a/chervilshore/forwarded.py
+++ b/chervilshore/forwarded.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chervilshore.decisions import eventpositions
 from chervilshore import ids
 
 SURVIVED_MS = 500.0
@@ -132,8 +133,9 @@
         Whether the head of the answer has been sent to the caller.
     is_complete : bool
         Whether the stream has ended, and all of it has been sent.
-    last_event_id : int or None
-        The id of the last event that was sent to the caller.
+    position : EventPosition or None
+        How far the stream has come at the caller; None before the first
+        event of this response.
     origin : StreamOrigin or None
         What wrote the first event, in this request or an earlier one; None
         for a new stream without an event.
@@ -161,7 +163,7 @@
     def __init__(self) -> None:
         self.head_sent = False
         self.is_complete = False
-        self.last_event_id: int | None = None
+        self.position: eventpositions.EventPosition | None = None
         self.origin: StreamOrigin | None = None
         self.needs_version = False
         self.begun_at: float | None = None
@@ -176,6 +178,13 @@
         self.on_begun: collections_abc.Callable[[], None] = _do_nothing
         self.on_head_sent: collections_abc.Callable[[], None] = _do_nothing
 
+    @property
+    def last_event_id(self) -> int | None:
+        """The id of the last event that was sent; None if it has none."""
+        if self.position is None or not self.position.is_named:
+            return None
+        return self.position.last_id
+
     def begin_attempt(self, origin: StreamOrigin) -> None:
         """Record an attempt; forget when the one before sent events."""
         self.begun_at = None
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -7,6 +7,7 @@
 from chervilshore.clients import connections
 from chervilshore.clients import endpoints
 from chervilshore import clock as clocks
+from chervilshore.decisions import eventpositions
 from chervilshore import events
 from chervilshore import eventstreams
 from chervilshore import exceptions
@@ -189,10 +190,21 @@
         """Relay each event as soon as it is complete."""
         relay = call.relay
         splitter = eventstreams.EventSplitter()
+        begin = relay.position or eventpositions.EventPosition(
+            call.forwarded_request.last_event_id if call.repeatable else None
+        )
+        position = begin
         async for data in connection.read_body():
             complete_events = splitter.feed(data)
             if not complete_events:
                 continue
+            if call.repeatable:
+                _check_events(
+                    position,
+                    splitter.event_ids,
+                    is_continuation=begin.last_id is not None,
+                )
+            position = position.advance(splitter.event_ids)
             now = self._clock.now()
             relay.record_event(now)
             if call.flight is not None:
@@ -203,10 +215,10 @@
                 )
                 await relay.send_head(response)
             await relay.write(complete_events)
-            relay.last_event_id = splitter.last_event_id
+            relay.position = position
         if not splitter.at_event_boundary:
             raise exceptions.EndpointBroken("stream ended within an event")
-        if not relay.head_sent:
+        if position is begin:
             raise exceptions.EndpointBroken("stream ended without an event")
         relay.is_complete = True
 
@@ -305,6 +317,23 @@
     )
 
 
+def _check_events(
+    position: eventpositions.EventPosition,
+    event_ids: eventpositions.EventIds,
+    is_continuation: bool,
+) -> None:
+    """Check that events go on with a stream that may be resumed.
+
+    Raises
+    ------
+    exceptions.StreamMismatch
+        They do not follow what the caller has got.
+    """
+    reason = position.find_mismatch(event_ids, is_continuation)
+    if reason is not None:
+        raise exceptions.StreamMismatch(reason)
+
+
 def _is_stream(head: connections.ResponseHead) -> bool:
     content_type = head.get_header("content-type") or ""
     is_event_stream = content_type.lower().startswith(EVENT_STREAM)
--- a/tests/test_stream_continuations.py
+++ b/tests/test_stream_continuations.py
@@ -1,7 +1,8 @@
 """Streams that have begun, broken off and got another answer.
 
 The load: an endpoint sends two of five events and ends within the third; the
-next endpoint answers with an error, or with something else than a stream.
+next endpoint answers with an error, with something else than a stream, or with
+events that do not follow.
 """
 
 import pytest
@@ -36,6 +37,14 @@
 """The answer of the endpoint that begins the stream."""
 
 
+ERROR_HEAD = (
+    b"HTTP/1.1 500 Internal Server Error\r\n"
+    b"Content-Type: text/plain\r\nContent-Length: 6\r\n\r\n"
+)
+COMMENT = b": working\n\n"
+ERROR_EVENT = b'event: error\ndata: {"error": "overloaded"}\n\n'
+
+
 def make_error(status, end=KEEP, **options):
     """Return an error with a text."""
     options = {"content_type": "text/plain", "framing": "length"} | options
@@ -104,6 +113,37 @@
 }
 """Bytes that are no answer to the request."""
 
+WRONG_EVENTS = {
+    "none": make_stream(b""),
+    "none, without a length": make_stream(b"", CLOSE, framing="none"),
+    "comments only": make_stream(COMMENT + COMMENT),
+    "from the start": make_stream(WHOLE),
+    "the last one again": make_stream(script_helpers.make_events(2, EVENTS)),
+    "one left out": make_stream(script_helpers.make_events(4, EVENTS)),
+    "one left out later": make_stream(
+        script_helpers.make_events(3, 3) + script_helpers.make_events(5, 5)
+    ),
+    "one twice": make_stream(script_helpers.make_events(3, 4) + REST),
+    "error without an id": make_stream(ERROR_EVENT),
+    "error after an event": make_stream(
+        script_helpers.make_events(3, 3) + ERROR_EVENT
+    ),
+    "error before events": make_stream(ERROR_EVENT + REST),
+    "head of an error": make_stream(ERROR_HEAD + b"failed"),
+    "head of an error without a length": make_stream(
+        script_helpers.make_events(3, 3) + ERROR_HEAD, CLOSE, framing="none"
+    ),
+    "two heads": make_stream(script_helpers.make_answer(REST)),
+    "raw error in chunks": (
+        script_helpers.make_answer(
+            script_helpers.make_events(3, 3), is_cut=True
+        )
+        + ERROR_HEAD,
+        CLOSE,
+    ),
+}
+"""Streams whose events do not follow those that were sent."""
+
 CUT_STREAMS = {
     "within an event": make_stream(
         script_helpers.make_events(3, 3) + script_helpers.CUT_EVENT
@@ -132,6 +172,7 @@
         ("answer", OTHER_ANSWERS),
         ("refusal", REFUSALS),
         ("no answer", NO_ANSWERS),
+        ("events", WRONG_EVENTS),
         ("cut", CUT_STREAMS),
     )
     for name, answer in answers.items()
@@ -141,6 +182,11 @@
 """Nothing is left that a third endpoint could send."""
 
 
+GAP = "one left out"
+"""A host that has seen no event of the stream cannot tell, as ids only have to
+rise."""
+
+
 @pytest.fixture
 def script():
     new_script = script_helpers.Script()
@@ -150,12 +196,13 @@
 
 def check_stream(content, is_complete):
     """Check that a caller got a stream, or sees where it was cut."""
-    events = [
+    events = content.replace(COMMENT, b"")
+    possible = [
         script_helpers.make_events(1, number) for number in range(EVENTS + 1)
     ]
-    assertions.assert_that(events, matchers.Contains(content))
+    assertions.assert_that(possible, matchers.Contains(events))
     if is_complete:
-        assertions.assert_that(content, matchers.Equals(WHOLE))
+        assertions.assert_that(events, matchers.Equals(WHOLE))
 
 
 # Guards against ORDER and MIXED by the text or head of an error in the middle
@@ -184,12 +231,45 @@
 ):
     host = await script_helpers.serve(deployment, script, max_attempts=3)
     script.answers = [BROKEN, SECOND_ANSWERS[name]]
+    status, content, is_complete = await script_helpers.read_stream(
+        deployment, host
+    )
+    assertions.assert_that((status, is_complete), matchers.Equals((200, True)))
+    check_stream(content, is_complete)
+
+
+# Guards against ORDER by an endpoint whose own events go back.
+async def test_stream_whose_events_go_back_goes_on_elsewhere(
+    deployment, script
+):
+    host = await script_helpers.serve(deployment, script, max_attempts=2)
+    begin = script_helpers.make_events(1, 2)
+    answer = script_helpers.make_answer(begin, is_cut=True)
+    script.answers = [(answer + b"%x\r\n%s\r\n" % (len(begin), begin), KEEP)]
     assertions.assert_that(
         await script_helpers.read_stream(deployment, host),
         matchers.Equals((200, WHOLE, True)),
     )
 
 
+# Guards against ORDER and MIXED where the caller goes on with its stream.
+@pytest.mark.parametrize(
+    "name", [name for name in WRONG_EVENTS if name != GAP]
+)
+async def test_caller_that_resumes_gets_only_events_that_follow(
+    deployment, script, name
+):
+    host = await script_helpers.serve(deployment, script, max_attempts=1)
+    script.answers = [WRONG_EVENTS[name]]
+    status, content, is_complete = await script_helpers.read_stream(
+        deployment, host, headers={"Last-Event-Id": "2"}
+    )
+    if status == 200:
+        check_stream(script_helpers.make_events(1, 2) + content, is_complete)
+    else:
+        assertions.assert_that(status, matchers.Equals(502))
+
+
 class Runner:
     """Runs a stage whose stream breaks, and gets another answer."""
 
