Relay no stream that says that it has not run

Callers saw: events of a request whose endpoint said, in the same head, that it had not run it; the request then went to another endpoint, also where it may run once, and the stream of that one was joined or cut (ORDER, TWICE).

Cause: a 200 with a stream was relayed before the mark was looked at, and afterwards counted as a refusal.

Change: a response with the mark is never relayed. It stays a refusal.

Evidence: two tests of tests/test_stream_continuations.py failed before: a stream that may run once gave the caller "id: 3.. id: 5", incomplete, and a resumed one was cut instead of going on.

--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -337,7 +337,8 @@
 def _is_stream(head: connections.ResponseHead) -> bool:
     content_type = head.get_header("content-type") or ""
     is_event_stream = content_type.lower().startswith(EVENT_STREAM)
-    return head.status == 200 and is_event_stream
+    is_run = head.status == 200 and not _is_not_executed(head)
+    return is_run and is_event_stream
 
 
 def _select_headers(head: connections.ResponseHead) -> forwarded.Headers:
--- a/tests/test_stream_continuations.py
+++ b/tests/test_stream_continuations.py
@@ -93,6 +93,14 @@
         "429 Too Many Requests",
         "503 Service Unavailable",
     )
+} | {
+    "stream with a mark": make_stream(
+        REST,
+        headers=[
+            "Chervilshore-Response-Stamp: s",
+            "Chervilshore-Not-Executed: 1",
+        ],
+    )
 }
 """Answers that say that the request has not run."""
 
@@ -270,6 +278,21 @@
         assertions.assert_that(status, matchers.Equals(502))
 
 
+# Guards against ORDER and TWICE by an endpoint that says that it has not run
+# a request and sends events all the same.
+async def test_stream_that_says_that_it_has_not_run_is_not_sent(
+    deployment, script
+):
+    host = await script_helpers.serve(
+        deployment, script, resumable=False, max_attempts=2
+    )
+    script.answers = [REFUSALS["stream with a mark"]]
+    assertions.assert_that(
+        await script_helpers.read_stream(deployment, host),
+        matchers.Equals((200, WHOLE, True)),
+    )
+
+
 class Runner:
     """Runs a stage whose stream breaks, and gets another answer."""
 
