Close idle connections of callers at once at a stop

Cause: at the end of a drain the web server marks a connection as closing, then waits up to 0.5 s for the task that serves it, which on an idle connection waits for a request. What comes in that time is read and ignored, and cut at the end.

Change: a connection without a request is closed at once; what crosses that is not read, and its caller may send it again.

Evidence: test_an_idle_connection_closes_at_once_at_a_stop needs no load. Before: False is not True (open after all rounds of the loop); it passes now.

--- a/chervilshore/listener.py
+++ b/chervilshore/listener.py
@@ -142,6 +142,15 @@
             )
             self._written_to.abort()
 
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Close the connection, at once if there is no request on it.
+
+        Until the timeout the web server would read requests and ignore them.
+        """
+        if not self._answering and not self._messages:
+            self.force_close()
+        await super().shutdown(timeout)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer, as the connection has closed."""
         self._cancel_timer()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -43,6 +43,7 @@
     def __init__(self, loop):
         self.runs = []
         self.may_end = asyncio.Event()
+        self.connection = None
         self._loop = loop
         self._socket, self._served = socket.socketpair()
         self._served.setsockopt(
@@ -55,7 +56,9 @@
         server = listener.Listener(
             self._handle, lambda: HEAD_SECONDS, access_log=None
         )
-        await self._loop.create_connection(server, sock=self._served)
+        _, self.connection = await self._loop.create_connection(
+            server, sock=self._served
+        )
 
     async def _handle(self, request):
         self.runs.append(request.path)
@@ -67,6 +70,13 @@
     def write(self, data):
         self._socket.send(data)
 
+    def is_closed(self):
+        """Return whether the connection is closed; it must be quiet."""
+        try:
+            return not self._socket.recv(1)
+        except BlockingIOError:
+            return False
+
     async def read_statuses(self):
         """Return the statuses of all answers that have come."""
         received = b""
@@ -158,3 +168,35 @@
     statuses, runs = run_in_stalling_loop(pipeline)
     assertions.assert_that(statuses, matchers.Equals([200, status]))
     assertions.assert_that(runs[0], matchers.Equals("/slow"))
+
+
+# Guards against LOST: at a stop, a request on an idle connection was read,
+# ignored, and cut half a second later.
+def test_an_idle_connection_closes_at_once_at_a_stop():
+    async def stop(loop, caller):
+        caller.write(b"GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
+        statuses = await caller.read_statuses()
+        assertions.assert_that(statuses, matchers.Equals([200]))
+        stopping = loop.create_task(
+            caller.connection.shutdown(listener.SHUTDOWN_SECONDS)
+        )
+        await pass_rounds()
+        assertions.assert_that(caller.is_closed(), matchers.Is(True))
+        await stopping
+
+    run_in_stalling_loop(stop)
+
+
+def test_a_request_in_flight_is_answered_at_a_stop():
+    async def stop(loop, caller):
+        caller.write(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+        await pass_rounds()
+        stopping = loop.create_task(
+            caller.connection.shutdown(listener.SHUTDOWN_SECONDS)
+        )
+        await pass_rounds()
+        caller.may_end.set()
+        await stopping
+
+    statuses, runs = run_in_stalling_loop(stop)
+    assertions.assert_that(statuses, matchers.Equals([200]))
