Set the order of a stop in the test of connections as it is

What stays open for up to 0.5 s, and ignores what comes, is a connection that was accepted in the last round of the event loop before the stop: the task that serves it begins after it was to be woken.

The test now stops the listener as its runner does, in the round in which the task is due. On the code before it says False is not True (open after ten rounds); it passes since. Idle connections and requests in flight have tests of their own, which pass on both.

--- a/chervilshore/listener.py
+++ b/chervilshore/listener.py
@@ -145,7 +145,8 @@
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close the connection, at once if there is no request on it.
 
-        Until the timeout the web server would read requests and ignore them.
+        On one that was just accepted the web server would read requests until
+        the timeout, and ignore them.
         """
         if not self._answering and not self._messages:
             self.force_close()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -43,7 +43,8 @@
     def __init__(self, loop):
         self.runs = []
         self.may_end = asyncio.Event()
-        self.connection = None
+        self._listener = None
+        self._stopping = None
         self._loop = loop
         self._socket, self._served = socket.socketpair()
         self._served.setsockopt(
@@ -52,12 +53,26 @@
         self._socket.setblocking(False)
         self._served.setblocking(False)
 
-    async def connect(self):
-        server = listener.Listener(
+    async def connect(self, stops):
+        """Connect; `stops` if the listener stops just after it accepted."""
+        self._listener = listener.Listener(
             self._handle, lambda: HEAD_SECONDS, access_log=None
         )
-        _, self.connection = await self._loop.create_connection(
-            server, sock=self._served
+
+        def accept():
+            if stops:
+                # Before the task that serves the connection begins.
+                self._loop.call_soon(self._loop.call_soon, self.stop)
+            return self._listener()
+
+        await self._loop.create_connection(accept, sock=self._served)
+        await pass_rounds()
+
+    def stop(self):
+        """Stop the listener as its runner does."""
+        self._listener.pre_shutdown()
+        self._stopping = self._loop.create_task(
+            self._listener.shutdown(listener.SHUTDOWN_SECONDS)
         )
 
     async def _handle(self, request):
@@ -92,13 +107,13 @@
         return [int(text) for text in _STATUS_LINE.findall(received)]
 
 
-def run_in_stalling_loop(scenario):
+def run_in_stalling_loop(scenario, stops_at_connect=False):
     """Run a scenario with a caller; return the answers and what has run."""
     loop = StallingLoop()
 
     async def run():
         caller = Caller(loop)
-        await caller.connect()
+        await caller.connect(stops_at_connect)
         await scenario(loop, caller)
         await pass_rounds()
         return await caller.read_statuses(), caller.runs
@@ -170,19 +185,23 @@
     assertions.assert_that(runs[0], matchers.Equals("/slow"))
 
 
-# Guards against LOST: at a stop, a request on an idle connection was read,
-# ignored, and cut half a second later.
+# Guards against LOST: a request on a connection that was accepted in the last
+# moment before a stop was read, ignored, and cut half a second later.
+def test_a_connection_accepted_at_a_stop_closes_at_once():
+    async def stop(loop, caller):
+        assertions.assert_that(caller.is_closed(), matchers.Is(True))
+
+    run_in_stalling_loop(stop, stops_at_connect=True)
+
+
 def test_an_idle_connection_closes_at_once_at_a_stop():
     async def stop(loop, caller):
         caller.write(b"GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
         statuses = await caller.read_statuses()
         assertions.assert_that(statuses, matchers.Equals([200]))
-        stopping = loop.create_task(
-            caller.connection.shutdown(listener.SHUTDOWN_SECONDS)
-        )
+        caller.stop()
         await pass_rounds()
         assertions.assert_that(caller.is_closed(), matchers.Is(True))
-        await stopping
 
     run_in_stalling_loop(stop)
 
@@ -191,12 +210,9 @@
     async def stop(loop, caller):
         caller.write(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
         await pass_rounds()
-        stopping = loop.create_task(
-            caller.connection.shutdown(listener.SHUTDOWN_SECONDS)
-        )
+        caller.stop()
         await pass_rounds()
         caller.may_end.set()
-        await stopping
 
     statuses, runs = run_in_stalling_loop(stop)
     assertions.assert_that(statuses, matchers.Equals([200]))
