Pay for each send of a request after the first one that arrived

Cause: a request whose batch results were gone went to its pool again, once, without asking the retry budget, however many did so at the same time. Results are gone when their endpoints die, or when batch pools are so far behind that results expire.

Change: `Sends` counts the sends of a request. Each send after the first that reached an endpoint, or may have, needs a token, whatever the reason. It is reserved before the batch stages run again, so that a request without one is refused at once as not run. Until its use, a reserved token takes space in the bucket: so a window never has more sends than fit into the bucket and are earned within it. A send that reached no endpoint gives its token to the next one, and a request that ends returns it. A send without a token is an error.

--- a/chervilshore/decisions/retries.py
+++ b/chervilshore/decisions/retries.py
@@ -40,6 +40,22 @@
     def acquire_retry(self, now: float) -> bool:
         """Return whether a retry may be made now, and count it if so."""
 
+    @abc.abstractmethod
+    def reserve_retry(self, now: float) -> bool:
+        """Return whether a retry may follow, and set a token aside if so."""
+
+    @abc.abstractmethod
+    def use_retry(self) -> None:
+        """Use a reserved token: the retry is sent now."""
+
+    @abc.abstractmethod
+    def withdraw_retry(self) -> None:
+        """Reserve a used token again: its retry reached no endpoint."""
+
+    @abc.abstractmethod
+    def release_retry(self) -> None:
+        """Return a reserved token: no retry follows."""
+
 
 FindBudget = collections_abc.Callable[[ids.PoolName], RetryPolicy]
 """Returns the retry budget of a pool."""
@@ -55,6 +71,19 @@
         """Allow it; see `RetryPolicy.acquire_retry`."""
         return True
 
+    def reserve_retry(self, now: float) -> bool:
+        """Allow it; see `RetryPolicy.reserve_retry`."""
+        return True
+
+    def use_retry(self) -> None:
+        """Do nothing; see `RetryPolicy.use_retry`."""
+
+    def withdraw_retry(self) -> None:
+        """Do nothing; see `RetryPolicy.withdraw_retry`."""
+
+    def release_retry(self) -> None:
+        """Do nothing; see `RetryPolicy.release_retry`."""
+
 
 class RetryBudget(RetryPolicy):
     """A token bucket that allows retries in proportion to requests.
@@ -62,6 +91,10 @@
     Each host has its own. As each bounds retries to a fraction of the host's
     requests, all together are bound to that fraction of the cluster's.
 
+    A reserved token takes space in the bucket until it is used. So in any
+    window retries are at most those that fit into the bucket and those that
+    were earned in the window, however long a reservation lasts.
+
     Parameters
     ----------
     tokens_per_request : float
@@ -82,6 +115,7 @@
         self._tokens_per_second = tokens_per_second
         self._max_tokens = max_tokens
         self._tokens = max_tokens
+        self._reserved = 0
         self._filled_at: float | None = None
         self._allowed = 0
         self._denied = 0
@@ -117,10 +151,33 @@
         self._allowed += 1
         return True
 
+    def reserve_retry(self, now: float) -> bool:
+        """Reserve a token if any; see `RetryPolicy.reserve_retry`."""
+        if not self.acquire_retry(now):
+            return False
+        self._reserved += 1
+        return True
+
+    def use_retry(self) -> None:
+        """Make space for another token; see `RetryPolicy.use_retry`."""
+        self._reserved -= 1
+
+    def withdraw_retry(self) -> None:
+        """Reserve the token again; see `RetryPolicy.withdraw_retry`."""
+        self._reserved += 1
+        self._add_tokens(0.0)
+
+    def release_retry(self) -> None:
+        """Return the token; see `RetryPolicy.release_retry`."""
+        self._reserved -= 1
+        self._allowed -= 1
+        self._add_tokens(1.0)
+
     def describe(self) -> dict[str, float]:
-        """Return the tokens left and the retries allowed and denied."""
+        """Return the tokens and the retries allowed and denied."""
         return {
             "left": self._tokens,
+            "reserved": self._reserved,
             "allowed": self._allowed,
             "denied": self._denied,
         }
@@ -136,7 +193,8 @@
         self._filled_at = now
 
     def _add_tokens(self, count: float) -> None:
-        self._tokens = min(self._max_tokens, self._tokens + count)
+        space = max(0.0, self._max_tokens - self._reserved)
+        self._tokens = min(space, self._tokens + count)
 
 
 class Hedging:
--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -154,6 +154,11 @@
         "endpoint refused a request, or used a status that says so",
     )
 
+    REQUEST_SENT_AGAIN = EventSpec(
+        4140, _INFO, "request sent again, with a token of the retry budget"
+    )
+    RETRY_DENIED = EventSpec(4141, _INFO, "request not sent again")
+
     # Claims: 5000 to 5999.
     CLAIM_LOG_LOADED = EventSpec(5001, _INFO, "claim log loaded")
     CLAIM_LOG_UNWRITABLE = EventSpec(5002, _WARNING, "claim log not writable")
--- a/chervilshore/filters/attempt.py
+++ b/chervilshore/filters/attempt.py
@@ -146,7 +146,7 @@
             raise exceptions.RefusalError(results.Code.DEADLINE_PASSED)
         state.attempts += 1
         state.tried_endpoints |= {slot.record.endpoint}
-        return await self._call(state, slot)
+        return await self._call(state, slot, hedge)
 
     async def _acquire_slot(
         self, state: stagestate.StageState, hedge: bool
@@ -233,7 +233,7 @@
         return str(state.value.get("input", ""))[:PREFIX_CHARS]
 
     async def _call(
-        self, state: stagestate.StageState, slot: slots.Slot
+        self, state: stagestate.StageState, slot: slots.Slot, hedge: bool
     ) -> dict:
         text_chunks = list(state.text_chunks)
         call = self._make_call(state, slot, text_chunks)
@@ -241,12 +241,19 @@
         started = self._clock.now()
         outcome = records.Outcome.CANCELLED
         reply = endpoints.Reply({})
-        state.exchange.begin_send()
         try:
+            is_paid = state.sends.begin(hedge)
+            state.exchange.begin_send()
+            if state.sends.arrivals > 1:
+                self._log_repeat(state, slot.record)
             reply = await client.call(slot.record, call)
             outcome = records.Outcome.OK
         except exceptions.EndpointError as error:
             outcome = outcomes.classify(error)
+            if outcome is records.Outcome.UNREACHED:
+                state.sends.withdraw(is_paid)
+            else:
+                state.outcome = outcome
             if outcome in _NOT_RUN:
                 state.exchange.withdraw_send()
             else:
@@ -333,6 +340,19 @@
             outcome.value,
         )
 
+    def _log_repeat(
+        self, state: stagestate.StageState, record: records.EndpointRecord
+    ) -> None:
+        events.log_event(
+            _LOGGER,
+            events.Event.REQUEST_SENT_AGAIN,
+            request=state.exchange.request,
+            endpoint=record.endpoint,
+            pool=state.pool.name,
+            send=state.sends.arrivals,
+            after=state.outcome and state.outcome.value,
+        )
+
     def _log_mismatch(
         self,
         request: ids.RequestId,
--- a/chervilshore/filters/forward.py
+++ b/chervilshore/filters/forward.py
@@ -54,15 +54,20 @@
         """Run the batch stages of a request and forward it.
 
         The batch stages run again if the endpoint no longer has their
-        results when the request arrives there. The attempts before and after
-        count together.
+        results when the request arrives there, and the retry budget allows
+        that it is sent once more.
 
         Raises
         ------
         exceptions.RefusalError
             A batch stage failed, or the request could not be forwarded.
         """
-        state = self._runner.begin(exchange, FORWARDING_STAGE, {})
+        with self._runner.begin(exchange, FORWARDING_STAGE, {}) as state:
+            return await self._run(exchange, state)
+
+    async def _run(
+        self, exchange: base.Exchange, state: stagestate.StageState
+    ) -> base.Answer:
         for _ in range(MAX_BATCH_STAGE_RUNS):
             stage_results = await self._batch_stage_runner.run_stages(exchange)
             exchange.delivery = msgspec.structs.replace(
--- a/chervilshore/filters/stage.py
+++ b/chervilshore/filters/stage.py
@@ -1,10 +1,14 @@
 """Runs one stage of a request, with retries and hedged requests."""
 
 import asyncio
+from collections import abc as collections_abc
+import contextlib
+import logging
 
 from chervilshore import clock as clocks
 from chervilshore.controllers import quarantine as quarantines
 from chervilshore.decisions import retries
+from chervilshore import events
 from chervilshore import exceptions
 from chervilshore.filters import attempt
 from chervilshore.filters import base
@@ -15,6 +19,8 @@
 MAX_ATTEMPTS = 4
 """Maximum attempts at one stage, including those that reached no endpoint."""
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class StageRunner:
     """Runs stages.
@@ -48,10 +54,11 @@
         self._hedging = hedging
         self._quarantine = quarantine
 
+    @contextlib.contextmanager
     def begin(
         self, exchange: base.Exchange, index: int, value: dict
-    ) -> stagestate.StageState:
-        """Return the state of a stage that a request needs.
+    ) -> collections_abc.Iterator[stagestate.StageState]:
+        """Return the state of a stage until its request has ended.
 
         Parameters
         ----------
@@ -62,15 +69,20 @@
         value : dict
             The body of the request and the outputs of the earlier stages.
         """
-        state = stagestate.StageState(exchange, index, value)
-        self._find_budget(state.pool.name).record_request()
-        return state
+        state = stagestate.StageState(
+            exchange, index, value, self._find_budget
+        )
+        try:
+            yield state
+        finally:
+            state.sends.end()
 
     async def run(
         self, exchange: base.Exchange, index: int, value: dict
     ) -> dict:
         """Run one stage; see `begin` and `run_attempts`."""
-        return await self.run_attempts(self.begin(exchange, index, value))
+        with self.begin(exchange, index, value) as state:
+            return await self.run_attempts(state)
 
     async def run_attempts(self, state: stagestate.StageState) -> dict:
         """Make attempts at a stage until one succeeds or none may follow.
@@ -88,7 +100,8 @@
         Raises
         ------
         exceptions.InputsGone
-            The endpoint no longer has the batch results that it needs.
+            The endpoint no longer has the batch results that it needs, and
+            the request may be sent once more.
         exceptions.RefusalError
             The stage could not be run, or no attempt returned a complete
             answer.
@@ -185,8 +198,6 @@
         """Return if another attempt may follow; else raise a refusal."""
         repeatable = state.exchange.pipeline.repeatable
         may_have_run = error.outcome is records.Outcome.BROKEN
-        if error.outcome is records.Outcome.STALE:
-            raise exceptions.InputsGone(str(error)) from error
         if error.outcome is records.Outcome.REJECTED:
             if error.response is None or not repeatable:
                 self._fail(results.Code.STAGE_FAILED, error)
@@ -199,19 +210,26 @@
             self._fail(results.Code.DEADLINE_PASSED, error)
         runs_left = state.possible_runs < state.exchange.pipeline.attempts
         attempts_left = state.attempts < MAX_ATTEMPTS and runs_left
-        # An attempt that reached no endpoint put no load on any, so another
-        # one needs no retry budget.
-        costs_no_retry = error.outcome is records.Outcome.UNREACHED
-        budget = self._find_budget(state.pool.name)
-        if not attempts_left or not (
-            costs_no_retry or budget.acquire_retry(now)
-        ):
+        if not attempts_left or not state.sends.reserve(now):
+            self._log_denial(state, "budget" if attempts_left else "attempts")
             broken = results.Code.STAGE_BROKEN
             self._fail(
                 broken if may_have_run else results.Code.NO_ENDPOINT, error
             )
+        if error.outcome is records.Outcome.STALE:
+            raise exceptions.InputsGone(str(error)) from error
         state.excluded |= {error.record.endpoint}
 
+    def _log_denial(self, state: stagestate.StageState, reason: str) -> None:
+        events.log_event(
+            _LOGGER,
+            events.Event.RETRY_DENIED,
+            request=state.exchange.request,
+            pool=state.pool.name,
+            arrivals=state.sends.arrivals,
+            reason=reason,
+        )
+
     def _keep_text(
         self, state: stagestate.StageState, error: attempt.AttemptError
     ) -> None:
--- a/chervilshore/filters/stagestate.py
+++ b/chervilshore/filters/stagestate.py
@@ -1,5 +1,7 @@
 """What is known of one stage of a request over all its attempts."""
 
+from chervilshore.decisions import retries
+from chervilshore.decisions import retrybudgets
 from chervilshore.filters import base
 from chervilshore.filters import pools
 from chervilshore import ids
@@ -18,9 +20,15 @@
         The position of the stage in the pipeline.
     value : dict
         The body of the request and the outputs of the earlier stages.
+    find_budget : callable
+        Returns the retry budget of a pool.
 
     Attributes
     ----------
+    sends : Sends
+        The sends to endpoints, which use the retry budget.
+    outcome : Outcome or None
+        How the last attempt that has ended failed.
     remaining_pools : tuple of PoolName
         The pools of this stage and of the later ones.
     attempts : int
@@ -38,7 +46,11 @@
     """
 
     def __init__(
-        self, exchange: base.Exchange, index: int, value: dict
+        self,
+        exchange: base.Exchange,
+        index: int,
+        value: dict,
+        find_budget: retries.FindBudget,
     ) -> None:
         names = pools.list_pools(exchange)[index:]
         self.exchange = exchange
@@ -46,6 +58,8 @@
         self.pool: model.Pool = exchange.rules.pools[names[0]]
         self.remaining_pools = names
         self.value = value
+        self.sends = retrybudgets.Sends(find_budget(self.pool.name))
+        self.outcome: records.Outcome | None = None
         self.attempts = 0
         self.possible_runs = 0
         self.tried_endpoints: frozenset[ids.EndpointId] = frozenset()
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -177,8 +177,8 @@
     POOL_RETRIES = _gauge(
         "chervilshore_pool_retries",
         ("pool", "state"),
-        "The retry budget of a pool on this host: tokens 'left' "
-        "now, retries 'allowed' and 'denied' since the start.",
+        "The retry budget of a pool on this host: tokens 'left' and "
+        "'reserved' now, retries 'allowed' and 'denied' since the start.",
     )
     TEAM_SHARES = _gauge(
         "chervilshore_team_shares",
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -15,6 +15,7 @@
     "retry_slack": str(SLACK),
     "retry_window_ms": "60000",
 }
+STAGE_HEADERS = {"Chervilshore-Pieces": "1,1", "Chervilshore-Piece-Key": "k"}
 
 
 def count_repeats(workers):
@@ -35,6 +36,32 @@
     return collections.Counter(response.status for response, _ in answers)
 
 
+# Guards against requests that are sent again without the retry budget.
+async def test_requests_whose_inputs_are_gone_use_the_retry_budget(
+    deployment,
+):
+    host = await helpers.serve_stages(deployment, host=BUDGET)
+    worker = deployment.workers["m0"]
+    worker.faults.gone = 1000
+    count = 60
+    statuses = await send_all(
+        deployment, host, "/say/", count, headers=STAGE_HEADERS
+    )
+    assertions.assert_that(
+        count_repeats([worker]),
+        matchers.Not(matchers.GreaterThan(RATIO * count + SLACK)),
+    )
+    # The host says that each of them was paid for.
+    status = await deployment.read_status(host)
+    assertions.assert_that(
+        status["retries"]["llm"]["allowed"],
+        matchers.Equals(count_repeats([worker])),
+    )
+    # None has run, and each caller is told so.
+    assertions.assert_that(statuses, matchers.Equals({503: count}))
+    assertions.assert_that(worker.runs, matchers.Equals([]))
+
+
 # Guards against retries at one pool that requests of another pool pay for.
 async def test_requests_of_one_pool_pay_for_no_retry_of_another(deployment):
     await deployment.configure(
--- a/tests/test_retrybudgets.py
+++ b/tests/test_retrybudgets.py
@@ -22,6 +22,7 @@
 POOL = ids.PoolName("pool")
 BROKEN = exceptions.EndpointBroken("broken")
 GONE = exceptions.InputsGone("gone")
+UNREACHED = exceptions.EndpointUnreached("unreached")
 
 
 class FakeBatchStages:
@@ -108,9 +109,93 @@
     running = asyncio.ensure_future(step.run(exchange))
     await clock.advance(1)
     assertions.assert_that(budget.describe()["left"], matchers.Equals(0.5))
+    budget.record_request()
     batch_stages.may_end.set()
     await running
-    assertions.assert_that(budget.describe()["left"], matchers.Equals(0.5))
+    # The second send used what both had earned.
+    assertions.assert_that(budget.describe()["left"], matchers.Equals(0.0))
+
+
+async def test_request_that_may_not_be_sent_again_is_refused_at_once(clock):
+    step, client, batch_stages, exchange = make_filter(
+        clock, [GONE, None], make_budget(max_tokens=0.0)
+    )
+    with pytest.raises(exceptions.RefusalError) as caught:
+        await step.run(exchange)
+    assertions.assert_that(
+        caught.value.code.value.family, matchers.Is(results.Family.NOT_RUN)
+    )
+    assertions.assert_that(exchange.dispatched, matchers.Is(False))
+    assertions.assert_that(batch_stages.runs, matchers.Equals(1))
+
+
+async def test_token_of_a_send_that_does_not_follow_is_returned(clock):
+    budget = make_budget()
+    step, _, batch_stages, exchange = make_filter(clock, [GONE], budget)
+    batch_stages.error = exceptions.RefusalError(results.Code.OVERLOADED)
+    with pytest.raises(exceptions.RefusalError):
+        await step.run(exchange)
+    assertions.assert_that(
+        budget.describe(),
+        matchers.Equals(
+            {"left": 2.0, "reserved": 0, "allowed": 0, "denied": 0}
+        ),
+    )
+
+
+async def test_unreached_retry_keeps_its_token_for_the_next_one(clock):
+    budget = make_budget()
+    step, client, _, exchange = make_filter(
+        clock, [exceptions.EndpointBusy("full"), UNREACHED, None], budget
+    )
+    await step.run(exchange)
+    assertions.assert_that(len(client.calls), matchers.Equals(3))
+    assertions.assert_that(
+        budget.describe(),
+        matchers.Equals(
+            {"left": 1.0, "reserved": 0, "allowed": 1, "denied": 0}
+        ),
+    )
+
+
+# Guards against tokens that are reserved in one window and used in the next
+# one, beside all that are saved up until then.
+def test_reserved_tokens_take_space_until_they_are_used():
+    budget = make_budget(tokens_per_second=1.0)
+    used = sum(budget.reserve_retry(0.0) for _ in range(3))
+    for _ in range(used):
+        budget.use_retry()
+    later = 60_000.0
+    assertions.assert_that(used, matchers.Equals(2))
+    waiting = make_budget(tokens_per_second=1.0)
+    waiting.reserve_retry(0.0)
+    waiting.reserve_retry(0.0)
+    assertions.assert_that(waiting.reserve_retry(later), matchers.Is(False))
+    waiting.use_retry()
+    waiting.use_retry()
+    assertions.assert_that(waiting.acquire_retry(later), matchers.Is(False))
+    # What is earned from now on may be used.
+    assertions.assert_that(
+        waiting.acquire_retry(later + 1000.0), matchers.Is(True)
+    )
+
+
+def test_send_without_a_token_is_an_error():
+    sends = retrybudgets.Sends(make_budget(max_tokens=0.0))
+    sends.begin()
+    assertions.assert_that(sends.reserve(0.0), matchers.Is(False))
+    with pytest.raises(ValueError):
+        sends.begin()
+
+
+def test_hedge_pays_for_the_later_of_two_sends():
+    """The hedge gets a slot before the attempt that waits for one."""
+    budget = make_budget()
+    sends = retrybudgets.Sends(budget)
+    sends.begin(is_hedge=True)
+    assertions.assert_that(sends.begin(), matchers.Is(False))
+    assertions.assert_that(sends.reserve(0.0), matchers.Is(True))
+    assertions.assert_that(budget.describe()["reserved"], matchers.Equals(1))
 
 
 def test_pools_first_used_after_a_start_have_no_tokens_saved():
