--- a/chervilshore/events.py
+++ b/chervilshore/events.py
@@ -154,6 +154,11 @@
         "endpoint refused a request, or used a status that says so",
     )
 
+    REQUEST_SENT_AGAIN = EventSpec(
+        4140, _INFO, "request sent again, with a token of the retry budget"
+    )
+    RETRY_DENIED = EventSpec(4141, _INFO, "request not sent again")
+
     ENTRY_SKIPPED = EventSpec(
         4145, _WARNING, "entry of the store cannot be used"
     )
