Take a deeply nested body of an endpoint for a broken response

What callers saw: a request ended with an error inside the host, and not as FAILED or with another endpoint, if its endpoint answered with JSON that is nested over 1,000 deep. Orders to engines would have stopped as well.

Cause: msgspec raises RecursionError for it, which is no DecodeError.

Change: the clients of nodes decode through contents.decode.

Evidence: the three tests say RecursionError on the code before; they pass now. Left: claims, leases, orders and heads of generations, which only hosts write, are decoded as before.

--- a/chervilshore/clients/completions.py
+++ b/chervilshore/clients/completions.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chervilshore.clients import endpoints
+from chervilshore import contents
 from chervilshore import exceptions
 from chervilshore import records
 
@@ -119,8 +120,8 @@
         if data == END_MARKER:
             return
         try:
-            yield _CHUNK_DECODER.decode(data)
-        except msgspec.DecodeError as error:
+            yield contents.decode(_CHUNK_DECODER, data)
+        except exceptions.ContentInvalid as error:
             raise exceptions.EndpointBroken(str(error)) from error
     raise exceptions.EndpointBroken("completion stream ended without [DONE]")
 
--- a/chervilshore/clients/endpoints.py
+++ b/chervilshore/clients/endpoints.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from chervilshore.clients import bodies
+from chervilshore import contents
 from chervilshore.decisions.capacity import observations
 from chervilshore import exceptions
 from chervilshore import forwarded
@@ -27,6 +28,8 @@
 MAX_CONNECTIONS = 0
 """Connection limit of a session; 0 for none, as slots bound the calls."""
 
+_VALUE_DECODER = msgspec.json.Decoder(dict)
+
 TextSink = collections_abc.Callable[[str], collections_abc.Awaitable[None]]
 
 
@@ -209,7 +212,12 @@
             raise exceptions.EndpointUnreached(str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise exceptions.EndpointUnreached(str(error)) from error
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (
+            aiohttp.ClientError,
+            exceptions.ContentInvalid,
+            TimeoutError,
+            ValueError,
+        ) as error:
             detail = f"{record.endpoint}: {type(error).__name__} {error}"
             raise exceptions.EndpointBroken(detail) from error
 
@@ -241,7 +249,7 @@
     ) -> tuple[dict, Reply]:
         async with self._post(record, path, body, call) as response:
             content = await bodies.read_body(response)
-            decoded = msgspec.json.decode(content, type=dict)
+            decoded = contents.decode(_VALUE_DECODER, content)
             return decoded, make_reply(response)
 
 
--- a/chervilshore/clients/engines.py
+++ b/chervilshore/clients/engines.py
@@ -8,6 +8,7 @@
 
 from chervilshore.clients import bodies
 from chervilshore import clock as clocks
+from chervilshore import contents
 from chervilshore.decisions import orders
 from chervilshore import exceptions
 from chervilshore import ids
@@ -19,6 +20,8 @@
 ORDER_PATH = "/admin/engine/orders"
 """Path at which an engine accepts orders."""
 
+_STATE_DECODER = msgspec.json.Decoder(orders.EngineState)
+
 Guard = collections_abc.Callable[[], bool]
 """Returns, right before an order is sent, whether it may still be sent."""
 
@@ -112,11 +115,11 @@
                 body = await bodies.read_body(response)
                 if response.status != 200:
                     raise exceptions.EndpointBroken(f"{response.status}")
-            return msgspec.json.decode(body, type=orders.EngineState)
+            return contents.decode(_STATE_DECODER, body)
         except (
             aiohttp.ClientError,
             TimeoutError,
-            msgspec.DecodeError,
+            exceptions.ContentInvalid,
         ) as error:
             raise exceptions.EndpointBroken(repr(error)) from error
 
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -1,5 +1,6 @@
 """Clients of endpoints, against the stand-ins and their faults."""
 
+import aiohttp
 from aiohttp import test_utils
 from aiohttp import web
 import pytest
@@ -10,6 +11,7 @@
 from chervilshore.clients import bodies
 from chervilshore.clients import completions
 from chervilshore.clients import endpoints
+from chervilshore.clients import engines
 from chervilshore.clients import models
 from chervilshore import exceptions
 from chervilshore import records
@@ -188,3 +190,38 @@
     assertions.assert_that(
         sent, matchers.Not(matchers.GreaterThan(2 * bodies.MAX_BODY_BYTES))
     )
+
+
+# A body of lists in lists ended the request with an error inside the host.
+@pytest.mark.parametrize(
+    "client_type",
+    [
+        models.EncoderClient,
+        completions.CompletionClient,
+        engines.HttpEngineClient,
+    ],
+)
+async def test_deeply_nested_body_raises_broken(sessions, client_type):
+    nested = b'{"a":' + b"[" * 5000 + b"]" * 5000 + b"}"
+    is_stream = client_type is completions.CompletionClient
+
+    async def answer(request):
+        binding = request.headers.get(endpoints.BINDING_HEADER, "")
+        return web.Response(
+            headers={endpoints.BINDING_HEADER: binding},
+            body=b"data: " + nested + b"\n\n" if is_stream else nested,
+        )
+
+    server = test_utils.RawTestServer(answer)
+    await server.start_server()
+    record = helpers.make_record("e1", address=f"127.0.0.1:{server.port}")
+    call = make_call({"input": "hello"})
+    try:
+        with testtools.ExpectedException(exceptions.EndpointBroken):
+            if client_type is engines.HttpEngineClient:
+                async with aiohttp.ClientSession() as session:
+                    await client_type(session).read(record, 5000.0)
+            else:
+                await client_type(sessions).call(record, call)
+    finally:
+        await server.close()
