Read on after an error of unknown cause; a host that has crashed is not ready

What callers saw: after one error in the service that reads the store, a host went on with what it knew, as ready: services that probe hosts, measure capacities and follow the list had all ended (crashed and should_stop of each were set), and callers were still sent to it.

Cause: the library that runs services ends all services of a process if one raises. The causes that were found are fixed; others may come.

Change: an error of unknown cause in the reading of a kind, or in applying it, is logged (1005) and the reading goes on after the usual delay. A host with a service that has ended by an error is not ready for callers; it serves those that come.

--- a/chervilshore/controllers/storereader.py
+++ b/chervilshore/controllers/storereader.py
@@ -157,6 +157,10 @@
             except exceptions.PlatformError:
                 await self._clock.sleep(retry_delays.next_delay_ms())
                 continue
+            except Exception as error:
+                self._log_failure(kind, error)
+                await self._clock.sleep(retry_delays.next_delay_ms())
+                continue
             retry_delays.reset()
             if ended:
                 await self._clock.sleep(delay_ms)
@@ -193,18 +197,33 @@
         """Check the kind that was confirmed the longest time ago, in turn."""
         while not self.should_stop:
             await self._clock.sleep(self._check_interval_ms)
-            self._expire_objects()
             kind = min(
                 self._watch_delays_ms,
                 key=lambda kind: self._caches[kind].confirmed_at,
             )
             try:
+                self._expire_objects()
                 await self._check(kind)
             except exceptions.HistoryGone as error:
                 self._list_again(kind, error)
             except exceptions.PlatformError:
                 # The outage is recorded; the next check follows.
                 continue
+            except Exception as error:
+                self._log_failure(kind, error)
+
+    def _log_failure(self, kind: str, error: Exception) -> None:
+        """Log an error of which the cause is not known.
+
+        It must not end this service: no other host would tell this one what
+        changes, and all kinds would be followed no more.
+        """
+        events.log_event(
+            _LOGGER,
+            events.Event.TASK_FAILED,
+            task=f"follow {kind}",
+            error=repr(error),
+        )
 
     def _expire_objects(self) -> None:
         """Drop the objects that are missing for longer than their grace."""
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -279,8 +279,13 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether load balancers may send callers to this host."""
-        return not self._is_leaving and self._catalog.ready
+        """Whether load balancers may send callers to this host.
+
+        If one service has ended by an error, the tasks of all have ended.
+        """
+        return (
+            not self._is_leaving and not self.crashed and self._catalog.ready
+        )
 
     async def on_start(self) -> None:
         """Start all services, then listen for callers."""
