Go on with a listing after an empty name

What callers saw: nothing yet. A part of a listing that ends with an entry without a name, which takes 1 MB for it, would have been read without end.

Cause: an empty name was taken for no name to go on from.

Tests show the bounds on log lines and steps of division, and that odd messages of peers, whose guards were there, are counted and the others answered.

--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -76,10 +76,10 @@
         the changes that happen while the pages are read.
         """
         objects_by_name: dict[str, objects.StoredObject] = {}
-        after = ""
+        after: str | None = None
         position = None
         while True:
-            query = {"after": after} if after else {}
+            query = {} if after is None else {"after": after}
             if may_be_stale:
                 query["allow_stale"] = "1"
             path = f"/objects/{kind}"
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,5 +1,6 @@
 """One odd object of the store does not hide the others."""
 
+import asyncio
 import random
 
 import msgspec
@@ -11,6 +12,7 @@
 from chervilshore.clients import connectors
 from chervilshore.clients import tunnels
 from chervilshore import clock as clocks
+from chervilshore.controllers import entries
 from chervilshore.controllers import streamreader
 from chervilshore import exceptions
 from chervilshore import objects
@@ -285,6 +287,76 @@
     )
 
 
+async def test_listing_goes_on_after_an_empty_name(deployment):
+    client = store_clients.MetadataStore(
+        deployment.address, clocks.SystemClock(), 5000.0
+    )
+    await deployment.store.write("servers", "", "x" * 1_000_000)
+    await deployment.store.write("servers", "w1", odd_entries.ENTRY)
+    try:
+        listing = await client.list("servers")
+    finally:
+        await client.close()
+    assertions.assert_that(
+        [stored.name for stored in listing.objects],
+        matchers.Equals(["", "w1"]),
+    )
+
+
+async def test_listing_that_repeats_its_parts_is_a_failed_call(monkeypatch):
+    client = store_clients.MetadataStore(
+        "127.0.0.1:1", clocks.SystemClock(), 5000.0
+    )
+    content = b'{"items":[' + GOOD % (1, 5) + b'],"has_more":true}'
+
+    async def read(path):
+        return connections.ResponseHead(200, []), content
+
+    monkeypatch.setattr(client, "_read", read)
+    async with asyncio.timeout(gateway_helpers.WAIT_SECONDS):
+        with pytest.raises(exceptions.PlatformUnavailable):
+            await client.list("servers")
+
+
+def test_skipped_entries_are_logged_once_and_few_at_a_time(caplog):
+    found = entries.Entries("servers", documents.decode_endpoint)
+
+    def decode(revision):
+        caplog.clear()
+        content = msgspec.json.encode(odd_entries.ENTRY)
+        stored = [
+            objects.StoredObject(f"odd{number}", revision, b"[]")
+            for number in range(100)
+        ]
+        stored.append(objects.StoredObject("w1", revision, content))
+        assertions.assert_that(found.decode(stored), matchers.HasLength(1))
+        return [
+            (record.fields["name"], record.fields["skipped"])
+            for record in caplog.records
+        ]
+
+    logged = [(f"odd{number}", 100) for number in range(entries.MAX_LOGGED)]
+    assertions.assert_that(decode(1), matchers.Equals(logged))
+    assertions.assert_that(decode(1), matchers.Equals([]))
+    assertions.assert_that(decode(2), matchers.Equals(logged))
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        odd_entries.nest(300_000),
+        b"[]," * 300_000,
+        b'{"a":1},' * 100_000,
+        b'"]",' * 200_000,
+        b"[[" + b'"a",' * 200_000 + b"]]",
+    ],
+)
+def test_large_content_is_divided_in_few_steps(content):
+    # Steps stop the event loop; there is one for each change of the depth.
+    steps = sum(1 for _ in storeanswers._BRACKETS.finditer(content))
+    assertions.assert_that(steps, matchers.LessThan(6))
+
+
 # An odd port ended requests with an error inside the host.
 async def test_requests_go_to_the_endpoints_beside_odd_entries(
     deployment, caplog
--- a/tests/test_peer_addresses.py
+++ b/tests/test_peer_addresses.py
@@ -1,8 +1,11 @@
-"""Odd addresses of hosts do not stop the messages to others."""
+"""Odd addresses and messages of hosts do not stop those of others."""
+
+import asyncio
 
 import pytest
 from testtools import assertions
 from testtools import matchers
+import zmq
 
 from chervilshore.clients import zeromq
 from chervilshore import clock as clocks
@@ -15,6 +18,16 @@
 
 TIMEOUT_MS = 300.0
 
+CONTENTS = (
+    b"",
+    b"\xc1",
+    b"\x91" * 100_000,
+    b"\x94\xa1a\x00\xc2" + b"\x91" * 100_000,
+    b"\x94\xa1\xff\x00\xc2\x92\xa1a\x80",
+    b"\x94\xa1a\xcf" + b"\xff" * 8 + b"\xc2\x91\xa2??",
+)
+"""Bytes that are no message: nested too deeply, no text, of no known kind."""
+
 
 @pytest.fixture
 async def transports():
@@ -47,3 +60,27 @@
         two.address, messages.Ping(generation=1), 10_000.0
     )
     assertions.assert_that(reply.generation, matchers.Equals(7))
+
+
+async def test_odd_messages_are_counted_and_the_others_are_answered(
+    transports,
+):
+    one, two = transports
+    two.handle(messages.Ping, lambda sender, ping: messages.Pong(generation=7))
+    context = zmq.Context()
+    dealer = context.socket(zmq.DEALER)
+    dealer.linger = 0
+    dealer.connect(f"tcp://{two.address}")
+    try:
+        for number, content in enumerate(CONTENTS, 1):
+            dealer.send(content)
+            async with asyncio.timeout(10.0):
+                while two.counts.garbage < number:
+                    await asyncio.sleep(0.001)
+            reply = await one.send_request(
+                two.address, messages.Ping(generation=1), 10_000.0
+            )
+            assertions.assert_that(reply.generation, matchers.Equals(7))
+    finally:
+        dealer.close()
+        context.term()
