Reset tunnels whose relaying peer ends

Cause: such an answer is complete if its connection ends in order. A peer that stopped closed its tunnels so, and so does the kernel for a process that is killed.

Change: the peer's side of a tunnel is set to reset at its close, by whomever (SO_LINGER 0), until the endpoint has ended in order and everything has been written to the peer.

Evidence: test_answer_whose_relaying_peer_ends_is_not_complete said "DID NOT RAISE EndpointBroken" before, for both ends.

--- a/chervilshore/tunnelserver.py
+++ b/chervilshore/tunnelserver.py
@@ -24,8 +24,10 @@
 MAX_HEAD_BYTES = 4096
 """Largest request of a peer."""
 
-_NO_LINGER = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which a close resets the connection."""
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+_END_AT_CLOSE = struct.pack("ii", 0, 0)
+"""Values of SO_LINGER: whether a close, also by the kernel when the process
+ends, resets the connection."""
 
 _REASONS = {
     200: "Connection Established",
@@ -99,7 +101,7 @@
         if self._server is not None:
             self._server.close()
         for end in tuple(self._peer_ends):
-            end.transport.abort()
+            end.reset()
 
     async def wait_idle(self) -> None:
         """Wait until no tunnel is open."""
@@ -207,6 +209,7 @@
         super().__init__()
         self._server = server
         self._head = b""
+        self._endpoint_has_ended = False
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -242,11 +245,31 @@
             self.transport.close()
             return
         self.other = endpoint
+        # Whether a response without a length is complete depends on how its
+        # connection ends.
+        self._set_linger(_RESET_AT_CLOSE)
         self.transport.resume_reading()
         endpoint.start()
 
+    def finish(self) -> None:
+        """Close the connection in order, once everything is written."""
+        self._endpoint_has_ended = True
+        self.transport.close()
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        self._endpoint_has_ended = False
+        self.transport.abort()
+
+    def _set_linger(self, value: bytes) -> None:
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def connection_lost(self, error: Exception | None) -> None:
         """End the connection to the endpoint, which cancels its work."""
+        if self._endpoint_has_ended:
+            # Everything has been written, and the socket is still open.
+            self._set_linger(_END_AT_CLOSE)
         self._timer.cancel()
         self._server.remove(self)
         if self.other is not None:
@@ -276,14 +299,8 @@
         self.transport.resume_reading()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """End the connection of the peer in the same way.
-
-        Whether a response without a length is complete depends on it.
-        """
-        if error is not None:
-            sock = self.other.transport.get_extra_info("socket")
-            if sock is not None and sock.fileno() >= 0:
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
-                )
-        self.other.transport.close()
+        """End the connection of the peer in the same way."""
+        if error is None:
+            self.other.finish()
+        else:
+            self.other.transport.close()
