--- a/tests/test_retry_windows.py
+++ b/tests/test_retry_windows.py
@@ -24,8 +24,8 @@
 segments, and the share of the sends that may take so long."""
 
 BATCH_STAGES_MS = (200.0, 8000.0)
-REGISTRATION_MS = 300.0
-"""Milliseconds after its start in which a host learns of the others."""
+REGISTRATION_MS = 30.0
+"""Milliseconds in which a host that has started learns of another one."""
 
 POOLS = {"model": True, "ledger": False}
 """Whether the requests for each pool have batch stages."""
@@ -136,10 +136,13 @@
 
     def _restart(self, host):
         host.start()
-        self._on_host(host, REGISTRATION_MS, self._learn)
+        # It meets one other host, then some more, and at last all.
+        met = self._rng.randint(2, len(self.hosts))
+        for known in sorted({2, met, len(self.hosts)}):
+            self._on_host(host, REGISTRATION_MS * known, self._learn, known)
 
-    def _learn(self, host):
-        host.learn_hosts(len(self.hosts), self._now)
+    def _learn(self, host, known):
+        host.learn_hosts(known, self._now)
 
     def _stall(self, hosts):
         end = self._now + self._rng.uniform(100.0, 4000.0)
