Test that each send beyond the first and each denial is logged

One line 4140 for each arrival beyond the first that stand-ins of endpoints count, and 4141 where a request is not sent again. The settings' texts say that the retry budget holds for each pool.

--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -129,13 +129,15 @@
     Setting(
         "retry_ratio",
         settingkinds.number(0.0, 10.0),
-        "retries per forwarded request that all hosts together may make",
+        "retries per forwarded request that all hosts together may make at a "
+        "pool",
         "0.1",
     ),
     Setting(
         "retry_slack",
         settingkinds.number(0.0, 100_000.0),
-        "additional retries per window that all hosts together may make",
+        "additional retries per window that all hosts together may make at a "
+        "pool",
         "10",
     ),
     Setting(
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import logging
 
 from testtools import assertions
 from testtools import matchers
@@ -28,6 +29,10 @@
     return sum(arrivals.values()) - len(arrivals)
 
 
+def is_event(record, number):
+    return getattr(record, "event", None) == number
+
+
 async def send_all(deployment, host, path, count, **options):
     """Send requests at once; return how many had each status."""
     answers = await asyncio.gather(
@@ -62,6 +67,24 @@
     assertions.assert_that(worker.runs, matchers.Equals([]))
 
 
+async def test_each_send_beyond_the_first_and_each_denial_is_logged(
+    deployment, caplog
+):
+    caplog.set_level(logging.INFO)
+    host, (worker,) = await helpers.serve_plain(deployment, host=BUDGET)
+    other = await deployment.add_worker("w1", "ledger")
+    await deployment.wait_ready(host, 2)
+    worker.faults.shed = other.faults.shed = 1000
+    await send_all(deployment, host, "/look/", 10)
+    repeats = count_repeats([worker, other])
+    sent_again = [one for one in caplog.records if is_event(one, 4140)]
+    denied = [one for one in caplog.records if is_event(one, 4141)]
+    assertions.assert_that(repeats, matchers.GreaterThan(0))
+    assertions.assert_that(len(sent_again), matchers.Equals(repeats))
+    # Those that were sent again found no third endpoint.
+    assertions.assert_that(len(denied), matchers.GreaterThan(0))
+
+
 # Guards against retries at one pool that requests of another pool pay for.
 async def test_requests_of_one_pool_pay_for_no_retry_of_another(deployment):
     await deployment.configure(
