Show the guards of checks and of nested messages by tests that need them

Two tests did not need their guards before: that of checks of the store, and that of nested messages, which were refused for their types first.

--- a/tests/test_peer_addresses.py
+++ b/tests/test_peer_addresses.py
@@ -12,17 +12,24 @@
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import messages
+from chervilshore import wire
 
 ADDRESSES = ("garbage", "", "127.0.0.1:²", "127.0.0.1:-1", "a b:1", "\x00:1")
 """Addresses that ZeroMQ does not take."""
 
 TIMEOUT_MS = 300.0
 
+MESSAGE = wire.encode(
+    wire.Envelope("127.0.0.1:1", 0, False, messages.Ping(generation=1))
+)
+
 CONTENTS = (
     b"",
     b"\xc1",
     b"\x91" * 100_000,
     b"\x94\xa1a\x00\xc2" + b"\x91" * 100_000,
+    # One element more than a message has, which is skipped.
+    b"\x95" + MESSAGE[1:] + b"\x91" * 100_000,
     b"\x94\xa1\xff\x00\xc2\x92\xa1a\x80",
     b"\x94\xa1a\xcf" + b"\xff" * 8 + b"\xc2\x91\xa2??",
 )
--- a/tests/test_unknown_errors.py
+++ b/tests/test_unknown_errors.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import pytest
 from testtools import assertions
 from testtools import matchers
 
@@ -27,19 +26,22 @@
     known._decode = fail
 
 
+def list_failed(caplog):
+    """Return the tasks that were logged as failed."""
+    return {
+        record.fields["task"]
+        for record in caplog.records
+        if getattr(record, "event", 0) == TASK_FAILED
+    }
+
+
 # Such an error ended the service that reads the store, and all others too.
-@pytest.mark.parametrize("is_missed", [False, True])
-def test_error_of_unknown_cause_is_logged_and_reading_goes_on(
-    caplog, is_missed
-):
+def test_error_in_an_entry_is_logged_and_reading_goes_on(caplog):
     async def run():
         cluster = catalog_helpers.Cluster(1)
         await cluster.start(with_peers=False)
         host = cluster.hosts[0]
         break_endpoint(host, "w7")
-        if is_missed:
-            # A check finds the change that the watch does not tell.
-            cluster.store.faults.lose_watches = 1
         cluster.write_endpoint("w7")
         await cluster.wait(5000.0)
         cluster.configure(2)
@@ -53,12 +55,34 @@
         )
 
     virtual.run(run())
-    tasks = {
-        record.fields["task"]
-        for record in caplog.records
-        if getattr(record, "event", 0) == TASK_FAILED
-    }
-    assertions.assert_that(tasks, matchers.Equals({"follow servers"}))
+    assertions.assert_that(
+        list_failed(caplog), matchers.Equals({"follow servers"})
+    )
+
+
+def test_error_in_a_check_is_logged_and_reading_goes_on(caplog):
+    async def fail(kind, since):
+        raise MemoryError("of unknown cause")
+
+    async def run():
+        cluster = catalog_helpers.Cluster(1)
+        await cluster.start(with_peers=False)
+        host = cluster.hosts[0]
+        host.link.poll = fail
+        for number in range(2, 5):
+            await cluster.wait(5000.0)
+            cluster.configure(number)
+            cluster.write_endpoint(f"w{number}")
+        await cluster.wait(5000.0)
+        assertions.assert_that(
+            (host.version, len(host.catalog.endpoints("ledger"))),
+            matchers.Equals((4, 5)),
+        )
+
+    virtual.run(run())
+    assertions.assert_that(
+        list_failed(caplog), matchers.Not(matchers.Equals(set()))
+    )
 
 
 # A host whose services have ended said that it is ready for callers.
