Reset cut streams of callers that get no chunks

Callers would see: over HTTP/1.0 a stream that is cut ends in order, so that it looks complete (MIXED). The users' callers speak HTTP/1.1; over it, a stream without its last chunk is seen to be cut.

Cause: the host closes the connection; without chunks only a reset tells that the body is not whole.

Change: for such callers the connection is reset.

Evidence: test_cut_stream_is_reset_for_a_caller_without_chunks said "DID NOT RAISE ConnectionResetError" before.

--- a/chervilshore/ingress.py
+++ b/chervilshore/ingress.py
@@ -4,9 +4,11 @@
 from collections import abc as collections_abc
 import logging
 
+import aiohttp
 from aiohttp import web
 import msgspec
 
+from chervilshore.clients import connections
 from chervilshore import clock as clocks
 from chervilshore import events
 from chervilshore import exceptions
@@ -212,6 +214,9 @@
             await relay.response.write_eof()
         elif request.transport is not None:
             # Without its end mark the caller sees that the stream is cut.
+            # Older callers get no chunks, but the end of the connection.
+            if request.version < aiohttp.HttpVersion11:
+                connections.set_reset_at_close(request.transport, True)
             request.transport.abort()
         return relay.response
 
--- a/tests/test_stream_continuations.py
+++ b/tests/test_stream_continuations.py
@@ -5,6 +5,8 @@
 events that do not follow.
 """
 
+import asyncio
+
 import pytest
 from testtools import assertions
 from testtools import matchers
@@ -293,6 +295,26 @@
     )
 
 
+# Guards against MIXED by a cut stream that looks complete to a caller that
+# gets no chunks.
+async def test_cut_stream_is_reset_for_a_caller_without_chunks(
+    deployment, script
+):
+    host = await script_helpers.serve(deployment, script, max_attempts=1)
+    script.answers = [BROKEN]
+    address, _, port = host.address.partition(":")
+    reader, writer = await asyncio.open_connection(address, int(port))
+    writer.write(
+        b"POST /say/ HTTP/1.0\r\nHost: shop.example\r\n"
+        b"Chervilshore-Attempt-Id: r0\r\nChervilshore-Deadline-Ms: 5000\r\n"
+        b"Chervilshore-Key: key-of-a-team\r\nContent-Length: 0\r\n\r\n"
+    )
+    with pytest.raises(ConnectionResetError):
+        while await reader.read(10_000):
+            pass
+    writer.close()
+
+
 class Runner:
     """Runs a stage whose stream breaks, and gets another answer."""
 
