Test that runs are counted though batch stages run again

Callers would see: a stream runs at three endpoints where the route allows two, as the results of its batch stages were gone at the second (BUDGET).

Cause: each run of the batch stages began the stage with a new state, without the runs so far.

--- a/tests/test_stream_refusals.py
+++ b/tests/test_stream_refusals.py
@@ -9,6 +9,7 @@
 from testtools import matchers
 
 from chervilshore.platform import names
+from tests import gateway_helpers
 from tests import script_helpers
 
 WHOLE = script_helpers.make_events(1, script_helpers.EVENTS)
@@ -114,3 +115,44 @@
     last, _, _ = await script_helpers.read_stream(deployment, host)
     assertions.assert_that(last, matchers.Equals(502))
     assertions.assert_that(len(script.received), matchers.Equals(4))
+
+
+# Guards against BUDGET: more runs than the route allows, as the results of
+# batch stages are gone after the first run.
+async def test_runs_are_counted_though_batch_stages_run_again(
+    deployment, script
+):
+    stages = [{"service": "cut", "after": [], "size_bytes": 1000}]
+    await deployment.configure(
+        [
+            gateway_helpers.make_route(
+                "say",
+                "llm",
+                kind="stream",
+                resumable=True,
+                max_attempts=2,
+                stages=stages,
+            )
+        ],
+        [
+            gateway_helpers.make_service("llm", engine={"slots": 8}),
+            gateway_helpers.make_service(
+                "cut", pieces=gateway_helpers.make_batching()
+            ),
+        ],
+    )
+    host = await deployment.add_host(retry_slack="400")
+    for number in range(4):
+        await script.add_endpoint(deployment, f"m{number}", "llm")
+    await deployment.add_worker("c0", "cut", millis=5.0)
+    await deployment.wait_ready(host, 5)
+    broken = (script_helpers.make_answer(is_cut=True), RESET)
+    gone = (script_helpers.make_refusal("409 Conflict"), KEEP)
+    script.answers = [broken, gone, broken, broken, broken]
+    await script_helpers.read_stream(
+        deployment,
+        host,
+        headers={"Chervilshore-Pieces": "1", "Chervilshore-Piece-Key": "k"},
+    )
+    runs = 5 - len(script.answers) - 1
+    assertions.assert_that(runs, matchers.Equals(2))
