--- a/tests/test_stream_continuations.py
+++ b/tests/test_stream_continuations.py
@@ -5,8 +5,8 @@
 events that do not follow.
 """
 
-import contextlib
 import asyncio
+import contextlib
 
 import pytest
 from testtools import assertions
