Keep no connection whose batch response has no new handle

A request could be given the results of another request's items (MIXED).

Cause: responses to batch calls name no call, and only new handles show that one is no second copy. After an old refusal, or an old response with reasons alone, the connection went back to the pool while the results of the call were still to come. Sent at once, the next call on it took them for its own: their handles were new.

Change: the check of a response tells whether it proves that it answers the request. If it does not, its connection is closed. It costs a connection for each batch call that is refused or makes nothing.

Evidence: tests/test_late_answers.py:: test_late_results_are_not_those_of_the_next_items, both cases. On the code before: "'127.0.0.1:39863/2.0' != '127.0.0.1:39863/3.0'".

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -9,11 +9,12 @@
 from chervilshore import exceptions
 from chervilshore import ids
 
-Check = collections_abc.Callable[[connections.ResponseHead, bytes], None]
+Check = collections_abc.Callable[[connections.ResponseHead, bytes], bool]
 
 
-def accept(head: connections.ResponseHead, content: bytes) -> None:
+def accept(head: connections.ResponseHead, content: bytes) -> bool:
     """Accept any response; the default check of `ConnectionPool.fetch`."""
+    return True
 
 
 class ConnectionPool:
@@ -142,8 +143,9 @@
         max_bytes : int
             Largest response body.
         check : callable
-            Raises `EndpointBroken` for a response that answers another
-            request, so that its connection is closed.
+            Returns whether a response proves that it answers this request;
+            if not, its connection is closed, as the answer may still come.
+            Raises `EndpointBroken` for a response that answers another one.
         single_use : bool
             Whether the request gets a connection of its own, on which no
             older response can come.
@@ -174,17 +176,17 @@
                         raise exceptions.ResponseTooLarge(
                             f"body of over {max_bytes} bytes"
                         )
-            check(head, bytes(content))
+            may_keep = check(head, bytes(content)) and not single_use
         except TimeoutError as error:
             connection.close()
             raise exceptions.EndpointBroken(f"{address}: timeout") from error
         except BaseException:
             connection.close()
             raise
-        if single_use:
-            connection.close()
-        else:
+        if may_keep:
             self.release(address, connection, head)
+        else:
+            connection.close()
         return head, bytes(content)
 
     def close_idle(self, address: ids.Address) -> None:
--- a/chervilshore/platform/batches.py
+++ b/chervilshore/platform/batches.py
@@ -86,9 +86,12 @@
 
         def read_results(
             head: connections.ResponseHead, content: bytes
-        ) -> None:
+        ) -> bool:
             if head.status == 200:
                 results.extend(self._read_results(content, len(items)))
+            # Nothing but a new handle shows that a response is not an old
+            # one, after which the results of this call still come.
+            return any(result.handle for result in results)
 
         status, _ = await self._call(
             record, names.STAGE_RUN, body, timeout_ms, read_results
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 import msgspec
 import pytest
@@ -141,6 +142,39 @@
     pool.close()
 
 
+# Guards against MIXED: the results of a call whose answer seemed to be an old
+# one without handles passed for those of the next call on its connection.
+@pytest.mark.parametrize(
+    "old",
+    (
+        repeater_helpers.make_refusal(),
+        repeater_helpers.make_answer(b'{"items": [{"reason": "gone"}]}'),
+    ),
+    ids=("refusal", "reason"),
+)
+async def test_late_results_are_not_those_of_the_next_items(repeater, old):
+    pool = connectionpool.ConnectionPool(clocks.SystemClock())
+    client = batches.BatchClient(pool, ignore_notice)
+    record = msgspec.structs.replace(
+        batch_helpers.make_record("w0"), address=repeater.address
+    )
+
+    def run(number):
+        call = batches.batches.ItemCall(f"r{number}", 0, 0, 500.0, "k")
+        return client.run(record, [call], 500.0)
+
+    await run(1)
+    repeater.strays = [old]
+    with contextlib.suppress(exceptions.EndpointBusy):
+        await run(2)
+    # It is sent at once, before the worker has answered the call before.
+    (result,) = await run(3)
+    assertions.assert_that(
+        result.handle, matchers.Equals(f"{repeater.address}/3.0")
+    )
+    pool.close()
+
+
 class RepeatingStore(repeater_helpers.Repeater):
     """A store that sends listings twice; each kind has one object."""
 
