Keep no connection on which another endpoint refused a request

A request that must run once was answered 503 and had run (REFUSED).

Cause: connections are kept by address. While two endpoints are listed at one address, a request that gets 421 as it names the one that has left may go to the other one, on the same connection. A second copy of the 421 names the request and passed for the answer to its second send, which ran.

Change: a connection on which a request gets 421 is closed, as one on which inputs are refused as gone.

Evidence: tests/test_old_refusals.py:: test_copy_of_a_refusal_by_another_endpoint_does_not_deny_a_run. On the code before: "503 != 200", "503 != 502".

--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -104,9 +104,9 @@
         except BaseException:
             connection.close()
             raise
-        if _lacks_inputs(head):
-            # The request comes to this endpoint again. On this connection a
-            # second copy of the refusal would name it as well.
+        if _may_return(head):
+            # On this connection a second copy of the refusal would name the
+            # request as well.
             connection.close()
         else:
             self._pool.release(record.address, connection, head)
@@ -258,6 +258,14 @@
     return head.status == INPUTS_GONE_STATUS and _is_not_executed(head)
 
 
+def _may_return(head: connections.ResponseHead) -> bool:
+    """Return whether a request may come to the address of a refusal again.
+
+    It does with other inputs, or for another endpoint at the same address.
+    """
+    return _lacks_inputs(head) or head.status == headers.OTHER_ENDPOINT_STATUS
+
+
 def _check_attempt(
     head: connections.ResponseHead, call: endpoints.Call
 ) -> None:
--- a/tests/test_old_refusals.py
+++ b/tests/test_old_refusals.py
@@ -135,6 +135,23 @@
     assertions.assert_that(response.status, HONEST)
 
 
+# Guards against REFUSED by the refusal of a process that was called by the
+# name of the endpoint that had its address before.
+async def test_copy_of_a_refusal_by_another_endpoint_does_not_deny_a_run(
+    deployment, repeater
+):
+    """Two endpoints are listed at one address."""
+    host = await serve(deployment, [repeater, repeater], max_attempts=2)
+    repeater.copy = repeater_helpers.Copy.AFTER
+    repeater.refusals = [repeater_helpers.make_refusal("one", 421)]
+    response, _ = await deployment.send(
+        host, "/look/", headers={"Chervilshore-Attempt-Id": "one"}
+    )
+    await asyncio.sleep(0.1)
+    assertions.assert_that(repeater.runs, matchers.Equals(["one"]))
+    assertions.assert_that(response.status, HONEST)
+
+
 # Guards against BUDGET and against NOT RUN for a request that may be repeated
 # and runs: an old refusal made it run at more endpoints than its route allows.
 async def test_old_refusals_do_not_exceed_the_attempts_of_a_route(
