Let stand-in workers write earlier responses once more, and refuse when full

The stand-ins could refuse a given number of requests, but were never full, and wrote nothing a second time.

Change: a worker may run a bounded number of requests and refuses others (429 or 503, explicit, naming them). While a fault is set it writes refusals or answers once more: named or not, of the same or of another connection, soon or when the next request runs, on kept or on new connections (standins/repeats). It may answer 408, 429 or 503 after a run without saying that it has not run, and end the continuation of streams with 404, 500 or 503. It keeps when each request arrived, which failures it stamped, and on whose connections it wrote copies. Hosts of a local deployment may run the daemon of another checkout. The routes "bill" and "say" allow three endpoints, as otherwise no request that may run once is sent again.

--- a/standins/site.py
+++ b/standins/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import signal
 import sys
@@ -65,8 +66,8 @@
 # Name, service and further fields of each route.
 ROUTES = (
     ("look", "ledger", {"kind": "idempotent", "max_attempts": 2}),
-    ("bill", "ledger", {"kind": "non_idempotent"}),
-    ("say", "llm", {"kind": "stream"}),
+    ("bill", "ledger", {"kind": "non_idempotent", "max_attempts": 3}),
+    ("say", "llm", {"kind": "stream", "max_attempts": 3}),
     (
         "resume",
         "llm",
@@ -116,8 +117,15 @@
         The host's name and failure domain.
     folder : Path
         Directory of its settings file and log.
+
+    Attributes
+    ----------
+    code : Path
+        The checkout whose daemon runs.
     """
 
+    code = pathlib.Path(__file__).parents[1]
+
     def __init__(self, name: str, zone: str, folder: pathlib.Path) -> None:
         self.name = name
         self.zone = zone
@@ -184,9 +192,11 @@
                 "-m",
                 "chervilshore.daemon",
                 "--file",
-                str(self._settings_path),
+                str(self._settings_path.resolve()),
                 stdout=log,
                 stderr=log,
+                cwd=self.code,
+                env=os.environ | {"PYTHONPATH": str(self.code)},
             )
 
     async def wait_ready(self) -> None:
@@ -244,8 +254,15 @@
     """A worker that registers with the store.
 
     Each start gives it a new name.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that it runs at a time; 0 for no limit.
     """
 
+    slots = 0
+
     def __init__(self, service: str, zone: str, number: int) -> None:
         self.service = service
         self.zone = zone
@@ -271,6 +288,7 @@
             version=version,
             text=version,
             event_ms=EVENT_MS,
+            slots=self.slots,
         )
         self.address = await self.worker.start()
         await self.register(store, "ready")
--- a/standins/workerfaults.py
+++ b/standins/workerfaults.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from standins import repeats
+
 
 class WorkerFaults(msgspec.Struct):
     """Faults that a worker injects; the counts are of further requests.
@@ -47,6 +49,13 @@
         it begins to answer; empty for none.
     silent_reports : bool
         Whether it does not answer questions for its report.
+    unmarked : int
+        Requests that run and are answered with 408, 429 or 503, without the
+        statement that they have not run.
+    fail_resumed : int
+        Requests to go on with a stream that are answered with an error.
+    repeat : Repeat or None
+        Which earlier responses are written once more, while it is set.
     """
 
     shed: int = 0
@@ -66,6 +75,9 @@
     crash_body: bytes = b""
     crash_part: str = ""
     silent_reports: bool = False
+    unmarked: int = 0
+    fail_resumed: int = 0
+    repeat: repeats.Repeat | None = None
 
 
 class VersionFaults(msgspec.Struct):
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 import msgspec
 
+from standins import repeats
 from standins import workerfaults
 
 SILENCE_SECONDS = 60.0
@@ -35,6 +36,8 @@
         Milliseconds between two events.
     born : int
         Unix millisecond of its start; 0 if it does not say.
+    slots : int
+        Requests that it runs at a time; it refuses others. 0 for no limit.
 
     Attributes
     ----------
@@ -44,6 +47,13 @@
         The headers of all requests, with names in lower case.
     received_at : list of float
         When they arrived, in seconds of the event loop.
+    arrivals : list of tuple
+        When each request arrived that names itself, with those for another
+        instance, and its attempt id.
+    failures : list of tuple
+        Attempt id and status of each stamped failure.
+    repeater : Repeater
+        Writes earlier responses once more.
     version_faults : VersionFaults
         The faults of its version.
     active : int
@@ -73,6 +83,7 @@
         text: str = "x",
         event_ms: float = 0.0,
         born: int = 0,
+        slots: int = 0,
     ) -> None:
         self.name = name
         self.version = version
@@ -81,9 +92,12 @@
         self.active = 0
         self.failed = 0
         self._random = random.Random(name)
+        self.repeater = repeats.Repeater(self._random)
         self.runs: list[str] = []
         self.received: list[dict[str, str]] = []
         self.received_at: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
+        self.failures: list[tuple[str, int]] = []
         self.on_crash = lambda: None
         self.bodies: list[bytes] = []
         self.batch_calls: list[list[dict]] = []
@@ -95,6 +109,7 @@
         self._text = text
         self._event_ms = event_ms
         self._born = born
+        self._slots = slots
         self._millis = millis
         self._handles = itertools.count()
         self._runner: web.ServerRunner | None = None
@@ -142,6 +157,10 @@
             name.lower(): value for name, value in request.headers.items()
         }
         body = await request.read()
+        attempt = headers.get("chervilshore-attempt-id", "")
+        if attempt:
+            now = asyncio.get_running_loop().time()
+            self.arrivals.append((now, attempt))
         expected_instance = headers.get(
             "chervilshore-expect-instance", self.name
         )
@@ -167,6 +186,7 @@
         self.received_at.append(asyncio.get_running_loop().time())
         self.bodies.append(body)
         self.active += 1
+        self.repeater.begin(request.transport, attempt)
         try:
             return await self._run(request, headers)
         finally:
@@ -221,14 +241,16 @@
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
         faults = self.faults
-        if faults.shed:
-            faults.shed -= 1
-            return self._refuse_unexecuted(503, headers)
-        if faults.gone:
-            faults.gone -= 1
-            return self._refuse_unexecuted(409, headers)
+        refusal_status = self._choose_refusal()
+        if refusal_status:
+            refusal = self._refuse_unexecuted(refusal_status, headers)
+            self.repeater.end(
+                request.transport, True, refusal, b"", faults.repeat
+            )
+            return refusal
         attempt = headers.get("chervilshore-attempt-id", "")
         self.runs.append(attempt)
+        self.repeater.write_earlier(request.transport, faults.repeat)
         if faults.mute:
             try:
                 await asyncio.sleep(3600.0)
@@ -245,17 +267,15 @@
             "Chervilshore-Attempt-Id": answered_id,
             "Chervilshore-Response-Stamp": f"{STAMP}.{self.name}",
         } | self._make_notice()
-        if faults.fail:
-            faults.fail -= 1
-            return web.Response(
-                status=500, headers=response_headers, body=b"failed"
-            )
+        failure_status = self._choose_failure(headers)
         has_failed, factor = self._apply_version_faults(
             request.path, self.active
         )
-        if has_failed:
+        if failure_status or has_failed:
+            status = failure_status or 500
+            self.failures.append((attempt, status))
             return web.Response(
-                status=500, headers=response_headers, body=b"failed"
+                status=status, headers=response_headers, body=b"failed"
             )
         if self._events:
             return await self._stream(
@@ -264,6 +284,32 @@
         await asyncio.sleep(factor * self._millis / 1000.0)
         return await self._answer(request, response_headers)
 
+    def _choose_refusal(self) -> int:
+        """Return the status with which a request is refused; 0 for none."""
+        if self.faults.shed:
+            self.faults.shed -= 1
+            return 503
+        if self.faults.gone:
+            self.faults.gone -= 1
+            return 409
+        if self._slots and self.active > self._slots:
+            return self._random.choice((429, 503))
+        return 0
+
+    def _choose_failure(self, headers: dict[str, str]) -> int:
+        """Return the status with which a run fails; 0 for none."""
+        faults = self.faults
+        if faults.fail:
+            faults.fail -= 1
+            return 500
+        if faults.unmarked:
+            faults.unmarked -= 1
+            return self._random.choice((408, 429, 503))
+        if faults.fail_resumed and "last-event-id" in headers:
+            faults.fail_resumed -= 1
+            return self._random.choice((404, 500, 503))
+        return 0
+
     def _apply_version_faults(
         self, path: str, active: int
     ) -> tuple[bool, float]:
@@ -292,6 +338,9 @@
             return response
         await response.write(content)
         await response.write_eof()
+        self.repeater.end(
+            request.transport, False, response, content, self.faults.repeat
+        )
         if self.faults.extra:
             request.transport.write(b"HTTP/1.1 200 OK\r\n\r\nextra")
         return response
