--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,7 +1,8 @@
-"""A loopback TCP proxy that delays, resets or silences connections."""
+"""A loopback TCP proxy that delays, slows, resets or silences connections."""
 
 import asyncio
 import enum
+import random
 
 READ_BYTES = 65_536
 """Maximum number of bytes that are read and forwarded at a time."""
@@ -12,6 +13,9 @@
 
     ``DELAY`` holds bytes back, ``RESET`` aborts connections, ``SILENT``
     drops all bytes, and ``ONE_WAY`` drops the bytes from the target.
+    ``JITTER`` holds each chunk back for a time of its own, so that what is
+    sent on different connections changes its order. ``LATE`` passes a part
+    of a chunk on and holds back the rest, and ``SLOW`` limits the rate.
     """
 
     PASS = "pass"
@@ -19,6 +23,23 @@
     RESET = "reset"
     SILENT = "silent"
     ONE_WAY = "one way"
+    JITTER = "jitter"
+    LATE = "late"
+    SLOW = "slow"
+
+
+LOSSLESS_MODES = (Mode.DELAY, Mode.JITTER, Mode.LATE, Mode.SLOW)
+"""Modes in which every byte arrives, so that connections can go on."""
+
+MAX_JITTER_SECONDS = 0.3
+"""Longest time for which a chunk is held back in mode ``JITTER``."""
+
+MAX_LATE_SECONDS = 0.6
+"""Longest time for which the rest of a chunk is held back in mode ``LATE``."""
+
+SLOW_CHUNK_BYTES = 100
+SLOW_CHUNK_SECONDS = 0.02
+"""Bytes that pass in mode ``SLOW``, and the time after which more do."""
 
 
 class Proxy:
@@ -28,6 +49,8 @@
     ----------
     target : str
         The address, as ``host:port``.
+    seed : str
+        Seed of the times for which bytes are held back.
 
     Attributes
     ----------
@@ -40,7 +63,8 @@
         What happens with connections from some IP addresses instead.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, seed: str = "") -> None:
+        self._random = random.Random(seed)
         self.mode = Mode.PASS
         self.delay_seconds = 0.2
         self.source_modes: dict[str, Mode] = {}
@@ -143,11 +167,32 @@
                     writer.write_eof()
                 return
             mode = self._mode_of(source_ip)
-            if mode is Mode.DELAY:
-                await asyncio.sleep(self.delay_seconds)
             if mode is Mode.SILENT:
                 continue
             if mode is Mode.ONE_WAY and not forward:
                 continue
+            if mode in LOSSLESS_MODES:
+                data = await self._hold(source_ip, data, writer)
             writer.write(data)
             await writer.drain()
+
+    async def _hold(
+        self, source_ip: str, data: bytes, writer: asyncio.StreamWriter
+    ) -> bytes:
+        """Hold data back, or a part of it; return what is left to write."""
+        mode = self._mode_of(source_ip)
+        if mode is Mode.DELAY:
+            await asyncio.sleep(self.delay_seconds)
+        elif mode is Mode.JITTER:
+            await asyncio.sleep(self._random.uniform(0.0, MAX_JITTER_SECONDS))
+        elif mode is Mode.LATE:
+            middle = self._random.randrange(len(data))
+            writer.write(data[:middle])
+            data = data[middle:]
+            await asyncio.sleep(self._random.uniform(0.0, MAX_LATE_SECONDS))
+        while mode is Mode.SLOW and len(data) > SLOW_CHUNK_BYTES:
+            writer.write(data[:SLOW_CHUNK_BYTES])
+            data = data[SLOW_CHUNK_BYTES:]
+            await asyncio.sleep(SLOW_CHUNK_SECONDS)
+            mode = self._mode_of(source_ip)
+        return data
