--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,7 +21,7 @@
 follow each other."""
 
 MAX_PAUSE_SECONDS = 0.03
-MAX_CALM_PAUSE_SECONDS = 0.3
+MAX_CALM_PAUSE_SECONDS = 1.0
 """Maximum seconds between two requests of a caller, in general and while the
 workers must not get more than they can run."""
 
