Pass on an answer whose cold time is no number

Cause: the time for which an endpoint stays cold was read with `float` after the whole response; a text that is no number was an unexpected exception.

Change: it is read as the other numbers that endpoints say of themselves, which logs one that cannot be read.

Evidence: tests/test_odd_numbers.py:: test_answer_with_an_odd_cold_time_is_passed_on. On the code before: 500 with code 2090 instead of 200 and the body.

--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -114,7 +114,7 @@
         return endpoints.Reply(
             {"response": response},
             instance=ids.InstanceId(head.get_header(names.INSTANCE) or ""),
-            cold=float(head.get_header(names.COLD) or 0) > 0,
+            cold=headers.is_cold(record, head),
         )
 
     def _record_refusal(
--- a/chervilshore/platform/headers.py
+++ b/chervilshore/platform/headers.py
@@ -44,6 +44,13 @@
         sink(record, notice)
 
 
+def is_cold(
+    record: records.EndpointRecord, head: connections.ResponseHead
+) -> bool:
+    """Return whether the endpoint says that it stays slow for some time."""
+    return bool(_read_number(record, head, names.COLD))
+
+
 def _read_number(
     record: records.EndpointRecord,
     head: connections.ResponseHead,
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -12,6 +12,7 @@
 from chervilshore import exceptions
 from chervilshore.platform import requests
 from chervilshore.platform import store as store_clients
+from tests import script_helpers
 
 DIGITS = ("²", "٣", "1²", "9" * 5000)
 """Digits that `int` or `float` does not read, or reads without a bound."""
@@ -59,6 +60,23 @@
 )
 
 
+# Guards against a whole answer that is replaced by an error, as the endpoint
+# said in an odd way that it is cold.
+async def test_answer_with_an_odd_cold_time_is_passed_on(deployment):
+    script = script_helpers.Script()
+    answer = script_helpers.make_answer(
+        b"x",
+        content_type="text/plain",
+        framing="length",
+        headers=["Chervilshore-Response-Stamp: s", "Chervilshore-Cold-Ms: x"],
+    )
+    script.answers = [(answer, script_helpers.End.KEEP)]
+    host = await script_helpers.serve(deployment, script, count=1)
+    found = await script_helpers.read_stream(deployment, host)
+    assertions.assert_that(found, matchers.Equals((200, b"x", True)))
+    script.stop()
+
+
 class Server(asyncio.Protocol):
     """Answers each request with the same bytes."""
 
