Serve callers of the library whose request id is not repeated

What callers saw: no answer until the deadline, and a request that was sent again and again, if they chose an id with a slash, a space, other characters than ASCII or over 100 of them.

Cause: hosts replace or cut such ids, so that no answer named the one sent.

Change: the library replaces an id that hosts do not repeat.

Evidence: tests/test_server.py::test_callers_may_choose_any_request_id. On the code before, five of seven cases: "AnswerLost: no answer within 1000 ms".

--- a/chervilshore/client.py
+++ b/chervilshore/client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc as collections_abc
 import random
+import re
 import typing
 import uuid
 
@@ -21,6 +22,9 @@
 REQUEST_HEADER = "X-Request-Id"
 """Header with the request id, which an answer repeats."""
 
+_REPEATED_ID = re.compile(r"[!-.0-~]{1,100}")
+"""The request ids that hosts repeat as they are."""
+
 MIN_RESEND_DELAY_MS = 5.0
 """Minimum delay before a request is sent again."""
 
@@ -162,7 +166,8 @@
         resend : bool
             Whether the request may be resent at all.
         headers : mapping or None
-            Additional headers.
+            Additional headers. A request id that hosts do not repeat is
+            replaced.
 
         Raises
         ------
@@ -250,6 +255,8 @@
             REQUEST_HEADER: uuid.uuid4().hex,
             **pending.headers,
         }
+        if not _REPEATED_ID.fullmatch(headers[REQUEST_HEADER]):
+            headers[REQUEST_HEADER] = uuid.uuid4().hex
         if pending.key:
             headers["Idempotency-Key"] = pending.key
         if pending.possible_runs:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -102,6 +102,26 @@
     assertions.assert_that(body["end"], matchers.Is(True))
 
 
+# Guards against requests that run again and again, as their callers chose an
+# id that hosts do not repeat.
+@pytest.mark.parametrize(
+    "own_id", ("mine", "a/b", "x" * 101, " a ", "a b", "\u00e4", "")
+)
+async def test_callers_may_choose_any_request_id(caller, own_id):
+    library = make_client(caller)
+    answer = await library.request(
+        "work",
+        {"input": "x"},
+        1000.0,
+        repeatable=False,
+        headers={"X-Request-Id": own_id},
+    )
+    await library.close()
+    assertions.assert_that(
+        (answer.result, answer.sends), matchers.Equals(({"echo": 1}, 1))
+    )
+
+
 async def test_draining_host_refuses_requests_as_not_run(caller):
     caller.server_under_test.draining = True
     response, body = await post(caller, b'{"input": "x"}', KEYED)
