--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -30,6 +30,9 @@
 
 CALLERS = 20
 
+DRAIN_MS = "2900"
+"""Shortly after the host takes no more requests, and before the deadline."""
+
 
 @pytest.fixture
 async def start_daemon(deployment, tmp_path):
@@ -200,3 +203,21 @@
     # The limit of the drain is four seconds.
     assertions.assert_that(time.monotonic() - started, matchers.LessThan(2.0))
     assertions.assert_that(set(statuses), matchers.Equals({200}))
+
+
+# Guards against LOST: a request that still waits at its endpoint when a stop
+# must end is cut, with neither an answer nor a refusal.
+async def test_request_that_waits_until_a_stop_must_end_is_answered(
+    deployment,
+):
+    host, (worker,) = await helpers.serve_plain(
+        deployment, host={"drain_ms": DRAIN_MS}
+    )
+    worker.faults.mute = True
+    sending = asyncio.ensure_future(deployment.send(host, "/look/"))
+    await deployment.wait_until(lambda: worker.received)
+    await host.drain()
+    await host.stop()
+    deployment.hosts.remove(host)
+    (answer,) = await asyncio.gather(sending, return_exceptions=True)
+    assertions.assert_that(answer, matchers.IsInstance(tuple))
