review: show streams joined from two versions after a restart of all hosts

Cause: a caller that resumes a stream by Last-Event-Id alone is served by the only version that the listings of this process have shown. After all hosts were killed at once these reach back a few seconds, in which the old version had already left, and hosts that have just started confirm each other.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH="target/deps:." exec python3 -m review.2.case
--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review; see REPORT.md."""
--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""What the scripts of the cases share."""
