--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,11 +1,9 @@
-"""Streams go on at another version after all hosts were killed at once."""
+"""A configuration without a batch service makes its hosts hang."""
 
 import asyncio
+import copy
 import itertools
-import os
 import pathlib
-import re
-import signal
 
 import aiohttp
 
@@ -13,215 +11,212 @@
 from review.common import run
 from standins import workers
 
-EVENTS = 60
-EVENT_MS = 100.0
-"""A stream takes 6 s."""
-
-CLIENTS = 12
-DEADLINE_SECONDS = 15.0
-RETRIES = 3
-"""Times that a client takes up its stream again."""
-
-DOWN_SECONDS = 2.0
-"""Time for which the hosts are down; at most 2.6 s in the letter."""
+ZONES = ["a", "b"]
+TIMEOUT_MS = 600
+"""`timeout_ms` of the route of the lookups."""
+
+CLIENT_DEADLINE_MS = 3000
+HALF_SECOND = 0.5
+WARM_SECONDS = 4.0
+LAST_SECONDS = 12.0
+"""Time for which clients go on after the new configuration."""
+
+STAGES = ("parts", "rota")
+
+LOOKUP = {
+    "name": "lookup",
+    "host": "desk.example",
+    "path_prefix": "/lookup/",
+    "kind": "idempotent",
+    "service": "ledger",
+    "timeout_ms": TIMEOUT_MS,
+    "slo_ms": 125,
+    "priority": 2,
+    "max_attempts": 2,
+}
 
-HOSTS = 3
+REPORT = {
+    "name": "report",
+    "host": "desk.example",
+    "path_prefix": "/report/",
+    "kind": "stream",
+    "service": "llm",
+    "timeout_ms": 15000,
+    "slo_ms": 2000,
+    "gap_target_ms": 400,
+    "priority": 0,
+    "max_attempts": 1,
+    "sticky": True,
+    "stages": [
+        {"service": "parts", "after": [], "size_bytes": 8000},
+        {"service": "rota", "after": [0], "size_bytes": 60000},
+    ],
+}
 
 CONFIG = {
     "version": 3,
-    "routes": [
-        {
-            "name": "review",
-            "host": "desk.example",
-            "path_prefix": "/review/",
-            "kind": "stream",
-            "resumable": True,
-            "service": "llm",
-            "timeout_ms": 15000,
-            "slo_ms": 1400,
-            "gap_target_ms": 400,
-            "priority": 1,
-            "max_attempts": 2,
-            "sticky": True,
-        }
+    "routes": [LOOKUP, REPORT],
+    "services": [
+        {"name": "ledger", "max_conns": 48},
+        {"name": "llm", "max_conns": 500, "engine": {"slots": 128}},
+        *(
+            {
+                "name": name,
+                "max_conns": 500,
+                "pieces": {
+                    "slots": 1,
+                    "queue": 2,
+                    "batch": 8,
+                    "call_ms": 240.0,
+                    "item_ms": 26.0,
+                    "headroom_mb": 9.6,
+                    "handle_s": 4.0,
+                    "link_mbps": 10000,
+                },
+            }
+            for name in STAGES
+        ),
     ],
-    "services": [{"name": "llm", "max_conns": 500, "engine": {"slots": 128}}],
 }
 
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
-
-class Client:
-    """A client that takes its stream up again after a broken connection."""
-
-    numbers = itertools.count()
+class Clients:
+    """Clients of both routes, each with a connection of its own."""
 
     def __init__(self, hosts: list, record: run.Record) -> None:
-        self.number = next(self.numbers)
-        self.events: list[tuple[int, str]] = []
-        self.is_complete = False
-        self._hosts = hosts
+        self.lookups: list[dict] = []
+        self._numbers = itertools.count()
         self._record = record
-
-    async def run(self) -> None:
-        """Read the stream to its end, the deadline or the last retry."""
-        try:
-            async with asyncio.timeout(DEADLINE_SECONDS):
-                await self._run()
-        except TimeoutError:
-            self._record.add("gave up", client=self.number)
-
-    async def _run(self) -> None:
-        for attempt in range(RETRIES + 1):
-            host = self._hosts[(self.number + attempt) % len(self._hosts)]
-            # The platform sends new connections to hosts that are ready.
-            await host.wait_ready()
-            retry_after = await self._send(host, f"{self.number}-{attempt}")
-            if self.is_complete:
-                return
-            await asyncio.sleep(retry_after)
-
-    async def _send(self, host, attempt: str) -> float:
+        self.tasks = [
+            asyncio.ensure_future(self._run(host, name, pause))
+            for host in hosts
+            for name, pause in (
+                ("lookup", 0.1),
+                ("lookup", 0.1),
+                ("report", 0.3),
+                ("report", 0.3),
+            )
+        ]
+
+    async def _run(self, host, name: str, pause: float) -> None:
+        async with aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with asyncio.timeout(
+                        CLIENT_DEADLINE_MS / 1000.0
+                        if name == "lookup"
+                        else None
+                    ):
+                        await self._send(session, host, name)
+                except TimeoutError:
+                    self._record.add("gave up", host=host.name, route=name)
+                await asyncio.sleep(pause)
+
+    async def _send(self, session, host, name: str) -> None:
+        loop = asyncio.get_running_loop()
+        attempt = f"{next(self._numbers):016x}"
+        sent = {"host": host.name, "sent_at": loop.time(), "ended_at": None}
         headers = {
             "Host": "desk.example",
             "Chervilshore-Attempt-Id": attempt,
-            "Chervilshore-Deadline-Ms": "15000",
-            "Chervilshore-Model": "m",
-            "Chervilshore-Token-Usage": "100,60",
-            "Chervilshore-Prompt-Prefix": f"a1:50,b{self.number}:50",
+            "Chervilshore-Deadline-Ms": str(CLIENT_DEADLINE_MS),
         }
-        if self.events:
-            headers["Last-Event-Id"] = str(self.events[-1][0])
-            if os.environ.get("RESUMES") == "1":
-                # Not on the pages in force; see claim.txt.
-                headers["Resumes"] = f"{self.number}-0"
-        self._record.add(
-            "sent",
-            attempt=attempt,
-            host=host.name,
-            after=headers.get("Last-Event-Id"),
-        )
-        before = len(self.events)
+        if name == "lookup":
+            self.lookups.append(sent)
+        else:
+            headers |= {
+                "Chervilshore-Deadline-Ms": "15000",
+                "Chervilshore-Model": "m",
+                "Chervilshore-Token-Usage": "100,20",
+                "Chervilshore-Prompt-Prefix": f"a1:50,b{attempt}:50",
+                "Chervilshore-Pieces": "1,2",
+                "Chervilshore-Piece-Key": "k",
+            }
+        url = f"http://{host.address}/{name}/x"
         status: object = None
-        retry_after = 0.5
         try:
-            async with (
-                aiohttp.ClientSession() as session,
-                session.post(
-                    f"http://{host.address}/review/x",
-                    headers=headers,
-                    data=b"prompt",
-                ) as got,
-            ):
+            async with session.post(url, headers=headers, data=b"x") as got:
                 status = got.status
-                if status == 200:
-                    await self._read(got)
-                else:
-                    retry_after = float(got.headers.get("Retry-After", "0.5"))
+                await got.read()
         except aiohttp.ClientError as error:
-            status = f"{status} {type(error).__name__}"
+            status = type(error).__name__
+        finally:
+            # Answered, or given up at the client's deadline.
+            sent["ended_at"] = loop.time()
         self._record.add(
             "answered",
             attempt=attempt,
+            host=host.name,
+            route=name,
             status=status,
-            events=[
-                f"{number}:{text}" for number, text in self.events[before:]
-            ],
-            complete=self.is_complete,
+            seconds=round(sent["ended_at"] - sent["sent_at"], 2),
         )
-        return retry_after
-
-    async def _read(self, got: aiohttp.ClientResponse) -> None:
-        buffer = b""
-        async for data in got.content.iter_any():
-            buffer += data
-            end = 0
-            for match in _EVENT.finditer(buffer):
-                self.events.append((int(match[1]), match[2].decode()))
-                end = match.end()
-            buffer = buffer[end:]
-        self.is_complete = True
 
 
 async def run_case(
     folder: pathlib.Path, record: run.Record, with_trouble: bool
 ) -> list[str]:
-    """Kill all hosts while the workers of the old version leave."""
-    deployment = deployments.Deployment(folder, ["a", "b", "c"][:HOSTS])
-    clients = []
+    """Take a route and its batch services out of the configuration."""
+    deployment = deployments.Deployment(folder, ZONES)
+    clients = None
     try:
         await deployment.start(CONFIG)
-        old = await _add_workers(deployment, "v1")
-        record.add("workers of v1 listed")
-        await asyncio.sleep(6.0)
-        clients = [Client(deployment.hosts, record) for _ in range(CLIENTS)]
-        tasks = [asyncio.ensure_future(one.run()) for one in clients]
-        await asyncio.sleep(1.0)
-        await _add_workers(deployment, "v2")
-        record.add("workers of v2 listed")
-        await asyncio.sleep(1.0)
-        for worker in old:
-            entry = worker.describe("llm", "a", state="draining")
-            await deployment.store.write("servers", worker.name, entry)
-        record.add("workers of v1 drain")
+        for service in STAGES:
+            for number, zone in enumerate(ZONES):
+                worker = workers.Worker(f"{service}-{number}", millis=290.0)
+                await deployment.add_worker(worker, service, zone)
+        for number, zone in enumerate(ZONES):
+            model = workers.Worker(f"llm-{number}", events=20, event_ms=50.0)
+            await deployment.add_worker(model, "llm", zone)
+            ledger = workers.Worker(f"ledger-{number}", millis=20.0)
+            await deployment.add_worker(ledger, "ledger", zone)
         await asyncio.sleep(1.0)
+        clients = Clients(deployment.hosts, record)
+        await asyncio.sleep(WARM_SECONDS)
+        changed = copy.deepcopy(CONFIG)
+        changed["version"] = 9
         if with_trouble:
-            record.add("all hosts killed")
-            for host in deployment.hosts:
-                host.send_signal(signal.SIGKILL)
-        await asyncio.sleep(deployments.DRAIN_SECONDS - 0.5)
-        for worker in old:
-            await deployment.store.remove("servers", worker.name)
-            await worker.stop()
-        record.add("workers of v1 gone")
-        await asyncio.sleep(DOWN_SECONDS - deployments.DRAIN_SECONDS + 0.5)
-        if with_trouble:
-            for host in deployment.hosts:
-                await host.start()
-            record.add("all hosts started")
-        await asyncio.gather(*tasks)
+            changed["routes"] = [LOOKUP]
+            changed["services"] = CONFIG["services"][:2]
+        await deployment.store.write("config", "main", changed)
+        record.add("configuration acknowledged", version=9)
+        await asyncio.sleep(LAST_SECONDS)
         return check(clients, record)
     finally:
+        if clients is not None:
+            for task in clients.tasks:
+                task.cancel()
         await deployment.stop()
 
 
-async def _add_workers(
-    deployment: deployments.Deployment, version: str
-) -> list[workers.Worker]:
-    added = []
-    for number in range(2):
-        worker = workers.Worker(
-            f"{version}-{number}",
-            events=EVENTS,
-            event_ms=EVENT_MS,
-            version=version,
-            text=version,
-        )
-        await deployment.add_worker(worker, "llm", "ab"[number])
-        added.append(worker)
-    return added
-
-
-def check(clients: list[Client], record: run.Record) -> list[str]:
-    """Return the streams whose events come from two versions."""
-    joined = []
-    for client in clients:
-        versions = sorted({text for _, text in client.events})
-        record.add(
-            "stream",
-            client=client.number,
-            versions=versions,
-            events=len(client.events),
-            complete=client.is_complete,
-        )
-        if len(versions) > 1:
-            joined.append(client)
-    if not joined:
+def check(clients: Clients, record: run.Record) -> list[str]:
+    """Return whether most lookups past their timeout stay unanswered."""
+    now = asyncio.get_running_loop().time()
+    timeout = TIMEOUT_MS / 1000.0
+    old = [
+        one
+        for one in clients.lookups
+        if one["sent_at"] < now - timeout - HALF_SECOND
+    ]
+
+    def lasts(one: dict, seconds: float) -> bool:
+        return (one["ended_at"] or now) - one["sent_at"] > seconds
+
+    late = [one for one in old if lasts(one, timeout)]
+    held = [one for one in late if lasts(one, timeout + HALF_SECOND)]
+    record.add(
+        "lookups",
+        sent=len(clients.lookups),
+        unanswered_at_timeout=len(late),
+        unanswered_half_a_second_later=len(held),
+    )
+    if len(held) <= len(late) / 2:
         return []
-    complete = sum(client.is_complete for client in joined)
+    longest = max((one["ended_at"] or now) - one["sent_at"] for one in held)
     return [
-        f"ORDER: {len(joined)} of {len(clients)} streams were joined from "
-        f"two versions, {complete} of them ended as complete"
+        f"CONFIG: of {len(late)} lookups that were unanswered at timeout_ms, "
+        f"{len(held)} had no answer half a second later, the last one after "
+        f"{longest:.1f} s"
     ]
 
 
