--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import pathlib
 
 import aiohttp
@@ -11,6 +12,9 @@
 from review.common import run
 from standins import workers
 
+RECORD = pathlib.Path(__file__).with_name("record.txt")
+"""What was sent, answered and run."""
+
 ZONES = ["a", "b", "c"]
 GAP_SECONDS = 1.0
 """Time between two SIGTERMs: `gap_s` of `roll_term` in the site file."""
@@ -286,4 +290,4 @@
 
 
 if __name__ == "__main__":
-    run.main(run_case, __file__)
+    run.main(run_case, RECORD, os.environ.get("TROUBLE") != "0")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import itertools
+import os
 import pathlib
 
 import aiohttp
@@ -11,6 +12,9 @@
 from review.common import run
 from standins import workers
 
+RECORD = pathlib.Path(__file__).with_name("record.txt")
+"""What was sent, answered and run."""
+
 ZONES = ["a", "b"]
 TIMEOUT_MS = 600
 """`timeout_ms` of the route of the lookups."""
@@ -221,4 +225,4 @@
 
 
 if __name__ == "__main__":
-    run.main(run_case, __file__)
+    run.main(run_case, RECORD, os.environ.get("TROUBLE") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import pathlib
 
 import aiohttp
@@ -11,6 +12,9 @@
 from soak import proxy
 from standins import workers
 
+RECORD = pathlib.Path(__file__).with_name("record.txt")
+"""What was sent, answered and run."""
+
 ROUNDS = 7
 CUT_SECONDS = 4.0
 """Length of the cut of the zone; at most 5.5 s in the site file."""
@@ -177,4 +181,4 @@
 
 
 if __name__ == "__main__":
-    run.main(run_case, __file__)
+    run.main(run_case, RECORD, os.environ.get("TROUBLE") != "0")
--- a/review/common/run.py
+++ b/review/common/run.py
@@ -43,10 +43,9 @@
 was broken."""
 
 
-def main(case: Case, file: str) -> None:
-    """Run a case and exit with its status."""
-    with_trouble = os.environ.get("TROUBLE") != "0"
-    record = Record(pathlib.Path(file).parent / "record.txt")
+def main(case: Case, path: pathlib.Path, with_trouble: bool) -> None:
+    """Run a case, write its record to a path, and exit with its status."""
+    record = Record(path)
     try:
         with tempfile.TemporaryDirectory() as temporary:
             # A folder that is named keeps the logs of the hosts.
