End a job at once when no host is left to own it

Cause: without a usable owner the submitter chose this host again and again, which refuses in a plain call. The set of failed hosts did not grow, and the loop never gave way to the event loop.

Each host is now offered a job once, and the job fails when none is left, so the loop has at most as many turns as there are hosts.

--- a/chervilshore/controllers/submitting.py
+++ b/chervilshore/controllers/submitting.py
@@ -144,7 +144,8 @@
 
         The job is submitted to another owner when one does not answer or
         hands the job back; if its inputs have been freed by then, it fails
-        with `Failure.INPUT_GONE`.
+        with `Failure.INPUT_GONE`. No host is tried twice: the job fails as
+        soon as none is left.
 
         Parameters
         ----------
@@ -182,6 +183,8 @@
                     if updated.left_ms <= 0.0:
                         return _make_failed(job_request, batches.Failure.LATE)
                     owner = self._choose_owner(job_request.pool, failed_owners)
+                    if owner is None:
+                        break
                     heard_at = -math.inf
                 offer = await self._offer(owner, updated)
                 is_silent = self._is_only_silent(owner, offer, heard_at)
@@ -273,28 +276,42 @@
             )
 
     def _choose_owner(
-        self, pool: ids.PoolName, excluded: set[ids.HostId]
-    ) -> records.HostRecord:
+        self, pool: ids.PoolName, excluded: collections_abc.Set[ids.HostId]
+    ) -> records.HostRecord | None:
         """Choose the owner of a pool among the hosts that are alive.
 
-        Hosts with the same view choose the same owner. Without a usable
-        host the first listed one is returned.
+        Hosts with the same view choose the same owner. One that did not
+        answer lately is chosen only if no other host is alive, and this host
+        while it leaves only if none is.
+
+        Returns
+        -------
+        HostRecord or None
+            The owner; None if all hosts that may own it are excluded.
         """
         now = self._clock.now()
-        hosts = self._directory.hosts()
-        usable = [
+        hosts = [
+            record
+            for record in self._directory.hosts()
+            if record.host not in excluded
+        ]
+        alive = [
             record
             for record in hosts
             if record.state is records.HostState.ALIVE
-            and record.host not in excluded
-            and now >= self._backoff_until.get(record.host, 0.0)
         ]
-        return owners.choose_by_capacity(usable, pool) or hosts[0]
+        answering = [
+            record
+            for record in alive
+            if now >= self._backoff_until.get(record.host, 0.0)
+        ]
+        this_host = [record for record in hosts if record.host == self._host]
+        return owners.choose_by_capacity(answering or alive or this_host, pool)
 
     def free(self, pool: ids.PoolName, handles: tuple[str, ...]) -> None:
         """Free results at the endpoints of a pool, through its owner."""
-        owner = self._choose_owner(pool, set())
-        if owner.host == self._host:
+        owner = self._choose_owner(pool, frozenset())
+        if owner is None or owner.host == self._host:
             self._service.free(pool, handles)
         else:
             self._peers.send(
--- a/tests/test_submitting.py
+++ b/tests/test_submitting.py
@@ -16,6 +16,7 @@
 
 LOCAL_HOST = ids.HostId("me")
 STEP_MS = 50.0
+MAX_ASKED = 20
 LATEST_CHECK_MS = submitting.SILENT_CHECK_MS + 2 * STEP_MS
 """Milliseconds after the longest silence within which a check follows."""
 
@@ -27,6 +28,7 @@
         self.requested = []
         self.cancelled = []
         self.silent = set()
+        self.refusing = set()
         self._handlers = {}
 
     def handle(self, kind, handler):
@@ -40,12 +42,30 @@
         if address in self.silent:
             raise exceptions.PeerError("no answer")
         self.requested.append(address)
+        if address in self.refusing:
+            return None
         return batchmessages.BatchJobAccepted(backlog.WaitEstimate())
 
     def deliver(self, message):
         self._handlers[type(message)](ids.Address(""), message)
 
 
+class RefusingService:
+    """The pools of this host; it has none of them, or it leaves."""
+
+    def __init__(self):
+        self.asked = 0
+
+    def accept(self, job_request, send_update):
+        self.asked += 1
+        if self.asked > MAX_ASKED:
+            # The loop that asks would never give way to another task.
+            raise AssertionError("a host that refuses is asked without end")
+
+    def cancel_job(self, job):
+        pass
+
+
 class Directory:
     def __init__(self):
         self.known = []
@@ -54,13 +74,14 @@
         return self.known
 
 
-def make_host(name, capacity=1.0):
+def make_host(name, capacity=1.0, state=records.HostState.ALIVE):
     return records.HostRecord(
         host=ids.HostId(name),
         domain=ids.DomainId("a"),
         peer_address=ids.Address(name),
         http_address=ids.Address(""),
         capacity=capacity,
+        state=state,
     )
 
 
@@ -90,8 +111,9 @@
         self.directory = Directory()
         self.clock = clock
         self.read = 0
+        self.service = RefusingService()
         self.client = submitting.BatchPoolClient(
-            LOCAL_HOST, clock, self.peers, self.directory, None
+            LOCAL_HOST, clock, self.peers, self.directory, self.service
         )
         self.directory.known = [make_host("one")]
 
@@ -216,3 +238,76 @@
         (job_result.failure, site.read, set(site.peers.requested)),
         matchers.Equals((batches.Failure.INPUT_GONE, 1, {ids.Address("one")})),
     )
+
+
+def list_outcomes(hosts, site, task):
+    """Return how a job that all hosts refuse has ended, and who was asked."""
+    asked = len(site.peers.requested) + site.service.asked
+    return (
+        task.done() and task.result().failure,
+        site.service.asked <= 1,
+        len(set(site.peers.requested)) == len(site.peers.requested),
+        asked == min(hosts, submitting.MAX_OWNERS_TRIED),
+    )
+
+
+REFUSED = (batches.Failure.ERROR, True, True, True)
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 4, 5, 40, 370])
+async def test_a_job_that_all_hosts_refuse_ends_at_once(site, count):
+    """Guards against a host that hangs: no rules have the pool any more."""
+    others = [make_host(f"h{number}") for number in range(count - 1)]
+    site.directory.known = [make_host(LOCAL_HOST), *others]
+    site.peers.refusing = {one.peer_address for one in others}
+    task = await site.submit(left_ms=10_000.0)
+    assertions.assert_that(
+        list_outcomes(count, site, task), matchers.Equals(REFUSED)
+    )
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 4, 5, 40, 370])
+async def test_a_job_ends_at_once_when_all_hosts_leave(site, count):
+    """Guards against a host that hangs: none is alive, this one refuses."""
+    leaving = records.HostState.LEAVING
+    names = [LOCAL_HOST, *(f"h{number}" for number in range(count - 1))]
+    site.directory.known = [make_host(one, state=leaving) for one in names]
+    task = await site.submit(left_ms=10_000.0)
+    assertions.assert_that(
+        (list_outcomes(1, site, task), site.peers.requested),
+        matchers.Equals((REFUSED, [])),
+    )
+
+
+async def test_a_job_that_this_leaving_host_returns_ends_at_once(site):
+    """Guards against a host that hangs: it returns its job as it leaves."""
+    site.directory.known = [make_host("one")]
+    task = await site.submit(left_ms=10_000.0)
+    leaving = records.HostState.LEAVING
+    site.directory.known = [make_host(LOCAL_HOST, state=leaving)]
+    site.peers.deliver(
+        batchmessages.BatchJobResult("j", (), batches.Failure.MOVED)
+    )
+    await run_ready_tasks()
+    assertions.assert_that(
+        (task.done() and task.result().failure, site.service.asked),
+        matchers.Equals((batches.Failure.ERROR, 1)),
+    )
+
+
+async def test_a_leaving_host_asks_one_that_was_silent_for_a_while(site):
+    """Guards against a refusal while a host is alive that may answer."""
+    leaving = records.HostState.LEAVING
+    site.directory.known = [
+        make_host(LOCAL_HOST, state=leaving),
+        make_host("one"),
+    ]
+    site.peers.silent = {ids.Address("one")}
+    await site.submit(left_ms=10_000.0)
+    site.peers.silent = set()
+    task = await site.submit(left_ms=10_000.0, job="k")
+    site.peers.deliver(batchmessages.BatchJobResult("k", ("a", "b")))
+    await run_ready_tasks()
+    assertions.assert_that(
+        task.done() and task.result().handles, matchers.Equals(("a", "b"))
+    )
