Skip what a late answer of the store says of the past

A host could go on sending to a worker that had left. Cause: the answer to a watch of before an outage comes after a copy of a peer, or a check, has moved the host on. An object that is gone by then was put back, or its removal, if it was due, was forgotten; the store does not tell of it again.

An answer up to a position that the host has passed is skipped, and so are the passed changes of a later one.

--- a/chervilshore/decisions/objectcache.py
+++ b/chervilshore/decisions/objectcache.py
@@ -59,25 +59,35 @@
         self._removed: dict[str, int] = {}
 
     def merge(self, changes: objects.Changes, now: float) -> list[str]:
-        """Apply changes in order; skip those older than the known object.
+        """Apply changes in order; skip those that are known or outdated.
+
+        An answer to a call that was made at an earlier position may come
+        late. What it says of objects that have been removed since would hold
+        for ever, as the store does not tell of their removal again.
 
         Returns
         -------
         list of str
             Names of the objects of which an older change was skipped.
         """
+        if changes.revision <= self.revision:
+            return [change.object.name for change in changes.changes]
         skipped = []
         for change in changes.changes:
             stored = change.object
             known = self.objects.get(stored.name)
-            if known is not None and known.revision > stored.revision:
+            is_known = not change.removed and stored.revision <= self.revision
+            is_outdated = (
+                known is not None and known.revision > stored.revision
+            )
+            if is_known or is_outdated:
                 skipped.append(stored.name)
                 continue
             if change.removed:
                 self._remove(stored.name, now, self._outage_grace_end)
             else:
                 self._put(stored)
-        self.revision = max(self.revision, changes.revision)
+        self.revision = changes.revision
         return skipped
 
     def replace(self, listing: objects.Listing, now: float) -> None:
