Return what a reader has told from the check of a watch

In a domain whose hosts follow readers, one that starts could miss changes of configuration and endpoints for 20 s. Cause: its first watches go to the store itself; if their answers are lost, what the reader tells waits in the log of changes, and the check of the watches, a poll, said that nothing had changed.

The poll returns the changes in the log. One test, which fails before.

--- a/chervilshore/controllers/sharedstore.py
+++ b/chervilshore/controllers/sharedstore.py
@@ -145,10 +145,14 @@
     async def poll(self, kind: str, since: int) -> objects.Changes:
         """Read changes at once; see `ObjectStore.poll`.
 
-        A reader that is followed tells changes to `watch`.
+        A reader that is followed has told them. A watch of before it was
+        followed may wait in vain for an answer of the store.
         """
         if self._reader and kind not in self._unfollowed:
-            return objects.Changes((), since)
+            log = self._logs.get(kind)
+            changes = None if log is None else log.read(since)
+            if changes is not None:
+                return changes
         changes = await self._call(self._store.poll(kind, since))
         self._record(kind, since, changes)
         return changes
--- a/tests/test_sharedstore.py
+++ b/tests/test_sharedstore.py
@@ -28,6 +28,8 @@
 
 READERS = 2
 
+WATCHED_KINDS = ("config", "evacuations", "servers")
+
 
 def list_readers(cluster):
     """Return the hosts that the others follow."""
@@ -98,6 +100,31 @@
     assertions.assert_that(watches, matchers.LessThan(READERS * 12))
 
 
+# Guards against CONFIG and DRAIN: a host that starts loses the answers to its
+# first watches, and what its reader tells it waits for 20 s beside them.
+def test_host_that_starts_follows_a_reader_though_its_watches_are_lost():
+    async def run():
+        cluster = await start_cluster()
+        readers = list_readers(cluster)
+        (index, *_) = (
+            number
+            for number, host in enumerate(cluster.hosts)
+            if host not in readers
+        )
+        await cluster.restart(index)
+        cluster.store.faults.lose_watches = len(WATCHED_KINDS)
+        await cluster.wait(helpers.IN_TOUCH_MS)
+        cluster.configure(2)
+        cluster.write_endpoint("w0", "draining")
+        await cluster.wait(helpers.IN_FORCE_MS)
+        host = cluster.hosts[index]
+        assertions.assert_that(
+            (host.version, host.is_leaving("w0")), matchers.Equals((2, True))
+        )
+
+    virtual.run(run())
+
+
 def test_small_domains_read_the_store_directly():
     async def run():
         cluster = await start_cluster(count=storereaders.MIN_DOMAIN_HOSTS - 1)
