Mark what is gone in copies of the store between hosts

Cause: for a while after an outage a host keeps entries that were removed, and passed them on as present, with a position at which they are gone. The host that copied them was never told of the removal. The same held for evacuations and orders after a restore of the store.

A copy now has them apart, with the time for which they still count; the host that copies keeps them no longer.

Evidence: tests/test_catalogsync.py in virtual time.

--- a/chervilshore/catalogmessages.py
+++ b/chervilshore/catalogmessages.py
@@ -20,12 +20,16 @@
     details : tuple of tuple
         Status and time of creation of each object; empty if no object has a
         status.
+    removed : tuple of RemovedObject
+        Objects that are gone at this revision, while the sender still uses
+        them.
     """
 
     kind: str
     revision: int
     objects: tuple[tuple[str, int, bytes], ...]
     details: tuple[tuple[bytes, str], ...] = ()
+    removed: tuple[objects.RemovedObject, ...] = ()
 
 
 class CatalogRequest(messages.Message, frozen=True, tag="va"):
--- a/chervilshore/controllers/catalogsync.py
+++ b/chervilshore/controllers/catalogsync.py
@@ -68,31 +68,36 @@
     def _handle_request(
         self, sender: ids.Address, request: catalogmessages.CatalogRequest
     ) -> catalogmessages.CatalogReply:
-        found = []
-        for kind, revision in request.revisions.items():
-            cache = self._catalog.caches.get(kind)
-            if cache is not None and cache.revision > revision:
-                copies = [
-                    self._catalog.copy(kind, entry)
-                    for entry in cache.objects.values()
-                ]
-                stored = tuple(
-                    (entry.name, entry.revision, entry.content)
-                    for entry in copies
-                )
-                details = tuple(
-                    (entry.status, entry.created) for entry in copies
-                )
-                if all(one[0] == objects.NO_STATUS for one in details):
-                    # Hosts of earlier builds know no details.
-                    details = ()
-                found.append(
-                    catalogmessages.KindSnapshot(
-                        kind, cache.revision, stored, details
-                    )
-                )
+        found = [
+            self._make_snapshot(kind)
+            for kind, revision in request.revisions.items()
+            if kind in self._catalog.caches
+            and self._catalog.caches[kind].revision > revision
+        ]
         return catalogmessages.CatalogReply(tuple(found))
 
+    def _make_snapshot(self, kind: str) -> catalogmessages.KindSnapshot:
+        listing = self._catalog.caches[kind].make_listing(self._clock.now())
+        copies = [
+            self._catalog.copy(kind, stored) for stored in listing.objects
+        ]
+        details = tuple((copy.status, copy.created) for copy in copies)
+        if all(one[0] == objects.NO_STATUS for one in details):
+            # Hosts of earlier builds know no details.
+            details = ()
+        return catalogmessages.KindSnapshot(
+            kind,
+            listing.revision,
+            tuple((copy.name, copy.revision, copy.content) for copy in copies),
+            details,
+            tuple(
+                objects.RemovedObject(
+                    self._catalog.copy(kind, one.object), one.left_ms
+                )
+                for one in listing.removed
+            ),
+        )
+
     async def _run(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(SYNC_INTERVAL_MS)
@@ -145,6 +150,7 @@
                     )
                 ),
                 snapshot.revision,
+                snapshot.removed,
             )
             cache.replace(listing, self._clock.now())
             events.log_event(
--- a/chervilshore/decisions/objectcache.py
+++ b/chervilshore/decisions/objectcache.py
@@ -102,6 +102,9 @@
             for stored in listing.objects
             if not self._is_removed(stored)
         }
+        for removed in listing.removed:
+            if removed.object.name not in found:
+                self._put_removed(removed, now)
         kept_until = max(self._outage_grace_end, self._restore_grace_end)
         for name in self.objects.keys() - found.keys():
             self._remove(name, now, kept_until)
@@ -109,6 +112,23 @@
             self._put(stored)
         self.revision = listing.revision
 
+    def make_listing(self, now: float) -> objects.Listing:
+        """Return a listing for a host that cannot read the store."""
+        due = self._removals_due
+        return objects.Listing(
+            tuple(
+                stored
+                for name, stored in self.objects.items()
+                if name not in due
+            ),
+            self.revision,
+            tuple(
+                objects.RemovedObject(self.objects[name], until - now)
+                for name, until in due.items()
+                if until > now
+            ),
+        )
+
     @property
     def era(self) -> int:
         """The era of the store that the objects reflect."""
@@ -127,6 +147,17 @@
         self._removed.pop(stored.name, None)
         self.objects[stored.name] = stored
 
+    def _put_removed(self, removed: objects.RemovedObject, now: float) -> None:
+        """Take over an object that another host keeps for a while longer."""
+        stored = removed.object
+        longest_ms = max(self._removal_grace_ms, self._restore_grace_ms)
+        if longest_ms <= 0.0 or self._is_removed(stored):
+            return
+        due = now + min(removed.left_ms, longest_ms)
+        self.objects[stored.name] = stored
+        known_due = self._removals_due.get(stored.name, due)
+        self._removals_due[stored.name] = min(known_due, due)
+
     def expire(self, now: float) -> bool:
         """Carry out delayed removals that are due; return whether any was."""
         if not self._removals_due:
@@ -143,8 +174,9 @@
         return self.recovered_at + self._removal_grace_ms
 
     def _remove(self, name: str, now: float, kept_until: float) -> None:
+        kept_until = self._removals_due.get(name, kept_until)
         if now < kept_until and name in self.objects:
-            self._removals_due.setdefault(name, kept_until)
+            self._removals_due[name] = kept_until
         else:
             self._drop(name)
 
--- a/chervilshore/objects.py
+++ b/chervilshore/objects.py
@@ -73,11 +73,38 @@
     created: str = ""
 
 
+class RemovedObject(msgspec.Struct, frozen=True):
+    """An object that is gone from the store and counts for a while longer.
+
+    Parameters
+    ----------
+    object : StoredObject
+        The object as it was.
+    left_ms : float
+        Milliseconds until it counts no more.
+    """
+
+    object: StoredObject
+    left_ms: float
+
+
 class Listing(msgspec.Struct, frozen=True):
-    """All objects of one kind, as of a position in the store."""
+    """All objects of one kind, as of a position in the store.
+
+    Parameters
+    ----------
+    objects : tuple of StoredObject
+        The objects.
+    revision : int
+        The position.
+    removed : tuple of RemovedObject
+        Objects that are gone at this position. No later change tells of it,
+        so they must never be taken for present ones.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    removed: tuple[RemovedObject, ...] = ()
 
 
 class Change(msgspec.Struct, frozen=True):
--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -31,6 +31,8 @@
         Whether calls get no answer; watches that wait are lost.
     timeout_ms : float
         Milliseconds after which the host gives up such a call.
+    delay_ms : float
+        Milliseconds by which answers come later.
     """
 
     def __init__(self, store, clock):
@@ -38,6 +40,7 @@
         self._clock = clock
         self.cut = False
         self.timeout_ms = objectstore.CALL_TIMEOUT_MS
+        self.delay_ms = 0.0
 
     async def list(self, kind, may_be_stale=False):
         return await self._carry(self._store.list(kind, may_be_stale), 0.0)
@@ -59,6 +62,8 @@
         began_at = self._clock.now()
         was_cut = self.cut
         result = await call
+        if self.delay_ms:
+            await self._clock.sleep(self.delay_ms)
         if self.cut or was_cut:
             left_ms = self.timeout_ms + wait_ms
             left_ms -= self._clock.now() - began_at
@@ -144,10 +149,11 @@
             self._readers,
         )
 
-    async def restart(self, index):
-        """Kill a host and start it again."""
+    async def restart(self, index, is_cut=False):
+        """Kill a host and start it again, with a path to the store or not."""
         await self.hosts[index].stop()
         self.hosts[index] = self._make_host(index + 1)
+        self.hosts[index].link.cut = is_cut
         await self.hosts[index].start(with_peers=True)
 
     async def restart_all(self):
--- /dev/null
+++ b/tests/test_catalogsync.py
@@ -0,0 +1,272 @@
+"""Hosts that copy from one another what they cannot read in the store.
+
+A copy says up to which position it is current. What is gone at that position
+must not be in it as if it were present: the store tells of each removal once.
+"""
+
+import random
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore import catalogmessages
+from chervilshore.controllers import catalog as catalogs
+from tests import catalog_helpers as helpers
+from tests import virtual
+
+SCHEDULES = 60
+"""Random series of cuts, changes, restarts and restores for each size."""
+
+REWRITE_MS = 1000.0
+"""Milliseconds after which writers write again what a restored store lacks."""
+
+SETTLE_MS = (
+    helpers.IN_TOUCH_MS + catalogs.RESTORE_GRACE_MS + helpers.IN_FORCE_MS
+)
+"""Milliseconds after the last disruption until hosts have what is stored."""
+
+KINDS = ("config", "servers", "evacuations")
+
+
+def set_cut(hosts, is_cut):
+    for host in hosts:
+        host.link.cut = is_cut
+
+
+def list_leaving(cluster, name):
+    return [host.is_leaving(name) for host in cluster.hosts]
+
+
+def find_differences(cluster):
+    """Return where hosts have other objects than the store."""
+    found = []
+    for host in cluster.hosts:
+        for kind in KINDS:
+            stored = cluster.store.copy().objects.get(kind, {})
+            cached = host.catalog.caches[kind].objects
+            if cached.keys() != stored.keys():
+                found.append(
+                    (host.membership.me.host, kind, set(cached), set(stored))
+                )
+    return found
+
+
+# Guards against DRAIN: hosts of a zone that was cut off use a worker for as
+# long as it serves, as one of them passes on the entry that was removed.
+@pytest.mark.parametrize("count", [2, 3, 6])
+def test_entry_removed_in_an_outage_is_gone_at_all_hosts(count):
+    async def run():
+        cluster = helpers.Cluster(count)
+        await cluster.start()
+        set_cut(cluster.hosts, True)
+        await cluster.wait(3000.0)
+        cluster.store.remove("servers", "w0")
+        await cluster.wait(1000.0)
+        set_cut(cluster.hosts[:1], False)
+        await cluster.wait(2000.0)
+        set_cut(cluster.hosts, False)
+        await cluster.wait(helpers.IN_TOUCH_MS)
+        assertions.assert_that(
+            (list_leaving(cluster, "w0"), list_leaving(cluster, "w1")),
+            matchers.Equals(([True] * count, [False] * count)),
+        )
+
+    virtual.run(run())
+
+
+# Guards against DRAIN: the same where the host that copies has just started.
+def test_entry_removed_in_an_outage_is_gone_at_a_host_that_starts():
+    async def run():
+        cluster = helpers.Cluster(3)
+        await cluster.start()
+        set_cut(cluster.hosts, True)
+        await cluster.wait(3000.0)
+        cluster.store.remove("servers", "w0")
+        set_cut(cluster.hosts[:1], False)
+        await cluster.restart(2, is_cut=True)
+        await cluster.wait(helpers.IN_TOUCH_MS)
+        assertions.assert_that(
+            cluster.hosts[2].catalog.ready, matchers.Equals(True)
+        )
+        assertions.assert_that(
+            list_leaving(cluster, "w0"), matchers.Equals([True] * 3)
+        )
+
+    virtual.run(run())
+
+
+# Guards against a host that gives up endpoints which run: their entries
+# expired in the outage, and a copy from a peer does not list them.
+def test_entry_that_expired_in_an_outage_is_used_until_it_is_written_again():
+    async def run():
+        cluster = helpers.Cluster(3)
+        await cluster.start()
+        set_cut(cluster.hosts, True)
+        await cluster.wait(3000.0)
+        cluster.store.remove("servers", "w0")
+        set_cut(cluster.hosts[:1], False)
+        for _ in range(20):
+            await cluster.wait(60.0)
+            assertions.assert_that(
+                list_leaving(cluster, "w0"), matchers.Equals([False] * 3)
+            )
+        cluster.write_endpoint("w0")
+        set_cut(cluster.hosts, False)
+        for _ in range(40):
+            await cluster.wait(100.0)
+            assertions.assert_that(
+                list_leaving(cluster, "w0"), matchers.Equals([False] * 3)
+            )
+
+    virtual.run(run())
+
+
+# Guards against EVAC: a zone stays out for good at a host that copied its
+# evacuation from a peer, after the store had lost it in a restore.
+def test_copy_marks_an_evacuation_that_a_restored_store_lacks():
+    async def run():
+        cluster = helpers.Cluster(2)
+        await cluster.start()
+        copy = cluster.store.copy()
+        cluster.store.write("evacuations", "a", {})
+        await cluster.wait(helpers.IN_FORCE_MS)
+        cluster.store.restore(copy)
+        await cluster.wait(helpers.IN_FORCE_MS)
+        request = catalogmessages.CatalogRequest({"evacuations": 0})
+        reply = cluster.hosts[0].sync._handle_request("", request)
+        (snapshot,) = reply.snapshots
+        (removed,) = snapshot.removed
+        assertions.assert_that(
+            (snapshot.objects, removed.object.name),
+            matchers.Equals(((), "a")),
+        )
+        assertions.assert_that(
+            removed.left_ms, matchers.LessThan(catalogs.RESTORE_GRACE_MS)
+        )
+
+    virtual.run(run())
+
+
+# Guards against a peer of another build that keeps an object for longer.
+def test_removed_entry_counts_no_longer_than_this_host_would_keep_it():
+    async def run():
+        cluster = helpers.Cluster(2)
+        await cluster.start()
+        set_cut(cluster.hosts, True)
+        await cluster.wait(3000.0)
+        cluster.store.remove("servers", "w0")
+        cache = cluster.hosts[0].catalog.caches["servers"]
+        cache._removal_grace_ms = 3_600_000.0
+        set_cut(cluster.hosts[:1], False)
+        await cluster.wait(SETTLE_MS)
+        assertions.assert_that(
+            list_leaving(cluster, "w0"), matchers.Equals([False, True])
+        )
+
+    virtual.run(run())
+
+
+class Schedule:
+    """A random series of disruptions and changes in one cluster."""
+
+    def __init__(self, seed, count, readers):
+        self._rng = random.Random(seed)
+        self.cluster = helpers.Cluster(count, seed, readers)
+        self._version = 1
+        self._names = {"servers": {"w0", "w1"}, "evacuations": set()}
+
+    async def play(self):
+        await self.cluster.start()
+        actions = [
+            self._cut_some,
+            self._heal_some,
+            self._change,
+            self._change,
+            self._restart,
+            self._delay_answers,
+        ]
+        for _ in range(20):
+            await self._rng.choice(actions)()
+            await self.cluster.wait(self._rng.choice([30, 200, 900, 2500]))
+        await self._restore()
+        set_cut(self.cluster.hosts, False)
+        await self.cluster.wait(SETTLE_MS)
+        return find_differences(self.cluster)
+
+    def _choose_hosts(self):
+        hosts = self.cluster.hosts
+        return self._rng.sample(hosts, self._rng.randint(1, len(hosts)))
+
+    async def _cut_some(self):
+        set_cut(self._choose_hosts(), True)
+
+    async def _heal_some(self):
+        set_cut(self._choose_hosts(), False)
+
+    async def _delay_answers(self):
+        for host in self._choose_hosts():
+            host.link.delay_ms = self._rng.choice([0.0, 100.0, 800.0])
+
+    async def _restart(self):
+        index = self._rng.randrange(len(self.cluster.hosts))
+        await self.cluster.restart(index, self._rng.random() < 0.5)
+
+    async def _change(self):
+        if self._rng.random() < 0.2:
+            self._version += 1
+            self.cluster.configure(self._version)
+            return
+        kind = self._rng.choice(["servers", "servers", "evacuations"])
+        names = self._names[kind]
+        name = self._rng.choice(
+            ["a", "b"] if kind == "evacuations" else ["w0", "w1", "w2", "w3"]
+        )
+        if name in names:
+            names.discard(name)
+            self.cluster.store.remove(kind, name)
+        else:
+            names.add(name)
+            self._write(kind, name)
+
+    def _write(self, kind, name):
+        if kind == "servers":
+            self.cluster.write_endpoint(name)
+        else:
+            self.cluster.store.write(kind, name, {})
+
+    async def _restore(self):
+        """Restore the store from a copy in some schedules, not at once."""
+        if self._rng.random() < 0.5:
+            return
+        copy = self.cluster.store.copy()
+        for _ in range(3):
+            await self._change()
+            await self.cluster.wait(self._rng.choice([30, 900]))
+        self.cluster.store.restore(copy)
+        await self.cluster.wait(REWRITE_MS)
+        self.cluster.configure(self._version)
+        for kind, names in self._names.items():
+            stored = set(self.cluster.store.copy().objects.get(kind, {}))
+            for name in sorted(stored | names):
+                # Whoever removes an object that is there again, or writes
+                # one that is not, makes a change of its own.
+                self._write(kind, name)
+                if name not in names:
+                    self.cluster.store.remove(kind, name)
+
+
+async def play_schedule(seed, count, readers):
+    return await Schedule(seed, count, readers).play()
+
+
+# Guards against what is gone in the store and stays at a host, whatever the
+# order in which hosts lose the store, start, and copy from one another.
+@pytest.mark.parametrize(("count", "readers"), [(3, 0), (9, 2)])
+def test_hosts_have_what_is_stored_after_any_disruption(count, readers):
+    differing = {
+        seed: found
+        for seed in range(SCHEDULES)
+        if (found := virtual.run(play_schedule(seed, count, readers)))
+    }
+    assertions.assert_that(differing, matchers.Equals({}))
