Bound what the responses of all endpoints hold together

What all responses hold is bounded by 48 MB beside 16 KB for each; what would go beyond it is not read until there is room. The bound of each response is as before, and the largest one can always be read to it. Answers count until their callers have taken them. The store has a budget of its own. What was read is dropped when a response is cut: tracebacks had kept it.

Functions on sockets, which servers use as well, have a module of their own.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -179,14 +179,8 @@
             async with asyncio.timeout(timeout_ms / 1000.0):
                 connection.send(request)
                 head = await connection.read_head()
-                content = bytearray()
-                async for data in connection.read_body():
-                    content += data
-                    if len(content) > max_bytes:
-                        raise exceptions.ResponseTooLarge(
-                            f"body of over {max_bytes} bytes"
-                        )
-            may_keep = check(head, bytes(content)) and not single_use
+                content = await connection.read_whole_body(head, max_bytes)
+            may_keep = check(head, content) and not single_use
         except TimeoutError as error:
             connection.close()
             raise exceptions.EndpointBroken(f"{address}: timeout") from error
@@ -197,7 +191,7 @@
             self.release(address, connection, head)
         else:
             connection.close()
-        return head, bytes(content)
+        return head, content
 
     def close_idle(self, address: ids.Address) -> None:
         """Close the idle connections to an address."""
--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -6,17 +6,15 @@
 
 import asyncio
 from collections import abc as collections_abc
-import fcntl
 import re
-import socket
-import struct
-import sys
-import termios
 
 import h11
 import msgspec
 
+from chervilshore.clients import receiving
+from chervilshore.clients import sockets
 from chervilshore import clock as clocks
+from chervilshore.decisions import receivebudget
 from chervilshore import exceptions
 from chervilshore import ids
 
@@ -31,20 +29,15 @@
 """Fraction of the server's Keep-Alive timeout for which an idle connection
 is kept."""
 
-TCP_USER_TIMEOUT_MS = 3200
-"""Milliseconds after which the kernel closes a connection whose sent bytes or
-keepalive probes are not acknowledged, whatever the number of probes.
-
-A sound endpoint may be silent for 1.5 s: bytes sent then are sent again up to
-3.0 s after the first time, and a probe has an answer within 3 s of the last
-segment."""
-
-KEEPALIVE_INTERVAL_SECONDS = 1
-"""Seconds between TCP keepalive probes on an idle connection."""
-
 MAX_HEAD_BYTES = 262_144
 """Largest response head in bytes."""
 
+MIN_READ_BYTES = 1024
+"""Bytes that are read from a connection that is about to be paused."""
+
+MAX_BODY_BYTES = 16_000_000
+"""Size from which a body counts as endless."""
+
 MAX_INFORMATIONAL = 16
 """Largest number of 1xx heads before a response."""
 
@@ -54,6 +47,9 @@
 
 _SECONDS = re.compile(r"[0-9]{1,9}")
 
+# Read by one connection at a time, which copies what it has received.
+_READ_BUFFER = memoryview(bytearray(receivebudget.READ_BYTES))
+
 Headers = list[tuple[str, str]]
 
 
@@ -90,11 +86,18 @@
         return None
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """An HTTP/1.1 client connection; carries one exchange at a time.
 
+    Parameters
+    ----------
+    pool : ReceivePool
+        Bounds what all connections hold together.
+
     Attributes
     ----------
+    kept_bytes : int
+        Bytes of the present body that its reader holds.
     idle_since : float
         Time in milliseconds at which its last exchange ended.
     idle_ms : float
@@ -108,18 +111,22 @@
         if none was asked for.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, pool: receiving.ReceivePool = receiving.ENDPOINTS
+    ) -> None:
         self.idle_since = 0.0
+        self.kept_bytes = 0
         self.idle_ms = DEFAULT_IDLE_MS
         self.reused = False
         self.relay = ids.HostId("")
         self.process = ids.InstanceId("")
         self._transport: asyncio.Transport | None = None
-        self._parser = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._parser = _make_parser()
         self._state_changed = asyncio.Event()
         self._pending_bytes = 0
+        self._pool = pool
+        self._receipt: receiving.Receipt | None = None
+        self._cut_reason = ""
         self._busy = False
         self._usable = True
         self._ended = False
@@ -128,7 +135,18 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport and set TCP timeouts."""
         self._transport = transport
-        set_tcp_options(transport.get_extra_info("socket"))
+        sockets.set_tcp_options(transport.get_extra_info("socket"))
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return a buffer for as many bytes as may be received now."""
+        size = receivebudget.READ_BYTES
+        if self._receipt is not None:
+            size = max(MIN_READ_BYTES, self._receipt.allow())
+        return _READ_BUFFER[:size]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the received bytes in the buffer."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the parser; close if no request is in progress."""
@@ -138,9 +156,23 @@
             return
         self._parse(data)
         self._pending_bytes += len(data)
-        if self._pending_bytes > MAX_PENDING_BYTES:
+        self._count_held()
+        if self._pending_bytes > MAX_PENDING_BYTES or self._must_wait():
             self._transport.pause_reading()
 
+    def _count_held(self) -> None:
+        if self._receipt is not None:
+            self._receipt.update(self.kept_bytes + self._pending_bytes)
+
+    def _must_wait(self) -> bool:
+        return self._receipt is not None and not self._receipt.allow()
+
+    def _cut(self, reason: str) -> None:
+        """End the response, as there is no room for more of it."""
+        self._cut_reason = reason
+        self._usable = False
+        self._state_changed.set()
+
     def eof_received(self) -> None:
         """Handle the end of the server's data."""
         self._usable = False
@@ -167,6 +199,9 @@
     def send(self, request: Request) -> None:
         """Write a complete request."""
         self._busy = True
+        self._receipt = receiving.Receipt(
+            self._pool, MAX_HEAD_BYTES, self._cut
+        )
         line = h11.Request(
             method=request.method,
             target=request.target,
@@ -200,27 +235,77 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in event.headers
             ]
-            return ResponseHead(event.status_code, headers)
+            head = ResponseHead(event.status_code, headers)
+            self.expect_body(head, MAX_BODY_BYTES)
+            return head
         raise exceptions.ResponseTooLarge(
             f"over {MAX_INFORMATIONAL} informational responses"
         )
 
+    def expect_body(self, head: ResponseHead, max_bytes: int) -> None:
+        """Set the bound at which the reader of the body cuts it."""
+        length = head.get_header("content-length")
+        is_declared = length is not None and int(length) <= max_bytes
+        limit = int(length) if is_declared else max_bytes
+        self._receipt.expect(limit, is_declared)
+
+    def hand_over(self) -> receiving.Receipt:
+        """Return what is held of the whole body, for the reader to release."""
+        receipt, self._receipt = self._receipt, None
+        receipt.keep(self.kept_bytes)
+        return receipt
+
     async def read_body(self) -> collections_abc.AsyncIterator[bytes]:
-        """Yield the body as it arrives; raise `EndpointBroken` if cut."""
+        """Yield the body as it arrives; raise `EndpointBroken` if cut.
+
+        All of it counts as kept by the reader, which sets `kept_bytes` if it
+        holds less.
+        """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                self.kept_bytes += len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
                 raise self.make_error("incomplete response body")
 
+    async def read_whole_body(
+        self, head: ResponseHead, max_bytes: int
+    ) -> bytes:
+        """Read the whole body.
+
+        Raises
+        ------
+        exceptions.ResponseTooLarge
+            It is over `max_bytes`; its end was not awaited.
+        exceptions.EndpointBroken
+            It is not complete.
+        """
+        self.expect_body(head, max_bytes)
+        content = bytearray()
+        try:
+            async for data in self.read_body():
+                content += data
+                if len(content) > max_bytes:
+                    raise exceptions.ResponseTooLarge(
+                        f"body of over {max_bytes} bytes"
+                    )
+            return bytes(content)
+        finally:
+            # The traceback of an error keeps this frame for a while.
+            content.clear()
+
     async def _next_event(self):
         while True:
+            if self._cut_reason:
+                raise exceptions.ResponseTooLarge(self._cut_reason)
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
+                # Its traceback refers to the parser, and what that holds.
+                error.__traceback__ = None
                 if error.error_status_hint == TOO_LARGE_HINT:
                     raise exceptions.ResponseTooLarge(str(error)) from error
                 raise self.make_error(str(error)) from error
@@ -230,12 +315,19 @@
                 raise self.make_error(
                     f"{type(self._error).__name__} {self._error}"
                 )
-            if self._pending_bytes > MAX_PENDING_BYTES:
-                self._transport.resume_reading()
-            self._pending_bytes = 0
+            self._pending_bytes = len(self._parser.trailing_data[0])
+            self._count_held()
             self._state_changed.clear()
+            await self._wait_for_room()
+            self._transport.resume_reading()
             await self._state_changed.wait()
 
+    async def _wait_for_room(self) -> None:
+        """Read nothing until the process may hold more of the response."""
+        while self._must_wait() and not self._state_changed.is_set():
+            self._transport.pause_reading()
+            await self._pool.wait_for_room()
+
     def make_error(self, text: str) -> exceptions.EndpointBroken:
         """Return the error of an incomplete response.
 
@@ -262,6 +354,7 @@
         parser.start_next_cycle()
         self._busy = False
         self._pending_bytes = 0
+        self._release()
         self.idle_ms = _read_idle_ms(head)
         self.reused = True
         return self.idle_ms > 0
@@ -278,8 +371,21 @@
 
     def close(self) -> None:
         """Close the connection without waiting for buffered data."""
+        self._release()
+        # The traceback of an error keeps the connection for a while.
+        self._parser = _make_parser()
         if self._transport is not None:
-            abort_transport(self._transport)
+            sockets.abort_transport(self._transport)
+
+    def _release(self) -> None:
+        self.kept_bytes = 0
+        if self._receipt is not None:
+            self._receipt.release()
+            self._receipt = None
+
+
+def _make_parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
 def _read_idle_ms(head: ResponseHead) -> float:
@@ -289,42 +395,3 @@
             seconds = float(value)
             return seconds * clocks.MILLIS_PER_SECOND * IDLE_FRACTION
     return DEFAULT_IDLE_MS
-
-
-def count_unsent(transport: asyncio.Transport) -> int:
-    """Return the bytes that the other side has not acknowledged."""
-    sock = transport.get_extra_info("socket")
-    packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-    unsent_bytes = transport.get_write_buffer_size()
-    return unsent_bytes + int.from_bytes(packed, sys.byteorder)
-
-
-def abort_transport(transport: asyncio.Transport) -> None:
-    """Close a connection without waiting for buffered data.
-
-    It is reset if data has not been received yet. The end in order would come
-    after that data, which the other side may never read.
-    """
-    if not transport.is_closing() and count_unsent(transport):
-        set_reset_at_close(transport, True)
-    transport.abort()
-
-
-def set_reset_at_close(transport: asyncio.Transport, is_reset: bool) -> None:
-    """Choose whether a close resets the connection.
-
-    This holds also if the kernel closes it when the process ends.
-    """
-    transport.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_reset, 0)
-    )
-
-
-def set_tcp_options(sock: socket.socket) -> None:
-    """Disable Nagle's algorithm and detect an unresponsive peer in seconds."""
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
--- a/chervilshore/clients/connectors.py
+++ b/chervilshore/clients/connectors.py
@@ -6,6 +6,7 @@
 import logging
 
 from chervilshore.clients import connections
+from chervilshore.clients import receiving
 from chervilshore import events
 from chervilshore import exceptions
 from chervilshore import ids
@@ -41,17 +42,24 @@
     ----------
     source_ip : str
         The local IP address from which it connects; empty for any.
+    pool : ReceivePool
+        Bounds what its connections hold together.
     """
 
-    def __init__(self, source_ip: str = "") -> None:
+    def __init__(
+        self,
+        source_ip: str = "",
+        pool: receiving.ReceivePool = receiving.ENDPOINTS,
+    ) -> None:
         self._source = (source_ip, 0) if source_ip else None
+        self._pool = pool
 
     async def connect(
         self, address: ids.Address, timeout_ms: float
     ) -> connections.Connection:
         """Open a connection; see `Connector.connect`."""
         _, connection = await self.open_transport(
-            address, timeout_ms, connections.Connection
+            address, timeout_ms, lambda: connections.Connection(self._pool)
         )
         return connection
 
--- /dev/null
+++ b/chervilshore/clients/receiving.py
@@ -0,0 +1,127 @@
+"""Bounds the memory that the responses of all connections take together."""
+
+import asyncio
+from collections import abc as collections_abc
+import itertools
+
+from chervilshore.decisions import receivebudget
+
+ENDPOINTS_BYTES = 48_000_000
+"""Bytes of the responses of all endpoints that the process holds at most. With
+what is copied as an answer is sent on, and with what the process needs itself,
+they fit into 300 MB."""
+
+STORE_BYTES = 24_000_000
+"""The same for the store, whose answers must not wait for endpoints."""
+
+MAX_WAIT_SECONDS = 0.1
+"""Seconds for which a response waits for others to end, before the largest one
+without a known length is cut."""
+
+OnCut = collections_abc.Callable[[str], None]
+"""Ends a response, for the reason that is given."""
+
+
+class Receipt:
+    """What the process holds of one response, until it is released.
+
+    Parameters
+    ----------
+    pool : ReceivePool
+        The budget that it counts against.
+    limit : int
+        Bytes at which it is cut.
+    on_cut : OnCut
+        Ends the response when it has to make room for others.
+    """
+
+    def __init__(self, pool: "ReceivePool", limit: int, on_cut: OnCut) -> None:
+        self._pool = pool
+        self._holding = pool.budget.open(limit + receivebudget.END_BYTES)
+        self._on_cut = on_cut
+        pool.receipts[self._holding] = on_cut
+
+    def __del__(self) -> None:
+        # An answer that is given up on the way is held no more.
+        self.release()
+
+    def expect(self, limit: int, is_declared: bool) -> None:
+        """Set the length that a response has said, or the bound on it."""
+        self._holding.limit = limit + receivebudget.END_BYTES
+        self._holding.is_declared = is_declared
+
+    def update(self, held: int) -> None:
+        """Set how many bytes are held."""
+        freed = self._holding.held - held
+        self._pool.budget.update(self._holding, held)
+        if freed > 0:
+            self._pool.wake(freed)
+
+    def allow(self) -> int:
+        """Return how many bytes may be read now; 0 to wait."""
+        return self._pool.budget.allow(self._holding)
+
+    def keep(self, held: int) -> None:
+        """Hold a whole response until it has been sent on."""
+        self._pool.receipts.pop(self._holding, None)
+        freed = self._holding.remaining
+        self._pool.budget.complete(self._holding, held)
+        self._pool.wake(freed)
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        self._pool.receipts.pop(self._holding, None)
+        freed = self._holding.limit
+        self._pool.budget.close(self._holding)
+        self._pool.wake(freed)
+
+
+class ReceivePool:
+    """The responses that share one budget.
+
+    Parameters
+    ----------
+    total : int
+        Bytes that they may hold together.
+    """
+
+    def __init__(self, total: int) -> None:
+        self.budget = receivebudget.ReceiveBudget(total)
+        self.receipts: dict[receivebudget.Holding, OnCut] = {}
+        # In the order in which they began to wait.
+        self._waiting: dict[asyncio.Future, None] = {}
+
+    def wake(self, freed: int) -> None:
+        """Let as many look again as may read what has become free."""
+        count = 1 + freed // receivebudget.READ_BYTES
+        for future in tuple(itertools.islice(self._waiting, count)):
+            del self._waiting[future]
+            if not future.done():
+                future.set_result(None)
+
+    async def wait_for_room(self) -> None:
+        """Wait until less is held; cut a response if that takes too long."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[future] = None
+        try:
+            async with asyncio.timeout(MAX_WAIT_SECONDS):
+                await future
+        except TimeoutError:
+            self._cut_one()
+        finally:
+            self._waiting.pop(future, None)
+
+    def _cut_one(self) -> None:
+        victim = self.budget.choose_victim()
+        if victim is None:
+            return
+        on_cut = self.receipts[victim]
+        on_cut(
+            f"{victim.held} bytes, while all responses hold "
+            f"{self.budget.charged} of {self.budget.total}"
+        )
+
+
+ENDPOINTS = ReceivePool(ENDPOINTS_BYTES)
+STORE = ReceivePool(STORE_BYTES)
+"""The budgets of this process, as memory is what a process has."""
--- /dev/null
+++ b/chervilshore/clients/sockets.py
@@ -0,0 +1,58 @@
+"""TCP connections below the protocols that run on them."""
+
+import asyncio
+import fcntl
+import socket
+import struct
+import sys
+import termios
+
+TCP_USER_TIMEOUT_MS = 3200
+"""Milliseconds after which the kernel closes a connection whose sent bytes or
+keepalive probes are not acknowledged, whatever the number of probes.
+
+A sound endpoint may be silent for 1.5 s: bytes sent then are sent again up to
+3.0 s after the first time, and a probe has an answer within 3 s of the last
+segment."""
+
+KEEPALIVE_INTERVAL_SECONDS = 1
+"""Seconds between TCP keepalive probes on an idle connection."""
+
+
+def count_unsent(transport: asyncio.Transport) -> int:
+    """Return the bytes that the other side has not acknowledged."""
+    sock = transport.get_extra_info("socket")
+    packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    unsent_bytes = transport.get_write_buffer_size()
+    return unsent_bytes + int.from_bytes(packed, sys.byteorder)
+
+
+def abort_transport(transport: asyncio.Transport) -> None:
+    """Close a connection without waiting for buffered data.
+
+    It is reset if data has not been received yet. The end in order would come
+    after that data, which the other side may never read.
+    """
+    if not transport.is_closing() and count_unsent(transport):
+        set_reset_at_close(transport, True)
+    transport.abort()
+
+
+def set_reset_at_close(transport: asyncio.Transport, is_reset: bool) -> None:
+    """Choose whether a close resets the connection.
+
+    This holds also if the kernel closes it when the process ends.
+    """
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_reset, 0)
+    )
+
+
+def set_tcp_options(sock: socket.socket) -> None:
+    """Disable Nagle's algorithm and detect an unresponsive peer in seconds."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
--- a/chervilshore/clients/tunnels.py
+++ b/chervilshore/clients/tunnels.py
@@ -4,6 +4,7 @@
 import re
 
 from chervilshore.clients import connections
+from chervilshore.clients import sockets
 from chervilshore import exceptions
 from chervilshore import ids
 
@@ -34,7 +35,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Send the request."""
         self.transport = transport
-        connections.set_tcp_options(transport.get_extra_info("socket"))
+        sockets.set_tcp_options(transport.get_extra_info("socket"))
         line = f"CONNECT {self._address} HTTP/1.1\r\n"
         transport.write(f"{line}Host: {self._address}\r\n\r\n".encode())
 
--- a/chervilshore/eventstreams.py
+++ b/chervilshore/eventstreams.py
@@ -59,6 +59,15 @@
             )
         return complete
 
+    def clear(self) -> None:
+        """Drop what is buffered."""
+        self._buffer.clear()
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the event that is not complete."""
+        return len(self._buffer)
+
     @property
     def at_event_boundary(self) -> bool:
         """Whether the buffer holds no part of an event."""
--- a/chervilshore/forwarded.py
+++ b/chervilshore/forwarded.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chervilshore.clients import receiving
 from chervilshore.decisions import eventpositions
 from chervilshore import ids
 
@@ -105,11 +106,14 @@
         Headers that are passed to the caller unchanged.
     body : bytes
         The complete body; empty when it has been relayed already.
+    receipt : Receipt or None
+        The memory that the body takes, until it is released.
     """
 
     status: int
     headers: Headers
     body: bytes = b""
+    receipt: receiving.Receipt | None = None
 
 
 def _do_nothing(*unused: object) -> None:
--- a/chervilshore/ingress.py
+++ b/chervilshore/ingress.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 import msgspec
 
-from chervilshore.clients import connections
+from chervilshore.clients import sockets
 from chervilshore import clock as clocks
 from chervilshore import events
 from chervilshore import exceptions
@@ -191,9 +191,7 @@
             return await self._end_stream(request, relay, answer)
         forwarded_response = answer.response
         if forwarded_response is not None:
-            response = web.Response(
-                status=forwarded_response.status, body=forwarded_response.body
-            )
+            response = _WholeResponse(forwarded_response)
             _set_headers(response, forwarded_response.headers)
         else:
             response = self._make_refusal(request, answer)
@@ -216,7 +214,7 @@
             # Without its end mark the caller sees that the stream is cut.
             # Older callers get no chunks, but the end of the connection.
             if request.version < aiohttp.HttpVersion11:
-                connections.set_reset_at_close(request.transport, True)
+                sockets.set_reset_at_close(request.transport, True)
             request.transport.abort()
         return relay.response
 
@@ -292,6 +290,22 @@
         )
 
 
+class _WholeResponse(web.Response):
+    """The response of an endpoint, held until its caller has taken it."""
+
+    def __init__(self, response: forwarded.Response) -> None:
+        super().__init__(status=response.status, body=response.body)
+        self._receipt = response.receipt
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Send the body, and give back the memory that it took."""
+        try:
+            await super().write_eof(data)
+        finally:
+            if self._receipt is not None:
+                self._receipt.release()
+
+
 class EventRelay(forwarded.Relay):
     """Relays a stream of events over a caller's connection.
 
--- a/chervilshore/listener.py
+++ b/chervilshore/listener.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from chervilshore.clients import connections
+from chervilshore.clients import sockets
 from chervilshore import events
 
 HEAD_GRACE_SECONDS = 0.1
@@ -118,7 +118,7 @@
         """
         if not self.unsent_bytes:
             return 0
-        return connections.count_unsent(self._written_to)
+        return sockets.count_unsent(self._written_to)
 
     def check_reading(self) -> None:
         """Close the connection of a caller that reads its answer too slowly.
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -30,9 +30,6 @@
 INPUTS_GONE_STATUS = 409
 """Status with which an endpoint refuses a request whose inputs are gone."""
 
-MAX_BODY_BYTES = 16_000_000
-"""Largest response body that is not a stream."""
-
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -166,16 +163,13 @@
             _check_continuation(head, call)
         response = forwarded.Response(head.status, _select_headers(head))
         if _is_stream(head) and call.relay is not None:
+            connection.expect_body(head, eventstreams.MAX_EVENT_BYTES)
             await self._relay(connection, response, record, call)
             return response
-        content = bytearray()
-        async for data in connection.read_body():
-            content += data
-            if len(content) > MAX_BODY_BYTES:
-                raise exceptions.ResponseTooLarge(
-                    f"body of over {MAX_BODY_BYTES} bytes"
-                )
-        response.body = bytes(content)
+        response.body = await connection.read_whole_body(
+            head, connections.MAX_BODY_BYTES
+        )
+        response.receipt = connection.hand_over()
         return response
 
     async def _relay(
@@ -186,8 +180,24 @@
         call: endpoints.Call,
     ) -> None:
         """Relay each event as soon as it is complete."""
-        relay = call.relay
         splitter = eventstreams.EventSplitter()
+        try:
+            await self._relay_events(
+                splitter, connection, response, record, call
+            )
+        finally:
+            # The traceback of an error keeps the splitter for a while.
+            splitter.clear()
+
+    async def _relay_events(
+        self,
+        splitter: eventstreams.EventSplitter,
+        connection: connections.Connection,
+        response: forwarded.Response,
+        record: records.EndpointRecord,
+        call: endpoints.Call,
+    ) -> None:
+        relay = call.relay
         begin = relay.position or eventpositions.EventPosition(
             call.forwarded_request.last_event_id if call.repeatable else None
         )
@@ -211,6 +221,7 @@
                 )
                 await relay.send_head(response)
             await relay.write(complete_events)
+            connection.kept_bytes = splitter.buffered_bytes
             relay.position = position
         if not splitter.at_event_boundary:
             raise connection.make_error("stream ended within an event")
--- a/chervilshore/platform/processes.py
+++ b/chervilshore/platform/processes.py
@@ -79,12 +79,8 @@
     head = await connection.read_head()
     if head.get_header(names.ATTEMPT_ID) is not None:
         raise exceptions.EndpointBroken("answer to a request, not a report")
-    content = bytearray()
-    async for data in connection.read_body():
-        content += data
-        if len(content) > MAX_REPORT_BYTES:
-            raise exceptions.ResponseTooLarge("report of an endpoint")
-    return head, _read_born(head, bytes(content))
+    content = await connection.read_whole_body(head, MAX_REPORT_BYTES)
+    return head, _read_born(head, content)
 
 
 def _read_born(head: connections.ResponseHead, content: bytes) -> int:
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -10,6 +10,8 @@
 
 from chervilshore.clients import connectionpool
 from chervilshore.clients import connections
+from chervilshore.clients import connectors
+from chervilshore.clients import receiving
 from chervilshore import clock as clocks
 from chervilshore import events
 from chervilshore import exceptions
@@ -316,7 +318,9 @@
         pool = self._pools.get(kind)
         if pool is None:
             pool = connectionpool.ConnectionPool(
-                self._clock, connect_ms=self.timeout_ms
+                self._clock,
+                self.timeout_ms,
+                connectors.DirectConnector(pool=receiving.STORE),
             )
             self._pools[kind] = pool
         return pool
--- a/chervilshore/tunnelserver.py
+++ b/chervilshore/tunnelserver.py
@@ -6,8 +6,8 @@
 
 import mode
 
-from chervilshore.clients import connections
 from chervilshore.clients import connectors
+from chervilshore.clients import sockets
 from chervilshore.controllers import directory as directories
 from chervilshore import events
 from chervilshore import exceptions
@@ -180,7 +180,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport and set TCP timeouts."""
         self.transport = transport
-        connections.set_tcp_options(transport.get_extra_info("socket"))
+        sockets.set_tcp_options(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Write to the other connection."""
@@ -238,7 +238,7 @@
         """Tell the peer whether it is connected."""
         if self.transport.is_closing():
             if endpoint is not None:
-                connections.abort_transport(endpoint.transport)
+                sockets.abort_transport(endpoint.transport)
             return
         line = f"HTTP/1.1 {status} {_REASONS[status]}\r\n\r\n"
         self.transport.write(line.encode())
@@ -248,7 +248,7 @@
         self.other = endpoint
         # Whether a response without a length is complete depends on how its
         # connection ends.
-        connections.set_reset_at_close(self.transport, True)
+        sockets.set_reset_at_close(self.transport, True)
         self.transport.resume_reading()
         endpoint.start()
 
@@ -275,11 +275,11 @@
         """End the connection to the endpoint, which cancels its work."""
         if self._endpoint_has_ended:
             # Everything has been written, and the socket is still open.
-            connections.set_reset_at_close(self.transport, False)
+            sockets.set_reset_at_close(self.transport, False)
         self._timer.cancel()
         self._server.remove(self)
         if self.other is not None:
-            connections.abort_transport(self.other.transport)
+            sockets.abort_transport(self.other.transport)
 
 
 class _EndpointEnd(_End):
--- a/standins/workerfaults.py
+++ b/standins/workerfaults.py
@@ -30,6 +30,8 @@
         Whether extra bytes follow a complete answer.
     cut_body : bool
         Whether the connection is closed before the end of a body.
+    body_bytes : int
+        Bytes to which plain answers are filled up.
     gone : int
         Requests and batch calls that fail as if their inputs were no longer
         stored.
@@ -71,6 +73,7 @@
     cross: bool = False
     extra: bool = False
     cut_body: bool = False
+    body_bytes: int = 0
     gone: int = 0
     limit: str = ""
     brittle: str = ""
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -341,6 +341,7 @@
         self, request: web.BaseRequest, response_headers: dict[str, str]
     ) -> web.StreamResponse:
         content = f"answer of {self.name}".encode()
+        content = content.ljust(self.faults.body_bytes)
         response = web.StreamResponse(headers=response_headers)
         response.content_length = len(content)
         await response.prepare(request)
--- a/tests/path_helpers.py
+++ b/tests/path_helpers.py
@@ -4,11 +4,11 @@
 import enum
 import weakref
 
-from chervilshore.clients import connections
 from chervilshore.clients import connectors
+from chervilshore.clients import sockets
 from chervilshore import exceptions
 
-KERNEL_TIMEOUT_SECONDS = connections.TCP_USER_TIMEOUT_MS / 1000.0
+KERNEL_TIMEOUT_SECONDS = sockets.TCP_USER_TIMEOUT_MS / 1000.0
 """Seconds after which the kernel ends a connection without replies."""
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,7 +10,7 @@
 from testtools import assertions
 from testtools import matchers
 
-from chervilshore.clients import connections
+from chervilshore.clients import sockets
 
 SILENCE_MS = 1500
 """The longest silence of a sound endpoint."""
@@ -26,7 +26,7 @@
 def options():
     """Return the options that a connection gets."""
     with socket.socket() as sock:
-        connections.set_tcp_options(sock)
+        sockets.set_tcp_options(sock)
         tcp = socket.IPPROTO_TCP
         return {
             "user_timeout_ms": sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT),
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -11,9 +11,9 @@
 from testtools import assertions
 from testtools import matchers
 
-from chervilshore.clients import connections
 from chervilshore.clients import endpoints
 from chervilshore.clients import models
+from chervilshore.clients import sockets
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import records
@@ -106,7 +106,7 @@
         writer.write(head[: -self.missing] if self.missing else head + body)
         await writer.drain()
         if self.is_reset:
-            connections.set_reset_at_close(writer.transport, True)
+            sockets.set_reset_at_close(writer.transport, True)
         writer.close()
         with contextlib.suppress(ConnectionError):
             await writer.wait_closed()
--- /dev/null
+++ b/tests/test_gateway_receiving.py
@@ -0,0 +1,87 @@
+"""Responses that never end, many at once, beside sound ones.
+
+The load: a service whose endpoints send without end, and callers who all want
+it at once. What one response may take is bounded; this is about their sum.
+"""
+
+import asyncio
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from chervilshore.clients import receiving
+from standins import endless
+from tests import gateway_helpers as helpers
+
+REQUESTS = 40
+TOTAL_BYTES = 4_000_000
+"""Far less than what 40 responses take, each up to its own bound."""
+
+SOUND_BYTES = 300_000
+
+
+@pytest.fixture
+def budget(monkeypatch):
+    """Give the process a small budget; return it."""
+    budget = receiving.ENDPOINTS.budget
+    monkeypatch.setattr(budget, "total", TOTAL_BYTES)
+    return budget
+
+
+async def watch(budget, most):
+    while True:
+        most.append(budget.charged)
+        await asyncio.sleep(0.001)
+
+
+async def start(deployment, place):
+    """Start a host, and an endpoint for each of two services."""
+    kind = "stream" if place is endless.Place.EVENT else "idempotent"
+    await deployment.configure(
+        [
+            helpers.make_route("odd", "odd", kind=kind, max_attempts=1),
+            helpers.make_route("sound", "sound", max_attempts=1),
+        ],
+        [
+            helpers.make_service("odd", max_conns=100),
+            helpers.make_service("sound", max_conns=100),
+        ],
+    )
+    host = await deployment.add_host()
+    sound = await deployment.add_worker("sound", "sound")
+    sound.faults.body_bytes = SOUND_BYTES
+    worker = endless.EndlessWorker("endless", place)
+    deployment.workers["endless"] = worker
+    await worker.start()
+    entry = sound.describe("odd", "a") | {"addr": worker.address, "slots": 100}
+    await deployment.store.write("servers", "endless", entry)
+    await deployment.wait_ready(host, 2)
+    return host
+
+
+# Guards against a host that runs out of memory: it holds what many endpoints
+# send without end, each within the bound of one response.
+@pytest.mark.parametrize("place", endless.Place)
+async def test_responses_without_end_are_bounded_together(
+    deployment, budget, place
+):
+    host = await start(deployment, place)
+    most = []
+    watching = asyncio.ensure_future(watch(budget, most))
+    odd = [
+        asyncio.ensure_future(deployment.send(host, "/odd/"))
+        for _ in range(REQUESTS)
+    ]
+    sound = []
+    for _ in range(10):
+        response, body = await deployment.send(host, "/sound/")
+        sound.append((response.status, len(body) == SOUND_BYTES))
+    found = [response.status for response, _ in await asyncio.gather(*odd)]
+    watching.cancel()
+    assertions.assert_that(sound, matchers.Equals([(200, True)] * 10))
+    assertions.assert_that(
+        set(found) <= {502, 503, 504}, matchers.Equals(True)
+    )
+    assertions.assert_that(max(most) <= TOTAL_BYTES, matchers.Equals(True))
+    assertions.assert_that(budget.charged, matchers.Equals(0))
