Use one size from which a body counts as endless

Connections had a second constant of 16 MB beside that of clients/bodies, and a receipt kept a callback that nothing read. No change of behaviour; 160 tests of eight modules of responses and four of the catalog pass, the whole script was not run on it.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 
+from chervilshore.clients import bodies
 from chervilshore.clients import receiving
 from chervilshore.clients import sockets
 from chervilshore import clock as clocks
@@ -35,9 +36,6 @@
 MIN_READ_BYTES = 1024
 """Bytes that are read from a connection that is about to be paused."""
 
-MAX_BODY_BYTES = 16_000_000
-"""Size from which a body counts as endless."""
-
 MAX_INFORMATIONAL = 16
 """Largest number of 1xx heads before a response."""
 
@@ -236,7 +234,7 @@
                 for name, value in event.headers
             ]
             head = ResponseHead(event.status_code, headers)
-            self.expect_body(head, MAX_BODY_BYTES)
+            self.expect_body(head, bodies.MAX_BODY_BYTES)
             return head
         raise exceptions.ResponseTooLarge(
             f"over {MAX_INFORMATIONAL} informational responses"
--- a/chervilshore/clients/receiving.py
+++ b/chervilshore/clients/receiving.py
@@ -38,7 +38,6 @@
     def __init__(self, pool: "ReceivePool", limit: int, on_cut: OnCut) -> None:
         self._pool = pool
         self._holding = pool.budget.open(limit + receivebudget.END_BYTES)
-        self._on_cut = on_cut
         pool.receipts[self._holding] = on_cut
 
     def __del__(self) -> None:
--- a/chervilshore/platform/forwarding.py
+++ b/chervilshore/platform/forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from chervilshore.clients import bodies
 from chervilshore.clients import connectionpool
 from chervilshore.clients import connections
 from chervilshore.clients import endpoints
@@ -167,7 +168,7 @@
             await self._relay(connection, response, record, call)
             return response
         response.body = await connection.read_whole_body(
-            head, connections.MAX_BODY_BYTES
+            head, bodies.MAX_BODY_BYTES
         )
         response.receipt = connection.hand_over()
         return response
