Share the steps of the tests that cut hosts off from the store

Tests of copies wrote the same outage four times, and three files listed at which hosts an endpoint leaves. All assertions are as they were.

--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -22,6 +22,9 @@
 """Milliseconds from the acknowledgement of a change until it is in force."""
 
 
+WATCHED_KINDS = ("config", "servers", "evacuations")
+
+
 class StoreLink:
     """One host's path to the store.
 
@@ -165,6 +168,15 @@
         for host in self.hosts:
             await host.start(with_peers=True)
 
+    def list_leaving(self, name):
+        """List for each host whether it gives an endpoint nothing more."""
+        return [host.is_leaving(name) for host in self.hosts]
+
+    def cut_store(self, is_cut, hosts=slice(None)):
+        """Cut some or all hosts off from the store, or heal their paths."""
+        for host in self.hosts[hosts]:
+            host.link.cut = is_cut
+
     def cut(self, addresses):
         """Cut some hosts off from the others; none to heal the network."""
         self.network.should_drop = lambda sender, receiver: (
--- a/tests/test_catalogsync.py
+++ b/tests/test_catalogsync.py
@@ -26,23 +26,20 @@
 )
 """Milliseconds after the last disruption until hosts have what is stored."""
 
-KINDS = ("config", "servers", "evacuations")
 
-
-def set_cut(hosts, is_cut):
-    for host in hosts:
-        host.link.cut = is_cut
-
-
-def list_leaving(cluster, name):
-    return [host.is_leaving(name) for host in cluster.hosts]
+async def remove_in_an_outage(cluster):
+    """Cut all hosts off from the store, and remove an entry meanwhile."""
+    await cluster.start()
+    cluster.cut_store(True)
+    await cluster.wait(3000.0)
+    cluster.store.remove("servers", "w0")
 
 
 def find_differences(cluster):
     """Return where hosts have other objects than the store."""
     found = []
     for host in cluster.hosts:
-        for kind in KINDS:
+        for kind in helpers.WATCHED_KINDS:
             stored = cluster.store.copy().objects.get(kind, {})
             cached = host.catalog.caches[kind].objects
             if cached.keys() != stored.keys():
@@ -58,17 +55,14 @@
 def test_entry_removed_in_an_outage_is_gone_at_all_hosts(count):
     async def run():
         cluster = helpers.Cluster(count)
-        await cluster.start()
-        set_cut(cluster.hosts, True)
-        await cluster.wait(3000.0)
-        cluster.store.remove("servers", "w0")
+        await remove_in_an_outage(cluster)
         await cluster.wait(1000.0)
-        set_cut(cluster.hosts[:1], False)
+        cluster.cut_store(False, slice(1))
         await cluster.wait(2000.0)
-        set_cut(cluster.hosts, False)
+        cluster.cut_store(False)
         await cluster.wait(helpers.IN_TOUCH_MS)
         assertions.assert_that(
-            (list_leaving(cluster, "w0"), list_leaving(cluster, "w1")),
+            (cluster.list_leaving("w0"), cluster.list_leaving("w1")),
             matchers.Equals(([True] * count, [False] * count)),
         )
 
@@ -79,18 +73,15 @@
 def test_entry_removed_in_an_outage_is_gone_at_a_host_that_starts():
     async def run():
         cluster = helpers.Cluster(3)
-        await cluster.start()
-        set_cut(cluster.hosts, True)
-        await cluster.wait(3000.0)
-        cluster.store.remove("servers", "w0")
-        set_cut(cluster.hosts[:1], False)
+        await remove_in_an_outage(cluster)
+        cluster.cut_store(False, slice(1))
         await cluster.restart(2, is_cut=True)
         await cluster.wait(helpers.IN_TOUCH_MS)
         assertions.assert_that(
             cluster.hosts[2].catalog.ready, matchers.Equals(True)
         )
         assertions.assert_that(
-            list_leaving(cluster, "w0"), matchers.Equals([True] * 3)
+            cluster.list_leaving("w0"), matchers.Equals([True] * 3)
         )
 
     virtual.run(run())
@@ -101,22 +92,19 @@
 def test_entry_that_expired_in_an_outage_is_used_until_it_is_written_again():
     async def run():
         cluster = helpers.Cluster(3)
-        await cluster.start()
-        set_cut(cluster.hosts, True)
-        await cluster.wait(3000.0)
-        cluster.store.remove("servers", "w0")
-        set_cut(cluster.hosts[:1], False)
+        await remove_in_an_outage(cluster)
+        cluster.cut_store(False, slice(1))
         for _ in range(20):
             await cluster.wait(60.0)
             assertions.assert_that(
-                list_leaving(cluster, "w0"), matchers.Equals([False] * 3)
+                cluster.list_leaving("w0"), matchers.Equals([False] * 3)
             )
         cluster.write_endpoint("w0")
-        set_cut(cluster.hosts, False)
+        cluster.cut_store(False)
         for _ in range(40):
             await cluster.wait(100.0)
             assertions.assert_that(
-                list_leaving(cluster, "w0"), matchers.Equals([False] * 3)
+                cluster.list_leaving("w0"), matchers.Equals([False] * 3)
             )
 
     virtual.run(run())
@@ -152,16 +140,13 @@
 def test_removed_entry_counts_no_longer_than_this_host_would_keep_it():
     async def run():
         cluster = helpers.Cluster(2)
-        await cluster.start()
-        set_cut(cluster.hosts, True)
-        await cluster.wait(3000.0)
-        cluster.store.remove("servers", "w0")
+        await remove_in_an_outage(cluster)
         cache = cluster.hosts[0].catalog.caches["servers"]
         cache._removal_grace_ms = 3_600_000.0
-        set_cut(cluster.hosts[:1], False)
+        cluster.cut_store(False, slice(1))
         await cluster.wait(SETTLE_MS)
         assertions.assert_that(
-            list_leaving(cluster, "w0"), matchers.Equals([False, True])
+            cluster.list_leaving("w0"), matchers.Equals([False, True])
         )
 
     virtual.run(run())
@@ -190,7 +175,7 @@
             await self._rng.choice(actions)()
             await self.cluster.wait(self._rng.choice([30, 200, 900, 2500]))
         await self._restore()
-        set_cut(self.cluster.hosts, False)
+        self.cluster.cut_store(False)
         await self.cluster.wait(SETTLE_MS)
         return find_differences(self.cluster)
 
@@ -199,10 +184,12 @@
         return self._rng.sample(hosts, self._rng.randint(1, len(hosts)))
 
     async def _cut_some(self):
-        set_cut(self._choose_hosts(), True)
+        for host in self._choose_hosts():
+            host.link.cut = True
 
     async def _heal_some(self):
-        set_cut(self._choose_hosts(), False)
+        for host in self._choose_hosts():
+            host.link.cut = False
 
     async def _delay_answers(self):
         for host in self._choose_hosts():
--- a/tests/test_sharedstore.py
+++ b/tests/test_sharedstore.py
@@ -28,8 +28,6 @@
 
 READERS = 2
 
-WATCHED_KINDS = ("config", "evacuations", "servers")
-
 
 def list_readers(cluster):
     """Return the hosts that the others follow."""
@@ -112,7 +110,7 @@
             if host not in readers
         )
         await cluster.restart(index)
-        cluster.store.faults.lose_watches = len(WATCHED_KINDS)
+        cluster.store.faults.lose_watches = len(helpers.WATCHED_KINDS)
         await cluster.wait(helpers.IN_TOUCH_MS)
         cluster.configure(2)
         cluster.write_endpoint("w0", "draining")
--- a/tests/test_storereader.py
+++ b/tests/test_storereader.py
@@ -54,7 +54,7 @@
         await cluster.wait(2000.0)
         cluster.write_endpoint("w0", "draining")
         await cluster.wait(helpers.IN_FORCE_MS)
-        leaving = [host.is_leaving("w0") for host in cluster.hosts]
+        leaving = cluster.list_leaving("w0")
         assertions.assert_that(leaving, matchers.Equals([True] * 3))
 
     virtual.run(run())
--- a/tests/test_storerestore.py
+++ b/tests/test_storerestore.py
@@ -65,7 +65,7 @@
         cluster.store.restore(copy)
         for _ in range(20):
             await cluster.wait(200.0)
-            leaving = [host.is_leaving("w0") for host in cluster.hosts]
+            leaving = cluster.list_leaving("w0")
             assertions.assert_that(leaving, matchers.Equals([True] * 2))
 
     virtual.run(run())
@@ -80,12 +80,12 @@
         await cluster.wait(1000.0)
         cluster.store.restore(copy)
         await cluster.wait(helpers.IN_TOUCH_MS)
-        leaving = [host.is_leaving("w0") for host in cluster.hosts]
+        leaving = cluster.list_leaving("w0")
         assertions.assert_that(leaving, matchers.Equals([True] * 2))
         # An endpoint that runs writes its entry again.
         cluster.write_endpoint("w0")
         await cluster.wait(helpers.IN_FORCE_MS)
-        leaving = [host.is_leaving("w0") for host in cluster.hosts]
+        leaving = cluster.list_leaving("w0")
         assertions.assert_that(leaving, matchers.Equals([False] * 2))
 
     virtual.run(run())
@@ -103,10 +103,10 @@
             await cluster.wait(100.0)
             if step == 20:
                 cluster.write_endpoint("w2")
-            leaving = [host.is_leaving("w2") for host in cluster.hosts]
+            leaving = cluster.list_leaving("w2")
             assertions.assert_that(leaving, matchers.Equals([False] * 2))
         await cluster.wait(10_000.0)
-        leaving = [host.is_leaving("w2") for host in cluster.hosts]
+        leaving = cluster.list_leaving("w2")
         assertions.assert_that(leaving, matchers.Equals([False] * 2))
 
     virtual.run(run())
