Read a connection again when it becomes idle

After a response of over 262,144 bytes that came at once, or one that came while there was no room, a connection went back to the pool with its reading paused. Nobody noticed when the endpoint closed it, and the next request was lost with it.

Cause: the parser had the whole response, so the reader never came to the place that resumes reading. It is resumed before reuse.

Evidence: test_connection_is_read_while_it_is_idle, which failed before.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -351,6 +351,8 @@
         if not done or left or unsent or not self.is_open():
             return False
         parser.start_next_cycle()
+        # Only a connection that is read notices that the endpoint closes it.
+        self._transport.resume_reading()
         self._busy = False
         self._pending_bytes = 0
         self._release()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,15 +1,19 @@
-"""The TCP timeouts of connections to endpoints.
+"""How connections to endpoints notice that the other side is gone.
 
 The load: a sound endpoint that falls silent for a while, at any moment of an
-idle connection or of one with bytes under way; and one that never answers.
+idle connection or of one with bytes under way; one that never answers; and
+one that closes an idle connection.
 """
 
+import asyncio
 import socket
+from unittest import mock
 
 import pytest
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.clients import connections
 from chervilshore.clients import sockets
 
 SILENCE_MS = 1500
@@ -94,3 +98,54 @@
         assertions.assert_that(
             end, matchers.Not(matchers.GreaterThan(FOUND_MS))
         )
+
+
+class Transport(asyncio.Transport):
+    """Records whether a connection is read."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_read = True
+
+    def get_extra_info(self, name, default=None):
+        """Return a socket that takes any option."""
+        return mock.Mock()
+
+    def write(self, data):
+        """Take the request."""
+
+    def get_write_buffer_size(self):
+        """Return that all of it has been sent."""
+        return 0
+
+    def is_closing(self):
+        """Return that the connection is open."""
+        return False
+
+    def pause_reading(self):
+        """Record it."""
+        self.is_read = False
+
+    def resume_reading(self):
+        """Record it."""
+        self.is_read = True
+
+
+# Guards against a request on a connection whose end nobody has noticed: it
+# stayed paused after a response that had come at once.
+async def test_connection_is_read_while_it_is_idle():
+    connection = connections.Connection()
+    transport = Transport()
+    connection.connection_made(transport)
+    connection.send(connections.Request("GET", "/", [("Host", "a")]))
+    length = connections.MAX_PENDING_BYTES + 1
+    start = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+    connection.data_received(start + bytes(length))
+    assertions.assert_that(transport.is_read, matchers.Equals(False))
+    head = await connection.read_head()
+    body = await connection.read_whole_body(head, length)
+    assertions.assert_that(len(body), matchers.Equals(length))
+    assertions.assert_that(
+        connection.prepare_reuse(head), matchers.Equals(True)
+    )
+    assertions.assert_that(transport.is_read, matchers.Equals(True))
