Cut a response for others only after it had time to end

A large sound response without a length could be cut to make room, if another one waited for 0.1 s and it was the largest; each of those that waited cut one. A response waits for 0.25 s since it began to, and 0.05 s pass between two cuts, in which the next largest can end.

measure.endless names what the refused requests were refused for, and the endless stand-in ends quietly on a connection without a request.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -320,12 +320,13 @@
 
     async def _resume_reading(self) -> None:
         """Read on once the process may hold more of the response."""
+        began = asyncio.get_running_loop().time()
         while not self._state_changed.is_set():
             if self._has_room():
                 self._transport.resume_reading()
                 return
             self._transport.pause_reading()
-            await self._pool.wait_for_room()
+            await self._pool.wait_for_room(began)
 
     def make_error(self, text: str) -> exceptions.EndpointBroken:
         """Return the error of an incomplete response.
--- a/chervilshore/clients/receiving.py
+++ b/chervilshore/clients/receiving.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import abc as collections_abc
 import itertools
+import math
+import weakref
 
 from chervilshore.decisions import receivebudget
 
@@ -14,10 +16,14 @@
 STORE_BYTES = 24_000_000
 """The same for the store, whose answers must not wait for endpoints."""
 
-MAX_WAIT_SECONDS = 0.1
+MAX_WAIT_SECONDS = 0.25
 """Seconds for which a response waits for others to end, before the largest one
 without a known length is cut."""
 
+CUT_INTERVAL_SECONDS = 0.05
+"""Seconds between two responses that are cut, as one that ends gives back much
+of what others wait for."""
+
 OnCut = collections_abc.Callable[[str], None]
 """Ends a response, for the reason that is given."""
 
@@ -38,7 +44,8 @@
     def __init__(self, pool: "ReceivePool", limit: int, on_cut: OnCut) -> None:
         self._pool = pool
         self._holding = pool.budget.open(limit + receivebudget.END_BYTES)
-        pool.receipts[self._holding] = on_cut
+        # A strong reference would hold a connection that nobody reads.
+        pool.receipts[self._holding] = weakref.WeakMethod(on_cut)
 
     def __del__(self) -> None:
         # An answer that is given up on the way is held no more.
@@ -90,7 +97,10 @@
 
     def __init__(self, total: int) -> None:
         self.budget = receivebudget.ReceiveBudget(total)
-        self.receipts: dict[receivebudget.Holding, OnCut] = {}
+        self.receipts: dict[
+            receivebudget.Holding, weakref.WeakMethod[OnCut]
+        ] = {}
+        self._cut_at = -math.inf
         # In the order in which they began to wait.
         self._waiting: dict[asyncio.Future, None] = {}
 
@@ -102,23 +112,36 @@
             if not future.done():
                 future.set_result(None)
 
-    async def wait_for_room(self) -> None:
-        """Wait until less is held; cut a response if that takes too long."""
-        future = asyncio.get_running_loop().create_future()
+    async def wait_for_room(self, began: float) -> None:
+        """Wait until less is held; cut a response if that takes too long.
+
+        Parameters
+        ----------
+        began : float
+            Time of the event loop at which the caller began to wait.
+        """
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         self._waiting[future] = None
+        cut_at = max(
+            began + MAX_WAIT_SECONDS, loop.time() + CUT_INTERVAL_SECONDS
+        )
         try:
-            async with asyncio.timeout(MAX_WAIT_SECONDS):
+            async with asyncio.timeout_at(cut_at):
                 await future
         except TimeoutError:
-            self._cut_one()
+            self._cut_one(loop.time())
         finally:
             self._waiting.pop(future, None)
 
-    def _cut_one(self) -> None:
+    def _cut_one(self, now: float) -> None:
+        if now < self._cut_at + CUT_INTERVAL_SECONDS:
+            return
         victim = self.budget.choose_victim()
-        if victim is None:
+        on_cut = self.receipts[victim]() if victim is not None else None
+        if on_cut is None:
             return
-        on_cut = self.receipts[victim]
+        self._cut_at = now
         on_cut(
             f"{victim.held} bytes, while all responses hold "
             f"{self.budget.charged} of {self.budget.total}"
--- a/measure/endless.py
+++ b/measure/endless.py
@@ -15,6 +15,7 @@
 import time
 
 import aiohttp
+import msgspec
 
 from measure import deployment as deployments
 from standins import endless
@@ -76,8 +77,11 @@
         async with session.get(url, headers=headers) as response:
             if slow_reader:
                 await asyncio.sleep(3.0)
-            await response.read()
+            body = await response.read()
             status = response.status
+            if response.content_type == "application/json":
+                refusal = msgspec.json.decode(body)
+                status = f"{status} {refusal['name']}"
     except (aiohttp.ClientError, TimeoutError) as error:
         status = type(error).__name__
     found.append((status, time.monotonic() - began))
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -50,6 +50,9 @@
         The worker's instance id.
     place : Place
         Where the response does not end.
+    max_bytes : int
+        Bytes after which the worker closes the connection; a body without a
+        length is complete then.
 
     Attributes
     ----------
@@ -57,11 +60,14 @@
         Bytes that each connection took before its caller closed it.
     """
 
-    def __init__(self, name: str, place: Place) -> None:
+    def __init__(
+        self, name: str, place: Place, max_bytes: int = MAX_SENT_BYTES
+    ) -> None:
         self.name = name
         self.sent_bytes: list[int] = []
         self.address = ""
         self._place = place
+        self._max_bytes = max_bytes
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str = "127.0.0.1") -> str:
@@ -78,7 +84,11 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            writer.close()
+            return
         attempt = _ATTEMPT_ID.search(head)[1]
         start = _STARTS[self._place]
         if b"%s" in start:
@@ -93,7 +103,7 @@
         self.sent_bytes.append(0)
         try:
             writer.write(start)
-            while self.sent_bytes[index] < MAX_SENT_BYTES:
+            while self.sent_bytes[index] < self._max_bytes:
                 writer.write(block)
                 await writer.drain()
                 self.sent_bytes[index] += len(block)
--- a/tests/test_gateway_receiving.py
+++ b/tests/test_gateway_receiving.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+import gc
+from unittest import mock
 
 import pytest
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.clients import connections
 from chervilshore.clients import receiving
 from standins import endless
 from tests import gateway_helpers as helpers
@@ -20,6 +23,10 @@
 
 SOUND_BYTES = 300_000
 
+LARGE_BYTES = 96 * endless.BLOCK_BYTES
+ROOM_BYTES = 20_000_000
+"""A sum in which the largest response can be read to its end."""
+
 
 @pytest.fixture
 def budget(monkeypatch):
@@ -85,3 +92,37 @@
     )
     assertions.assert_that(max(most) <= TOTAL_BYTES, matchers.Equals(True))
     assertions.assert_that(budget.charged, matchers.Equals(0))
+
+
+# Guards against a large sound answer that is cut to make room, because it
+# does not say how long it is.
+async def test_large_response_without_length_is_served_beside_endless_ones(
+    deployment, budget, monkeypatch
+):
+    monkeypatch.setattr(budget, "total", ROOM_BYTES)
+    host = await start(deployment, endless.Place.BODY)
+    large = endless.EndlessWorker("large", endless.Place.BODY, LARGE_BYTES)
+    deployment.workers["large"] = large
+    await large.start()
+    entry = deployment.workers["sound"].describe("sound", "a")
+    await deployment.store.write(
+        "servers", "sound", entry | {"addr": large.address}
+    )
+    await asyncio.sleep(1.0)
+    odd = [
+        asyncio.ensure_future(deployment.send(host, "/odd/"))
+        for _ in range(REQUESTS)
+    ]
+    response, body = await deployment.send(host, "/sound/")
+    await asyncio.gather(*odd)
+    assertions.assert_that(response.status, matchers.Equals(200))
+    assertions.assert_that(len(body), matchers.Equals(LARGE_BYTES))
+
+
+async def test_connection_that_nobody_reads_is_not_held(budget):
+    connection = connections.Connection()
+    connection.connection_made(mock.Mock())
+    connection.send(connections.Request("GET", "/", [("Host", "a")]))
+    del connection
+    gc.collect()
+    assertions.assert_that(receiving.ENDPOINTS.receipts, matchers.Equals({}))
