Take a connection that the kernel has opened in time

Cause: opening takes several rounds of the event loop. While each round serves hundreds of connections, the timer is seen before the socket that the kernel has connected long ago. Ruled out: the endpoint, whose process answers others.

At the timeout the state of the socket decides. One that was refused counts as refused.

--- a/chervilshore/clients/connectors.py
+++ b/chervilshore/clients/connectors.py
@@ -7,6 +7,7 @@
 
 from chervilshore.clients import connections
 from chervilshore.clients import receiving
+from chervilshore.clients import sockets
 from chervilshore import events
 from chervilshore import exceptions
 from chervilshore import ids
@@ -72,10 +73,12 @@
         """Open a connection for any protocol; see `Connector.connect`."""
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(timeout_ms / 1000.0):
-                return await asyncio.get_running_loop().create_connection(
-                    make_protocol, host, int(port), local_addr=self._source
-                )
+            sock = await sockets.connect(
+                host, int(port), self._source, timeout_ms
+            )
+            return await asyncio.get_running_loop().create_connection(
+                make_protocol, sock=sock
+            )
         except (OSError, OverflowError, ValueError) as error:
             events.log_event(
                 _LOGGER,
--- a/chervilshore/clients/sockets.py
+++ b/chervilshore/clients/sockets.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import fcntl
+import ipaddress
+import os
 import socket
 import struct
 import sys
@@ -18,6 +20,75 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 """Seconds between TCP keepalive probes on an idle connection."""
 
+_ESTABLISHED = 1
+"""State of a TCP connection that is open and that neither side has ended."""
+
+
+async def connect(
+    host: str, port: int, source: tuple[str, int] | None, timeout_ms: float
+) -> socket.socket:
+    """Return a socket that is connected to an address.
+
+    It counts as connected in time if the kernel says so at the timeout, also
+    if the event loop was too busy to notice.
+
+    Raises
+    ------
+    OSError
+        It was refused, or not connected in time (`TimeoutError`).
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_ms / 1000.0
+    error: OSError = TimeoutError("no address")
+    async with asyncio.timeout_at(deadline):
+        found = await _resolve(host, port)
+    for family, kind, protocol, _, address in found:
+        sock = socket.socket(family, kind, protocol)
+        try:
+            sock.setblocking(False)
+            if source is not None:
+                sock.bind(source)
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await loop.sock_connect(sock, address)
+            except TimeoutError:
+                _check_connected(sock)
+            return sock
+        except OSError as failure:
+            sock.close()
+            error = failure
+        except BaseException:
+            sock.close()
+            raise
+    raise error
+
+
+async def _resolve(host: str, port: int) -> list:
+    """Return addresses as `socket.getaddrinfo` does."""
+    try:
+        version = ipaddress.ip_address(host).version
+    except ValueError:
+        return await asyncio.get_running_loop().getaddrinfo(
+            host, port, type=socket.SOCK_STREAM
+        )
+    family = socket.AF_INET if version == 4 else socket.AF_INET6
+    return [(family, socket.SOCK_STREAM, 0, "", (host, port))]
+
+
+def _check_connected(sock: socket.socket) -> None:
+    """Raise an error if a socket is not connected."""
+    code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, os.strerror(code))
+    if not is_established(sock):
+        raise TimeoutError("not connected in time")
+
+
+def is_established(sock: socket.socket) -> bool:
+    """Return whether a TCP connection is open and neither side has ended."""
+    (state,) = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return state == _ESTABLISHED
+
 
 def count_unsent(transport: asyncio.Transport) -> int:
     """Return the bytes that the other side has not acknowledged."""
--- a/chervilshore/tunnelserver.py
+++ b/chervilshore/tunnelserver.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import socket
 
 import mode
 
@@ -27,9 +26,6 @@
 """Seconds between two checks whether a peer has left whose bytes the endpoint
 does not take."""
 
-_ESTABLISHED = 1
-"""State of a TCP connection that neither side has ended."""
-
 _REASONS = {
     200: "Connection Established",
     400: "Bad Request",
@@ -268,8 +264,7 @@
         The event loop does not tell while nothing is read from it.
         """
         sock = self.transport.get_extra_info("socket")
-        (state,) = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        return state != _ESTABLISHED
+        return not sockets.is_established(sock)
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the connection to the endpoint, which cancels its work."""
