Hold no answer for an idle connection of a caller

Beside 60 endless bodies and 150 sound answers of 8 MB, 10 of them for slow callers, a host held 487 MB (of 300); 370 MB without the endless ones.

Cause: the web server refers to the last response of a connection until the next request on it, and so do up to 16 MB for each idle caller. Ruled out: live blocks of the clients and the budget (under 80 MB in tracemalloc, on connections that close) and fragments of the heap (308 to 424 MB with other thresholds of malloc).

The response gives up its body once it has been sent.

test_idle_callers_hold_no_answers failed before: 10 MB for ten callers.

--- a/chervilshore/ingress.py
+++ b/chervilshore/ingress.py
@@ -302,6 +302,8 @@
         try:
             await super().write_eof(data)
         finally:
+            # The web server refers to it until the next request.
+            self.body = None
             if self._receipt is not None:
                 self._receipt.release()
 
--- a/tests/test_gateway_receiving.py
+++ b/tests/test_gateway_receiving.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import gc
+import tracemalloc
 from unittest import mock
 
 import pytest
@@ -23,6 +24,7 @@
 
 SOUND_BYTES = 300_000
 
+ANSWER_BYTES = 1_000_000
 LARGE_BYTES = 96 * endless.BLOCK_BYTES
 ROOM_BYTES = 20_000_000
 """A sum in which the largest response can be read to its end."""
@@ -126,3 +128,24 @@
     del connection
     gc.collect()
     assertions.assert_that(receiving.ENDPOINTS.receipts, matchers.Equals({}))
+
+
+# Guards against memory beside the budget: an idle connection of a caller held
+# the answer that had been sent on it.
+async def test_idle_callers_hold_no_answers(deployment, budget, monkeypatch):
+    monkeypatch.setattr(budget, "total", ROOM_BYTES)
+    host = await start(deployment, endless.Place.BODY)
+    deployment.workers["sound"].faults.body_bytes = ANSWER_BYTES
+    tracemalloc.start()
+    try:
+        await asyncio.gather(
+            *(deployment.send(host, "/sound/") for _ in range(10))
+        )
+        snapshot = tracemalloc.take_snapshot()
+    finally:
+        tracemalloc.stop()
+    received = snapshot.filter_traces(
+        [tracemalloc.Filter(True, connections.__file__)]
+    )
+    held = sum(one.size for one in received.statistics("filename"))
+    assertions.assert_that(held, matchers.LessThan(ANSWER_BYTES))
