Write large answers in parts

Answers of over 64 KB are written in parts. What is not written yet counts as unsent, so that a stop still waits for it and callers that do not read are closed as before.

--- a/chervilshore/ingress.py
+++ b/chervilshore/ingress.py
@@ -5,6 +5,7 @@
 import logging
 
 import aiohttp
+from aiohttp import helpers
 from aiohttp import web
 import msgspec
 
@@ -15,6 +16,7 @@
 from chervilshore.filters import base
 from chervilshore import forwarded
 from chervilshore import ids
+from chervilshore import listener
 from chervilshore import metrics
 from chervilshore import results
 from chervilshore.rules import model
@@ -26,6 +28,9 @@
 UNKNOWN_LABEL = "unknown"
 """The metric label of requests that match no route."""
 
+PART_BYTES = 65_536
+"""Bytes of an answer that are written at once."""
+
 RETRY_AFTER_DECIMALS = 3
 """Decimal places of the seconds in a Retry-After header."""
 
@@ -191,7 +196,7 @@
             return await self._end_stream(request, relay, answer)
         forwarded_response = answer.response
         if forwarded_response is not None:
-            response = _WholeResponse(forwarded_response)
+            response = _WholeResponse(forwarded_response, request)
             _set_headers(response, forwarded_response.headers)
         else:
             response = self._make_refusal(request, answer)
@@ -291,22 +296,49 @@
 
 
 class _WholeResponse(web.Response):
-    """The response of an endpoint, held until its caller has taken it."""
+    """The response of an endpoint, held until its caller has taken it.
+
+    A large one is written in parts, as the transport copies what it cannot
+    send at once.
+    """
 
-    def __init__(self, response: forwarded.Response) -> None:
+    def __init__(
+        self, response: forwarded.Response, request: web.BaseRequest
+    ) -> None:
         super().__init__(status=response.status, body=response.body)
         self._receipt = response.receipt
+        self._connection: listener.Connection = request.protocol
+        self._has_parts = len(
+            response.body
+        ) > PART_BYTES and not helpers.must_be_empty_body(
+            request.method, response.status
+        )
 
     async def write_eof(self, data: bytes = b"") -> None:
         """Send the body, and give back the memory that it took."""
         try:
-            await super().write_eof(data)
+            if self._has_parts:
+                await self._write_parts()
+            else:
+                await super().write_eof(data)
         finally:
             # The web server refers to it until the next request.
             self.body = None
             if self._receipt is not None:
                 self._receipt.release()
 
+    async def _write_parts(self) -> None:
+        body = memoryview(self.body)
+        connection = self._connection
+        try:
+            for start in range(0, len(body), PART_BYTES):
+                part = body[start : start + PART_BYTES]
+                connection.unwritten_bytes = len(body) - start - len(part)
+                await self.write(part)
+            await web.StreamResponse.write_eof(self)
+        finally:
+            connection.unwritten_bytes = 0
+
 
 class EventRelay(forwarded.Relay):
     """Relays a stream of events over a caller's connection.
--- a/chervilshore/listener.py
+++ b/chervilshore/listener.py
@@ -58,6 +58,11 @@
         Runs the timers.
     **options
         Options of the web server.
+
+    Attributes
+    ----------
+    unwritten_bytes : int
+        Bytes of an answer that have not been written to the transport yet.
     """
 
     def __init__(
@@ -68,6 +73,7 @@
         **options,
     ) -> None:
         super().__init__(server, loop=loop, **options)
+        self.unwritten_bytes = 0
         self._get_head_timeout = get_head_timeout
         self._timer_loop = loop
         self._head_timer: asyncio.TimerHandle | None = None
@@ -86,7 +92,7 @@
         """Bytes of answers that this process still buffers."""
         if self._written_to is None:
             return 0
-        return self._written_to.get_write_buffer_size()
+        return self._written_to.get_write_buffer_size() + self.unwritten_bytes
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes; the first byte of a head starts its timer."""
@@ -118,7 +124,7 @@
         """
         if not self.unsent_bytes:
             return 0
-        return sockets.count_unsent(self._written_to)
+        return sockets.count_unsent(self._written_to) + self.unwritten_bytes
 
     def check_reading(self) -> None:
         """Close the connection of a caller that reads its answer too slowly.
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -27,6 +27,9 @@
 TIMEOUT_MS = 1200
 """The time in which a route must answer."""
 
+MAX_BUFFERED_BYTES = 200_000
+"""What a transport may buffer of a large answer."""
+
 LATE_SECONDS = 0.5
 """Seconds after that within which it must have ended, by the users' rule."""
 
@@ -168,3 +171,16 @@
     read = await slow_helpers.read_slowly(reader, 4.0)
     writer.transport.abort()
     assertions.assert_that(read, matchers.Equals(slow_helpers.ANSWER_BYTES))
+
+
+# Guards against memory beside the budget: the whole rest of an answer was
+# copied for the transport.
+async def test_large_answer_is_buffered_in_parts(deployment):
+    host, _, writer = await begin_answer(deployment)
+    (connection,) = host._listeners._list_connections()
+    buffered = connection._written_to.get_write_buffer_size()
+    assertions.assert_that(
+        connection.unsent_bytes, matchers.GreaterThan(MAX_BUFFERED_BYTES)
+    )
+    assertions.assert_that(buffered, matchers.LessThan(MAX_BUFFERED_BYTES))
+    writer.transport.abort()
