--- a/standins/endless.py
+++ b/standins/endless.py
@@ -89,7 +89,8 @@
         except asyncio.IncompleteReadError:
             writer.close()
             return
-        attempt = _ATTEMPT_ID.search(head)[1]
+        found = _ATTEMPT_ID.search(head)
+        attempt = found[1] if found else b""
         start = _STARTS[self._place]
         if b"%s" in start:
             start %= (
--- a/tests/test_gateway_receiving.py
+++ b/tests/test_gateway_receiving.py
@@ -149,3 +149,39 @@
     )
     held = sum(one.size for one in received.statistics("filename"))
     assertions.assert_that(held, matchers.LessThan(ANSWER_BYTES))
+
+
+# Guards against stage calls whose answers count against no budget.
+@pytest.mark.parametrize(
+    "place", [endless.Place.HEAD, endless.Place.BODY, endless.Place.TRAILER]
+)
+async def test_endless_answers_of_stage_calls_are_bounded_together(
+    deployment, budget, place
+):
+    host = await helpers.serve_stages(deployment)
+    entry = deployment.workers["c0"].describe("cut", "a")
+    for number in range(4):
+        worker = endless.EndlessWorker(f"c{number}", place)
+        deployment.workers[f"endless{number}"] = worker
+        await worker.start()
+        await deployment.store.write(
+            "servers", worker.name, entry | {"addr": worker.address}
+        )
+    await deployment.wait_ready(host, 6)
+    most = []
+    watching = asyncio.ensure_future(watch(budget, most))
+    headers = {"Chervilshore-Pieces": "2,1", "Chervilshore-Piece-Key": "k"}
+    found = await asyncio.gather(
+        *(
+            deployment.send(host, "/say/", headers=headers)
+            for _ in range(REQUESTS)
+        )
+    )
+    watching.cancel()
+    statuses = {response.status for response, _ in found}
+    assertions.assert_that(
+        statuses <= {429, 502, 503, 504}, matchers.Equals(True)
+    )
+    assertions.assert_that(max(most), matchers.GreaterThan(0))
+    assertions.assert_that(max(most) <= TOTAL_BYTES, matchers.Equals(True))
+    assertions.assert_that(budget.charged, matchers.Equals(0))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -18,6 +18,10 @@
 from chervilshore import tunnelserver
 from measure import deployment as deployments
 
+MAX_BUFFERED_BYTES = 131_072
+"""What a tunnel may hold for a peer: what makes it stop reading, and what it
+had read at once before."""
+
 REQUEST = connections.Request("GET", "/", [("Host", "h")])
 
 
@@ -206,3 +210,32 @@
     for relay in (server.address, nowhere):
         with pytest.raises(exceptions.RelayUnavailable):
             await tunnels.open_tunnel(relay, "127.0.0.1:9", 500.0)
+
+
+# Guards against a host that holds much for each peer that does not read what
+# an endpoint sends without end.
+async def test_tunnel_holds_little_for_a_peer_that_does_not_read(
+    endpoint, start_server
+):
+    address, scripts = endpoint
+    server = await start_server(Directory([address]))
+
+    async def send(reader, writer):
+        try:
+            while True:
+                writer.write(bytes(MAX_BUFFERED_BYTES))
+                await writer.drain()
+        except ConnectionError:
+            pass
+
+    await scripts.put(send)
+    connection = await tunnels.open_tunnel(server.address, address, 500.0)
+    connection._transport.pause_reading()
+    most = 0
+    (end,) = server._peer_ends
+    for _ in range(50):
+        await asyncio.sleep(0.01)
+        most = max(most, end.transport.get_write_buffer_size())
+    connection.close()
+    assertions.assert_that(most, matchers.GreaterThan(0))
+    assertions.assert_that(most <= MAX_BUFFERED_BYTES, matchers.Equals(True))
