Keep room for the largest response from its first byte

Causes: until its head is known a response counted as one of at most 256 KB, so many took the room that the largest needs to come to its end, and then none could go on. And those that were woken were the first that waited, not the largest, for which alone there is always room.

A response counts with the bound of a body from the start. The largest is woken first. One is cut only if it has been the largest for 0.1 s, and not if the one that waits has room by then.

The test of stage calls has the sum of a process that can hold one response. measure.endless can end its responses (--end-after), for comparison.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -183,8 +183,9 @@
     def send(self, request: Request) -> None:
         """Write a complete request."""
         self._busy = True
+        # Its head may announce the largest body.
         self._receipt = receiving.Receipt(
-            self._pool, MAX_HEAD_BYTES, self._cut
+            self._pool, bodies.MAX_BODY_BYTES, self._cut
         )
         line = h11.Request(
             method=request.method,
@@ -320,7 +321,7 @@
                 self._transport.resume_reading()
                 return
             self._transport.pause_reading()
-            await self._pool.wait_for_room(began)
+            await self._receipt.wait_for_room(began)
 
     def make_error(self, text: str) -> exceptions.EndpointBroken:
         """Return the error of an incomplete response.
--- a/chervilshore/clients/receiving.py
+++ b/chervilshore/clients/receiving.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import abc as collections_abc
 import itertools
-import math
 import weakref
 
 from chervilshore.decisions import receivebudget
@@ -20,9 +19,9 @@
 """Seconds for which a response waits for others to end, before the largest one
 without a known length is cut."""
 
-CUT_INTERVAL_SECONDS = 0.05
-"""Seconds between two responses that are cut, as one that ends gives back much
-of what others wait for."""
+MAX_LARGEST_SECONDS = 0.1
+"""Seconds that a response has to end once it is the largest and others have
+waited for so long; nothing but its endpoint holds it up then."""
 
 OnCut = collections_abc.Callable[[str], None]
 """Ends a response, for the reason that is given."""
@@ -71,6 +70,16 @@
         """Reserve room for the next read; return whether there is any."""
         return self._pool.budget.reserve(self._holding)
 
+    async def wait_for_room(self, began: float) -> None:
+        """Wait until less is held; cut a response if that takes too long.
+
+        Parameters
+        ----------
+        began : float
+            Time of the event loop at which the caller began to wait.
+        """
+        await self._pool.wait_for_room(self._holding, began)
+
     def keep(self, held: int) -> None:
         """Hold a whole response until it has been sent on."""
         self._pool.receipts.pop(self._holding, None)
@@ -100,48 +109,60 @@
         self.receipts: dict[
             receivebudget.Holding, weakref.WeakMethod[OnCut]
         ] = {}
-        self._cut_at = -math.inf
+        self._victim: receivebudget.Holding | None = None
+        self._victim_since = 0.0
         # In the order in which they began to wait.
-        self._waiting: dict[asyncio.Future, None] = {}
+        self._waiting: dict[receivebudget.Holding, asyncio.Future] = {}
 
     def wake(self, freed: int) -> None:
-        """Let as many look again as may read what has become free."""
+        """Let as many look again as may read what has become free.
+
+        The largest is among them, as there is always room for it.
+        """
+        if not self._waiting:
+            return
         count = 1 + freed // receivebudget.READ_BYTES
-        for future in tuple(itertools.islice(self._waiting, count)):
-            del self._waiting[future]
+        woken = list(itertools.islice(self._waiting, count))
+        largest = self.budget.find_largest()
+        if largest in self._waiting:
+            woken.insert(0, largest)
+        for holding in dict.fromkeys(woken):
+            future = self._waiting.pop(holding)
             if not future.done():
                 future.set_result(None)
 
-    async def wait_for_room(self, began: float) -> None:
-        """Wait until less is held; cut a response if that takes too long.
-
-        Parameters
-        ----------
-        began : float
-            Time of the event loop at which the caller began to wait.
-        """
+    async def wait_for_room(
+        self, holding: receivebudget.Holding, began: float
+    ) -> None:
+        """Wait until less is held; see `Receipt.wait_for_room`."""
         loop = asyncio.get_running_loop()
         future = loop.create_future()
-        self._waiting[future] = None
-        cut_at = max(
-            began + MAX_WAIT_SECONDS, loop.time() + CUT_INTERVAL_SECONDS
+        self._waiting[holding] = future
+        look_at = max(
+            began + MAX_WAIT_SECONDS, loop.time() + MAX_LARGEST_SECONDS
         )
         try:
-            async with asyncio.timeout_at(cut_at):
+            async with asyncio.timeout_at(look_at):
                 await future
         except TimeoutError:
-            self._cut_one(loop.time())
+            if not self.budget.reserve(holding):
+                self._cut_one(loop.time())
         finally:
-            self._waiting.pop(future, None)
+            if self._waiting.get(holding) is future:
+                del self._waiting[holding]
 
     def _cut_one(self, now: float) -> None:
-        if now < self._cut_at + CUT_INTERVAL_SECONDS:
-            return
+        """Cut the largest response, unless it is so only since shortly."""
         victim = self.budget.choose_victim()
+        if victim is not self._victim:
+            self._victim = victim
+            self._victim_since = now
+            return
+        if now < self._victim_since + MAX_LARGEST_SECONDS:
+            return
         on_cut = self.receipts[victim]() if victim is not None else None
         if on_cut is None:
             return
-        self._cut_at = now
         on_cut(
             f"{victim.held} bytes, while all responses hold "
             f"{self.budget.charged} of {self.budget.total}"
--- a/chervilshore/decisions/receivebudget.py
+++ b/chervilshore/decisions/receivebudget.py
@@ -134,7 +134,7 @@
         free = self.total - others - grown
         needed = max(0, holding.remaining - size)
         if free < needed:
-            largest = self._find_largest()
+            largest = self.find_largest()
             if largest.held > holding.held + size:
                 needed = largest.remaining - largest.reserved
         return free >= needed
@@ -152,10 +152,15 @@
         ]
         return max(growing, key=lambda one: one.held, default=None)
 
-    def _find_largest(self) -> Holding:
+    def find_largest(self) -> Holding | None:
+        """Return the largest response that has not arrived, if there is any.
+
+        There is always room for more of it.
+        """
         if self._largest is None:
             self._largest = max(
                 (one for one in self._holdings if not one.is_complete),
                 key=lambda one: one.held,
+                default=None,
             )
         return self._largest
--- a/measure/endless.py
+++ b/measure/endless.py
@@ -87,12 +87,12 @@
     found.append((status, time.monotonic() - began))
 
 
-def serve_endless(place: endless.Place, addresses) -> None:
+def serve_endless(place: endless.Place, max_bytes: int, addresses) -> None:
     """Run endpoints whose responses do not end, and send their addresses."""
 
     async def serve() -> None:
         found = [
-            endless.EndlessWorker(f"odd-{number}", place)
+            endless.EndlessWorker(f"odd-{number}", place, max_bytes)
             for number in range(ENDPOINTS)
         ]
         addresses.send([await one.start() for one in found])
@@ -102,7 +102,11 @@
 
 
 async def run(
-    place: endless.Place, count: int, slow: int = 0, size: int = 20_000
+    place: endless.Place,
+    count: int,
+    slow: int = 0,
+    size: int = 20_000,
+    max_bytes: int = endless.MAX_SENT_BYTES,
 ) -> dict:
     """Send endless and sound requests at once; return what was seen."""
     store = stores.Store()
@@ -116,7 +120,7 @@
         # In a process of their own: they send without a pause.
         here, there = multiprocessing.Pipe()
         odd = multiprocessing.Process(
-            target=serve_endless, args=(place, there)
+            target=serve_endless, args=(place, max_bytes, there)
         )
         odd.start()
         sound = workers.Worker("sound")
@@ -188,13 +192,25 @@
     parser.add_argument(
         "--size", type=int, default=20_000, help="bytes of sound responses"
     )
+    parser.add_argument(
+        "--end-after",
+        type=int,
+        default=endless.MAX_SENT_BYTES,
+        help="bytes after which endless responses end after all",
+    )
     arguments = parser.parse_args()
     for place in endless.Place:
         if arguments.place and place.value not in arguments.place:
             continue
         for count in arguments.counts:
             seen = asyncio.run(
-                run(place, count, arguments.slow, arguments.size)
+                run(
+                    place,
+                    count,
+                    arguments.slow,
+                    arguments.size,
+                    arguments.end_after,
+                )
             )
             print(
                 f"{place.value} {count}: peak {seen['peak_mb']:.0f} MB "
--- a/tests/test_gateway_receiving.py
+++ b/tests/test_gateway_receiving.py
@@ -25,6 +25,7 @@
 SOUND_BYTES = 300_000
 
 ANSWER_BYTES = 1_000_000
+SHORT_BYTES = 3 * endless.BLOCK_BYTES
 LARGE_BYTES = 96 * endless.BLOCK_BYTES
 ROOM_BYTES = 20_000_000
 """A sum in which the largest response can be read to its end."""
@@ -156,8 +157,9 @@
     "place", [endless.Place.HEAD, endless.Place.BODY, endless.Place.TRAILER]
 )
 async def test_endless_answers_of_stage_calls_are_bounded_together(
-    deployment, budget, place
+    deployment, budget, monkeypatch, place
 ):
+    monkeypatch.setattr(budget, "total", ROOM_BYTES)
     host = await helpers.serve_stages(deployment)
     entry = deployment.workers["c0"].describe("cut", "a")
     for number in range(4):
@@ -183,5 +185,29 @@
         statuses <= {429, 502, 503, 504}, matchers.Equals(True)
     )
     assertions.assert_that(max(most), matchers.GreaterThan(0))
-    assertions.assert_that(max(most) <= TOTAL_BYTES, matchers.Equals(True))
+    assertions.assert_that(max(most) <= ROOM_BYTES, matchers.Equals(True))
     assertions.assert_that(budget.charged, matchers.Equals(0))
+
+
+# Guards against sound answers that are cut while there is room: those that may
+# go on were not woken, and all waited until one was cut.
+async def test_many_answers_without_length_are_served_one_after_the_other(
+    deployment, budget, monkeypatch
+):
+    monkeypatch.setattr(budget, "total", ROOM_BYTES)
+    host = await start(deployment, endless.Place.BODY)
+    short = endless.EndlessWorker("short", endless.Place.BODY, SHORT_BYTES)
+    deployment.workers["short"] = short
+    await short.start()
+    entry = deployment.workers["sound"].describe("odd", "a")
+    await deployment.store.write(
+        "servers",
+        "endless",
+        entry | {"addr": short.address, "slots": 1000},
+    )
+    await asyncio.sleep(1.0)
+    found = await asyncio.gather(
+        *(deployment.send(host, "/odd/") for _ in range(100))
+    )
+    statuses = [response.status for response, _ in found]
+    assertions.assert_that(statuses, matchers.Equals([200] * 100))
