Bound the messages of a peer that wait while a host stands still

A host that stood still took 200 MB of messages from one peer: 10,000 of up to 2 MB could wait. 32 can now; the others stay at their sender, which drops what is over 1,000.

test_messages_that_wait_are_bounded_in_bytes failed before: 100 of 100 messages of 2 MB were taken (bound 50).

--- a/chervilshore/clients/zeromq.py
+++ b/chervilshore/clients/zeromq.py
@@ -27,7 +27,9 @@
 logger = logging.getLogger(__name__)
 
 SEND_QUEUE_MESSAGES = 1000
-RECEIVE_QUEUE_MESSAGES = 10_000
+RECEIVE_QUEUE_MESSAGES = 32
+"""Messages of one peer that wait to be read; with the largest ones, they must
+fit into the memory of a host."""
 MAX_MESSAGE_BYTES = 2_000_000
 MAX_RUNNING_HANDLERS = 2000
 MAX_SOCKETS = 4096
--- a/tests/test_zeromq.py
+++ b/tests/test_zeromq.py
@@ -15,6 +15,12 @@
 
 REPLY_TIMEOUT_MS = 10_000.0
 
+SEND_MS = 300
+"""Milliseconds in which a message that is taken has been sent."""
+
+MAX_WAITING_BYTES = 100_000_000
+"""What one peer's messages may take of a host that stands still."""
+
 
 @contextlib.asynccontextmanager
 async def run(address="127.0.0.1:0"):
@@ -146,3 +152,27 @@
         assertions.assert_that(
             await send_ping(one, two.address), matchers.Equals(2)
         )
+
+
+def send_until_refused(address, message, count):
+    """Send messages without waiting for them to be read; return how many."""
+    with zmq.Context() as context, context.socket(zmq.DEALER) as socket:
+        socket.linger = 0
+        socket.sndhwm = 1
+        socket.connect(f"tcp://{address}")
+        for sent in range(count):
+            if not socket.poll(SEND_MS, zmq.POLLOUT):
+                return sent
+            socket.send(message, zmq.DONTWAIT)
+    return count
+
+
+# Guards against a host that runs out of memory while it stands still: it takes
+# all that a peer sends.
+async def test_messages_that_wait_are_bounded_in_bytes():
+    message = bytes(zeromq.MAX_MESSAGE_BYTES)
+    most = MAX_WAITING_BYTES // len(message)
+    async with run() as peers:
+        # Without giving way to the event loop, which would read them.
+        sent = send_until_refused(peers.address, message, 2 * most)
+    assertions.assert_that(sent <= most, matchers.Equals(True))
