Read the bodies of the own interface within the budgets

Clients that read bodies by clients/bodies, which are those of the own interface and of its store, bounded each body by 16 MB and not their sum.

They read as far as the budget of endpoints or of the store allows.

--- a/chervilshore/clients/rest.py
+++ b/chervilshore/clients/rest.py
@@ -7,6 +7,7 @@
 
 from chervilshore.clients import bodies
 from chervilshore.clients import platform
+from chervilshore.clients import receiving
 from chervilshore.clients import sessions
 from chervilshore import exceptions
 from chervilshore import ids
@@ -128,7 +129,9 @@
                 data=value,
                 timeout=aiohttp.ClientTimeout(total=seconds),
             ) as response:
-                content = await bodies.read_body(response)
+                content = await bodies.read_body(
+                    response, pool=receiving.STORE
+                )
         except aiohttp.ClientConnectorError as error:
             self._count_call(method, "unavailable")
             raise exceptions.PlatformUnavailable(key) from error
