Charge a response in one place, and expect its body once

What a response is charged was worked out in two places of the budget, and the head of each response set the bound of its body before its reader set it again; the bound is that of the largest body from the start since. Behaviour stays.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -220,9 +220,7 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in event.headers
             ]
-            head = ResponseHead(event.status_code, headers)
-            self.expect_body(head, bodies.MAX_BODY_BYTES)
-            return head
+            return ResponseHead(event.status_code, headers)
         raise exceptions.ResponseTooLarge(
             f"over {MAX_INFORMATIONAL} informational responses"
         )
--- a/chervilshore/decisions/receivebudget.py
+++ b/chervilshore/decisions/receivebudget.py
@@ -80,15 +80,18 @@
 
     def update(self, holding: Holding, held: int) -> None:
         """Set how many bytes of a response are held, and reserve none."""
-        before = holding.charged
-        holding.held = held
-        holding.reserved = 0
-        self.charged += holding.charged - before
+        self._charge(holding, held, 0)
         if holding is self._largest or (
             self._largest is not None and held > self._largest.held
         ):
             self._largest = None
 
+    def _charge(self, holding: Holding, held: int, reserved: int) -> None:
+        before = holding.charged
+        holding.held = held
+        holding.reserved = reserved
+        self.charged += holding.charged - before
+
     def complete(self, holding: Holding, held: int) -> None:
         """Record that a response has arrived and is kept for its caller."""
         holding.is_complete = True
@@ -113,14 +116,13 @@
 
     def reserve(self, holding: Holding) -> bool:
         """Reserve room for the next read; return whether there is any."""
-        if not holding.reserved:
-            size = max(1, min(MIN_READ_BYTES, holding.remaining))
-            if holding.held + size > FLOOR_BYTES:
-                if not self._has_room(holding, size):
-                    return False
-            before = holding.charged
-            holding.reserved = size
-            self.charged += holding.charged - before
+        if holding.reserved:
+            return True
+        size = max(1, min(MIN_READ_BYTES, holding.remaining))
+        is_within_floor = holding.held + size <= FLOOR_BYTES
+        if not (is_within_floor or self._has_room(holding, size)):
+            return False
+        self._charge(holding, holding.held, size)
         return True
 
     def _has_room(self, holding: Holding, size: int) -> bool:
