--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -13,6 +13,7 @@
 from chervilshore.clients import bodies
 from chervilshore.clients import receiving
 from standins import endless
+from tests import receiving_helpers
 
 TOTAL_BYTES = 20_000_000
 """Far less than what 20 bodies take, each up to its own bound."""
@@ -50,18 +51,14 @@
         return type(error)
 
 
-async def watch(budget, most):
-    while True:
-        most.append(budget.charged)
-        await asyncio.sleep(0.001)
-
-
 # Guards against a host that runs out of memory: many bodies without end, each
 # within the bound of one.
 async def test_bodies_are_bounded_together(pool, start_worker):
     url, sound_url = await start_worker(), await start_worker(SOUND_BYTES)
     most = []
-    watching = asyncio.ensure_future(watch(pool.budget, most))
+    watching = asyncio.ensure_future(
+        receiving_helpers.watch(pool.budget, most)
+    )
     async with aiohttp.ClientSession() as session:
         odd = [
             asyncio.ensure_future(read(session, url, pool))
--- a/tests/test_gateway_receiving.py
+++ b/tests/test_gateway_receiving.py
@@ -17,6 +17,7 @@
 from chervilshore.clients import receiving
 from standins import endless
 from tests import gateway_helpers as helpers
+from tests import receiving_helpers
 
 REQUESTS = 40
 TOTAL_BYTES = 4_000_000
@@ -39,12 +40,6 @@
     return budget
 
 
-async def watch(budget, most):
-    while True:
-        most.append(budget.charged)
-        await asyncio.sleep(0.001)
-
-
 async def start(deployment, place):
     """Start a host, and an endpoint for each of two services."""
     kind = "stream" if place is endless.Place.EVENT else "idempotent"
@@ -61,11 +56,8 @@
     host = await deployment.add_host()
     sound = await deployment.add_worker("sound", "sound")
     sound.faults.body_bytes = SOUND_BYTES
-    worker = endless.EndlessWorker("endless", place)
-    deployment.workers["endless"] = worker
-    await worker.start()
-    entry = sound.describe("odd", "a") | {"addr": worker.address, "slots": 100}
-    await deployment.store.write("servers", "endless", entry)
+    entry = sound.describe("odd", "a") | {"slots": 100}
+    await receiving_helpers.add_endless(deployment, "endless", place, entry)
     await deployment.wait_ready(host, 2)
     return host
 
@@ -78,7 +70,7 @@
 ):
     host = await start(deployment, place)
     most = []
-    watching = asyncio.ensure_future(watch(budget, most))
+    watching = asyncio.ensure_future(receiving_helpers.watch(budget, most))
     odd = [
         asyncio.ensure_future(deployment.send(host, "/odd/"))
         for _ in range(REQUESTS)
@@ -162,16 +154,15 @@
     monkeypatch.setattr(budget, "total", ROOM_BYTES)
     host = await helpers.serve_stages(deployment)
     entry = deployment.workers["c0"].describe("cut", "a")
+    # The first takes the place of the sound one.
+    deployment.workers["sound"] = deployment.workers.pop("c0")
     for number in range(4):
-        worker = endless.EndlessWorker(f"c{number}", place)
-        deployment.workers[f"endless{number}"] = worker
-        await worker.start()
-        await deployment.store.write(
-            "servers", worker.name, entry | {"addr": worker.address}
+        await receiving_helpers.add_endless(
+            deployment, f"c{number}", place, entry
         )
     await deployment.wait_ready(host, 6)
     most = []
-    watching = asyncio.ensure_future(watch(budget, most))
+    watching = asyncio.ensure_future(receiving_helpers.watch(budget, most))
     headers = {"Chervilshore-Pieces": "2,1", "Chervilshore-Piece-Key": "k"}
     found = await asyncio.gather(
         *(
