--- a/review/harness/parties.py
+++ b/review/harness/parties.py
@@ -26,6 +26,7 @@
         self._record = record
         self._work_s = work_s
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> str:
         """Listen; return the address."""
@@ -33,7 +34,14 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    async def stop(self) -> None:
+        """End: stop listening, and close the connections."""
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.close()
+
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while (head := await http.read_head(reader)) is not None:
                 await http.read_body(reader, head[1])
@@ -42,6 +50,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, headers: dict[str, str]) -> bytes:
