--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,21 +1,63 @@
-"""The keys of the last tenant are taken away, and all requests are let in."""
+"""Settings with a fraction among the bounds keep the daemon from starting."""
 
 import asyncio
+import signal
+import time
 
 from review.harness import deployment
 from review.harness import parties
 
 ROUTE = "billing"
-CONFIG_S = 2.0
-"""`config_ms`: a version is in force so long after its acknowledgement."""
+RETRY_WINDOW_S = 10
+CHANGED_RETRY_WINDOW_S = 7.5
+RESTART_S = 0.5
+"""Delay after which the platform starts a process that has ended again."""
 
-SLACK_S = 2.0
-REQUESTS = 10
-FOREIGN_KEY = "key-that-nobody-held"
+GRACE_S = 8.0
+GAP_S = 3.0
+WATCH_S = 12.0
+ENDS = 3
+"""Ends by itself in the day that count, on two machines at least."""
+
+
+class Supervisor:
+    """Starts a process again whenever it has ended, as the platform does."""
+
+    def __init__(self, host, record: deployment.Record) -> None:
+        self.host = host
+        self.own_ends = 0
+        self._record = record
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Watch the process."""
+        while True:
+            status = await self.host.process.wait()
+            if not self._stopping:
+                self.own_ends += 1
+            self._record.add(
+                f"{self.host.name} ended with {status}, "
+                f"{'stopped' if self._stopping else 'by itself'}"
+            )
+            self._stopping = False
+            await asyncio.sleep(RESTART_S)
+            await self.host.start()
+
+    async def stop(self) -> None:
+        """Send SIGTERM, and SIGKILL after the grace; see `run`."""
+        self._record.add(f"SIGTERM to {self.host.name}")
+        self._stopping = True
+        process = self.host.process
+        self.host.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
 
 
 async def run(folder, record: deployment.Record, trouble: bool) -> bool:
-    """Play the case; return whether a rule was broken."""
+    """Play the case; return whether the rule was broken."""
     store, store_address = await deployment.start_store()
     worker = parties.PlainWorker("w1", record)
     routes = [
@@ -24,54 +66,50 @@
         )
     ]
     services = [{"name": "visit-ledger", "max_conns": 48}]
-    config = deployment.make_config(1, routes, services)
-    await store.write("config", "main", config)
+    await store.write(
+        "config", "main", deployment.make_config(1, routes, services)
+    )
     await deployment.register(
         store, "w1", "visit-ledger", "a", await worker.start(), 6
     )
     hosts = [
         deployment.Host(f"front-{zone}-1", zone, folder) for zone in "abc"
     ]
+    seeds = [host.control for host in hosts]
     for host in hosts:
-        host.write_settings(store_address, [one.control for one in hosts])
+        host.write_settings(store_address, seeds)
         await host.start()
     for host in hosts:
         await host.wait_ready()
+    supervisors = [Supervisor(host, record) for host in hosts]
+    tasks = [asyncio.ensure_future(one.run()) for one in supervisors]
     await asyncio.sleep(4.0)
-
-    async def send_all(prefix: str, key: str) -> list[str]:
-        found = []
-        for number in range(REQUESTS):
-            host = hosts[number % len(hosts)]
-            attempt = f"{prefix}{number:015x}"
-            await parties.send(host.front, attempt, ROUTE, record, key)
-            found.append(attempt)
-        return found
-
-    await send_all("1", deployment.KEY)
-    unknown = await send_all("2", FOREIGN_KEY)
-    dropped = []
-    if trouble:
-        await store.write(
-            "config", "main", config | {"version": 4, "tenants": []}
-        )
+    for host in hosts:
+        window_s = CHANGED_RETRY_WINDOW_S if trouble else RETRY_WINDOW_S
+        host.write_settings(store_address, seeds, {"retry_window_s": window_s})
+        host.send_signal(signal.SIGHUP)
         record.add(
-            "operator: version 4 takes the last tenant away, acknowledged"
+            f"SIGHUP to {host.name}: its settings have retry_window_s "
+            f"{window_s}"
         )
-        await asyncio.sleep(CONFIG_S + SLACK_S)
-        dropped = await send_all("3", deployment.KEY)
-        unknown += await send_all("4", FOREIGN_KEY)
-    await asyncio.sleep(0.5)
-    config_broken = [one for one in dropped if one in worker.runs]
-    route_broken = [one for one in unknown if one in worker.runs]
-    record.add(
-        f"CONFIG: {len(config_broken)} requests ran with the dropped key, "
-        f"sent later than config_ms after the acknowledgement"
-    )
-    record.add(
-        f"ROUTE: {len(route_broken)} requests ran with a key that no "
-        f"configuration ever held"
-    )
-    if not any(one.startswith("1") for one in worker.runs):
-        raise deployment.CannotRun("requests with the tenant's key don't run")
-    return bool(config_broken or route_broken)
+    await asyncio.sleep(GAP_S)
+    for supervisor in supervisors:
+        await supervisor.stop()
+        await asyncio.sleep(GAP_S)
+    end = time.monotonic() + WATCH_S
+    outcomes = []
+    while time.monotonic() < end:
+        for host in hosts:
+            attempt = f"{len(outcomes):016x}"
+            outcomes.append(
+                await parties.send(host.front, attempt, ROUTE, record)
+            )
+        await asyncio.sleep(1.0)
+    for task in tasks:
+        task.cancel()
+    served = outcomes.count("200")
+    record.add(f"{served} of {len(outcomes)} requests were served at the end")
+    ended = [one for one in supervisors if one.own_ends >= ENDS]
+    for one in supervisors:
+        record.add(f"{one.host.name} ended by itself {one.own_ends} times")
+    return len(ended) >= 2
