--- a/review/harness/play.py
+++ b/review/harness/play.py
@@ -16,11 +16,11 @@
 LIMIT_SECONDS = 115.0
 
 
-async def play(folder: pathlib.Path) -> int:
+async def play(folder: pathlib.Path, record_path: pathlib.Path) -> int:
     """Play the case of a folder; return the exit status."""
     run = runpy.run_path(str(folder / "case.py"))["run"]
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = deployment.Record(folder / "record.txt")
+    record = deployment.Record(record_path)
     record.add(f"trouble: {'yes' if trouble else 'no'}")
     with tempfile.TemporaryDirectory(prefix="review-") as scratch:
         try:
@@ -39,4 +39,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(play(pathlib.Path(sys.argv[1]))))
+    sys.exit(asyncio.run(play(*map(pathlib.Path, sys.argv[1:3]))))
