--- a/chervilshore/tables.py
+++ b/chervilshore/tables.py
@@ -14,7 +14,7 @@
 from chervilshore.rules import guards
 from chervilshore.rules import model
 from chervilshore.rules import schema
-from chervilshore import settings
+from chervilshore import settingspecs
 
 BEGIN = "<!-- table from the code: make tables -->"
 """Mark before a generated table."""
@@ -96,7 +96,7 @@
             setting.kind.allowed,
             setting.text,
         )
-        for setting in settings.SETTINGS
+        for setting in settingspecs.SETTINGS
     ]
     headings = ("flag", "variable", "default", "allowed", "meaning")
     return format_table(headings, rows)
