Take each figure of a deployment with the meaning it has

Cause: deploy/settings.json.in made milliseconds of seconds by appending the digits "000", and the setting took whole numbers only, so that "7.5000" and "10.0000" were invalid. The same on related paths: stable_ms 2500.5 or 3000.0 for a whole number, and each of retry_window_s, stable_ms, retry_slack and retry_ratio that a deployment doesn't name, for which the template leaves an empty text, or "000".

An empty value in the settings file counts as not given, so that the default holds. An error names the settings file if the value comes from there.

--- a/chervilshore/settingkinds.py
+++ b/chervilshore/settingkinds.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from chervilshore import clock as clocks
+
 
 class Kind(msgspec.Struct, frozen=True):
     """A kind of value.
@@ -60,6 +62,8 @@
 )
 OPTIONAL_IP = Kind(_parse_optional_ip, "empty, or an IP address")
 
+_UNITS_MS = {"": 1.0, "ms": 1.0, "s": clocks.MILLIS_PER_SECOND}
+
 
 def choice(*words: str) -> Kind:
     """Make a kind that allows only the given words."""
@@ -96,6 +100,25 @@
     return Kind(parse, f"a number from {minimum:g} to {maximum:g}")
 
 
+def duration(minimum_ms: float, maximum_ms: float) -> Kind:
+    """Make a kind for durations in an inclusive range, in milliseconds."""
+
+    def parse(text: str) -> float:
+        match = re.fullmatch(r"([0-9.eE+-]+) ?(ms|s|)", text)
+        if match is None:
+            raise ValueError(text)
+        value = float(match[1]) * _UNITS_MS[match[2]]
+        if not minimum_ms <= value <= maximum_ms:
+            raise ValueError(text)
+        return value
+
+    return Kind(
+        parse,
+        f"from {minimum_ms:g} to {maximum_ms:g} milliseconds, as a number or "
+        "with a unit, such as 500, 2.5 ms or 7.5 s",
+    )
+
+
 def optional_number(minimum: float, maximum: float) -> Kind:
     """Make a kind for numbers in an inclusive range, or None if empty."""
     required = number(minimum, maximum)
--- a/chervilshore/settings.py
+++ b/chervilshore/settings.py
@@ -91,7 +91,8 @@
     environment : mapping
         The environment variables.
     file : mapping or None
-        The values of a settings file; flags and variables override them.
+        The values of a settings file; flags and variables override them. An
+        empty value counts as not given.
 
     Raises
     ------
@@ -101,12 +102,7 @@
     values = {}
     problems = []
     for setting in settingspecs.SETTINGS:
-        text = flags.get(setting.name)
-        if text is None:
-            text = environment.get(setting.variable)
-        if text is None:
-            text = (file or {}).get(setting.name, setting.default)
-        where = f"{setting.flag} ({setting.variable})"
+        text, where = _find_text(setting, flags, environment, file or {})
         if text is None:
             problems.append(f"{where} is required: {setting.kind.allowed}")
             continue
@@ -119,3 +115,20 @@
     if problems:
         raise exceptions.SettingsError("\n".join(problems))
     return Settings(values)
+
+
+def _find_text(
+    setting: settingspecs.Setting,
+    flags: collections_abc.Mapping[str, str | None],
+    environment: collections_abc.Mapping[str, str],
+    file: collections_abc.Mapping[str, str],
+) -> tuple[str | None, str]:
+    """Return the text of a setting, and where it was given."""
+    where = f"{setting.flag} ({setting.variable})"
+    if (text := flags.get(setting.name)) is not None:
+        return text, where
+    if (text := environment.get(setting.variable)) is not None:
+        return text, where
+    if file.get(setting.name):
+        return file[setting.name], f"{setting.name} in the settings file"
+    return setting.default, where
--- a/chervilshore/settingspecs.py
+++ b/chervilshore/settingspecs.py
@@ -134,7 +134,7 @@
     ),
     Setting(
         "retry_window_ms",
-        settingkinds.integer(100, 600_000),
+        settingkinds.duration(100, 600_000),
         "window in which retries are counted, in milliseconds",
         "10000",
     ),
@@ -269,7 +269,7 @@
     ),
     Setting(
         "store_recovery_ms",
-        settingkinds.integer(100, 600_000),
+        settingkinds.duration(100, 600_000),
         "time after an outage of the platform's store within which the host "
         "must know what has changed there, in milliseconds",
         "3000",
--- a/standins/site.py
+++ b/standins/site.py
@@ -36,6 +36,14 @@
     pathlib.Path(__file__).parents[1] / "deploy" / "settings.json.in"
 )
 
+BOUNDS = {
+    "retry_ratio": 0.2,
+    "retry_slack": 52,
+    "retry_window_s": 10,
+    "stable_ms": 3000,
+}
+"""Figures of a deployment, under the platform's names."""
+
 SERVICES = (
     {"name": "ledger", "max_conns": 100},
     {"name": "llm", "max_conns": 100, "engine": {"slots": 8}},
@@ -122,6 +130,8 @@
     ----------
     code : Path
         The checkout whose daemon runs.
+    bounds : dict
+        Figures of the deployment, under the platform's names.
     """
 
     code = pathlib.Path(__file__).parents[1]
@@ -132,6 +142,7 @@
         self.address = ""
         self.ready_address = ""
         self.control_address = ""
+        self.bounds = dict(BOUNDS)
         self.process: asyncio.subprocess.Process | None = None
         self._restarting = asyncio.Lock()
         self._settings_path = folder / f"{name}.json"
@@ -175,12 +186,7 @@
             "seeds": seeds,
             "platform": {"addr": store},
             "limits": {"link_mbps": 1000.0},
-            "bounds": {
-                "retry_ratio": 0.2,
-                "retry_slack": 52,
-                "retry_window_s": 10,
-                "stable_ms": 3000,
-            },
+            "bounds": self.bounds,
         }
         return settingsfile.render(SETTINGS_TEMPLATE.read_text(), fields)
 
