Show settings that were refused at a reload to operators

What operators saw: after SIGHUP with an invalid file a host went on with its former settings, which is right; that its next start would fail stood in one line of its log, event 1007, and nowhere else.

Change: the host keeps the reason until valid settings are applied. Both kinds of hosts get this from a base class, EntryHost, with what they had twice.

--- a/chervilshore/clients/admin.py
+++ b/chervilshore/clients/admin.py
@@ -35,6 +35,18 @@
     watching: bool = False
 
 
+class SettingsStatus(msgspec.Struct):
+    """State of a host's settings; see `EntryHost.describe_settings`.
+
+    Parameters
+    ----------
+    refusal : str
+        Why the newest settings are invalid; empty if they are in use.
+    """
+
+    refusal: str = ""
+
+
 class HostStatus(msgspec.Struct):
     """Status of one entry host.
 
@@ -48,6 +60,8 @@
         The active generation of the rules.
     configuration : ConfigurationStatus
         Further state of the rules.
+    settings : SettingsStatus
+        State of the settings.
     ready, draining : bool
         Whether the host accepts requests, and whether it drains.
     in_flight : int
@@ -68,6 +82,7 @@
     configuration: ConfigurationStatus = msgspec.field(
         default_factory=ConfigurationStatus
     )
+    settings: SettingsStatus = msgspec.field(default_factory=SettingsStatus)
     ready: bool = False
     draining: bool = False
     in_flight: int = 0
--- a/chervilshore/daemon.py
+++ b/chervilshore/daemon.py
@@ -41,6 +41,9 @@
     def reload(self, options: settings.Settings) -> None:
         """Apply the new values of the settings that can change."""
 
+    def refuse_settings(self, reason: str) -> None:
+        """Show that new settings are invalid, until valid ones are applied."""
+
 
 def _make_host(options: settings.Settings, clock: clocks.Clock) -> Host:
     # Imported here, as each kind of host has many imports that the other
@@ -133,6 +136,7 @@
             events.log_event(
                 _LOGGER, events.Event.SETTINGS_REFUSED, error=error
             )
+            host.refuse_settings(str(error))
             return
         self._options = options
         logging.getLogger().setLevel(options.log_level.upper())
--- a/chervilshore/gateway.py
+++ b/chervilshore/gateway.py
@@ -1,9 +1,6 @@
 """An entry host that forwards requests on the users' platform."""
 
-import random
-
 from aiohttp import web
-import mode
 
 from chervilshore.clients import connectionpool
 from chervilshore.clients import connectors
@@ -29,6 +26,7 @@
 from chervilshore.decisions import retryshares
 from chervilshore.decisions import routing
 from chervilshore.decisions import shedding
+from chervilshore import entryhost
 from chervilshore.filters import attempt
 from chervilshore.filters import base
 from chervilshore.filters import cutoff
@@ -62,7 +60,7 @@
 )
 
 
-class Gateway(mode.Service):
+class Gateway(entryhost.EntryHost):
     """An entry host that forwards requests on the users' platform.
 
     Parameters
@@ -86,15 +84,10 @@
         clock: clocks.Clock,
         connector: connectors.DirectConnector | None = None,
     ) -> None:
-        super().__init__()
-        self._options = options
+        super().__init__(options, clock)
         self._connector = connector or connectors.DirectConnector(
             options.source_ip
         )
-        self._clock = clock
-        self._metrics = metrics.Metrics()
-        # Seeded by the system, so that hosts draw different numbers.
-        self._random = random.Random()
         self._listeners = listener.Listeners(self._head_timeout_seconds)
         self._is_leaving = False
         self._max_known_hosts = 1
@@ -333,6 +326,7 @@
             {
                 "ready": ready,
                 "leaving": self._is_leaving,
+                "settings": self.describe_settings(),
                 "catalog": self._catalog.describe(),
                 "rollouts": self._rollouts and self._rollouts.describe(),
                 "held": self._quarantine.describe(),
@@ -353,7 +347,7 @@
 
     def reload(self, options: settings.Settings) -> None:
         """Apply the new values of the settings that can change."""
-        self._options = options
+        super().reload(options)
         self._connections.connect_ms = options.connect_ms
         self._tunnels.connect_ms = options.connect_ms
         self._store.timeout_ms = options.platform_ms
--- a/chervilshore/logreports.py
+++ b/chervilshore/logreports.py
@@ -73,6 +73,7 @@
         f"{row['starts']} starts, {row['endpoints']} endpoints, "
         f"cannot read {', '.join(row['unread']) or 'nothing'}, "
         f"down {', '.join(row['down']) or 'nobody'}"
+        f"{_format_refusal(row['settings_refused'])}"
         for row in rows
     ]
     return reports.Report("\n".join(lines), {"hosts": rows})
@@ -90,6 +91,7 @@
         self._endpoints: set[str] = set()
         self._unread: set[str] = set()
         self._down: set[str] = set()
+        self._settings_refusal = ""
 
     def record(self, fields: dict) -> None:
         """Update the state from a line; lines come in the order of the log."""
@@ -111,6 +113,10 @@
             self._down.add(fields["host"])
         elif event is events.Event.HOST_ALIVE:
             self._down.discard(fields["host"])
+        elif event is events.Event.SETTINGS_REFUSED:
+            self._settings_refusal = str(fields.get("error"))
+        elif event is events.Event.RELOADED:
+            self._settings_refusal = ""
 
     def describe(self) -> dict:
         """Return the state as JSON values."""
@@ -120,9 +126,14 @@
             "endpoints": len(self._endpoints),
             "unread": sorted(self._unread),
             "down": sorted(self._down),
+            "settings_refused": self._settings_refusal,
         }
 
 
+def _format_refusal(refusal: str) -> str:
+    return f", refuses new settings: {refusal}" if refusal else ""
+
+
 def read_entries(logs: Logs) -> collections_abc.Iterator[traces.LogEntry]:
     """Yield the entries of all logs, in the order of each."""
     for text, source in logs:
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -236,6 +236,12 @@
     )
 
     # Configuration.
+    SETTINGS_REFUSED = _gauge(
+        "chervilshore_settings_refused",
+        (),
+        "1 while the newest settings are invalid: the host goes on with the "
+        "former ones, but its process could not start again.",
+    )
     GENERATION = _gauge(
         "chervilshore_generation", (), "The active generation."
     )
--- a/chervilshore/node.py
+++ b/chervilshore/node.py
@@ -1,7 +1,6 @@
 """An entry host with the project's own interface for pipelines."""
 
 import asyncio
-import random
 
 from aiohttp import web
 import mode
@@ -28,6 +27,7 @@
 from chervilshore.controllers import slots
 from chervilshore.decisions import leases
 from chervilshore.decisions import shared_limits
+from chervilshore import entryhost
 from chervilshore.filters import admission
 from chervilshore.filters import attempt
 from chervilshore.filters import base
@@ -39,7 +39,6 @@
 from chervilshore.filters import pipeline
 from chervilshore.filters import stage
 from chervilshore import ids
-from chervilshore import metrics
 from chervilshore import policies
 from chervilshore import records
 from chervilshore import server
@@ -53,7 +52,7 @@
 without a result code; the filters refuse much shorter ones with one."""
 
 
-class Node(mode.Service):
+class Node(entryhost.EntryHost):
     """An entry host that runs pipelines for its callers.
 
     Parameters
@@ -72,13 +71,7 @@
     def __init__(
         self, options: settings.Settings, clock: clocks.Clock
     ) -> None:
-        super().__init__()
-        self._options = options
-        self._clock = clock
-        self._metrics = metrics.Metrics()
-        # Seeded by the system, as names of claims and chunks are drawn from
-        # it: they must differ between hosts and between process runs.
-        self._random = random.Random()
+        super().__init__(options, clock)
         self._runner: web.AppRunner | None = None
         self._make_clients()
         self._make_control_plane()
@@ -309,6 +302,7 @@
         self.server.sections = {
             "host": lambda: self._options.host,
             "domain": lambda: self._options.domain,
+            "settings": self.describe_settings,
             "generation": self._read_generation,
             "configuration": self._configuration.describe,
             "membership": self._membership.describe,
@@ -373,10 +367,6 @@
         site = web.TCPSite(self._runner, host.strip("[]"), int(port))
         await site.start()
 
-    def reload(self, options: settings.Settings) -> None:
-        """Apply the new values of the settings that can change."""
-        self._options = options
-
     async def drain(self) -> None:
         """Refuse new requests; finish running ones, for up to ``drain_ms``."""
         self.server.draining = True
--- a/chervilshore/overviews.py
+++ b/chervilshore/overviews.py
@@ -124,6 +124,7 @@
             "watches": _yes_or_no(status.configuration.watching),
             "refused": status.configuration.refused_generation or "",
             "refusal": status.configuration.refusal,
+            "settings refused": status.settings.refusal,
         }
     return row
 
--- a/tests/test_logreports.py
+++ b/tests/test_logreports.py
@@ -68,11 +68,31 @@
                 "endpoints": 1,
                 "unread": ["servers"],
                 "down": ["h2"],
+                "settings_refused": "",
             }
         ),
     )
 
 
+@pytest.mark.parametrize(
+    "later, expected",
+    [([], "drain_ms is 'x'"), ([1006], ""), ([1001], "")],
+)
+def test_refused_settings_are_told_until_others_hold(later, expected):
+    log = join(
+        make_line(1001),
+        make_line(1007, error="drain_ms is 'x'"),
+        *map(make_line, later),
+    )
+    report = logreports.describe_hosts([(log, "h1")])
+    (row,) = report.data["hosts"]
+    assertions.assert_that(row["settings_refused"], matchers.Equals(expected))
+    assertions.assert_that(
+        "refuses new settings: drain_ms is 'x'" in report.text,
+        matchers.Equals(bool(expected)),
+    )
+
+
 @pytest.mark.parametrize("command", ["refusals", "status"])
 async def test_commands_with_logs_need_no_platform(tmp_path, command):
     path = tmp_path / "h1.log"
