Take a reset for the end of no response in the own interface

What callers saw: a peer answered a long request at once with a 200 without a length, sent a part of its body and reset the connection while the request was still being written.

Cause: without a length and chunks the end of the connection is the end of the body. aiohttp takes a reset for that end: its parser is told of the end before the error of the connection is kept, where nobody looks after the last read.

Change: all sessions are opened by clients/sessions, with a class of responses that looks at how the connection ended. A reset fails the body; a connection that is closed in order ends it as before, as simple services answer so.

Evidence: tests/test_odd_responses.py, requests of 900 KB to a listener with a receive buffer of 4,096 bytes, the reset at once or after 50 ms.

--- a/chervilshore/client.py
+++ b/chervilshore/client.py
@@ -312,7 +312,7 @@
             return self._resend_session
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0)
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = sessions.open_session(connector)
         return self._session
 
 
--- a/chervilshore/clients/bodies.py
+++ b/chervilshore/clients/bodies.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from chervilshore.clients import receiving
+from chervilshore.clients import responses
 
 MAX_BODY_BYTES = 16_000_000
 """Size from which a body counts as endless."""
@@ -29,7 +30,8 @@
     Raises
     ------
     aiohttp.ClientPayloadError
-        The body is too large, or was cut for others; its end was not awaited.
+        The body is not whole; or it is too large, or was cut for others, and
+        its end was not awaited.
     """
     reader = _BodyReader(response, max_bytes, pool)
     try:
@@ -65,6 +67,7 @@
             await self._wait_for_room()
             block = await self._response.content.read(self._receipt.allow())
             if not block:
+                responses.check_end(self._response)
                 return bytes(self._content)
             self._content += block
             self._receipt.update(len(self._content))
--- a/chervilshore/clients/endpoints.py
+++ b/chervilshore/clients/endpoints.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from chervilshore.clients import bodies
+from chervilshore.clients import sessions
 from chervilshore import contents
 from chervilshore.decisions.capacity import observations
 from chervilshore import exceptions
@@ -146,8 +147,8 @@
             force_close=force_close,
             local_addr=self._source,
         )
-        return aiohttp.ClientSession(
-            connector=connector, timeout=timeout, auto_decompress=False
+        return sessions.open_session(
+            connector, timeout=timeout, auto_decompress=False
         )
 
     async def close(self) -> None:
--- a/chervilshore/clients/sessions.py
+++ b/chervilshore/clients/sessions.py
@@ -1,11 +1,32 @@
 """HTTP sessions whose responses name no call."""
 
+import typing
+
 import aiohttp
 
+from chervilshore.clients import responses
+
 DEFAULT_LIMIT = 100
 """Connections of a session at one time."""
 
 
+def open_session(
+    connector: aiohttp.TCPConnector | None = None, **options: typing.Any
+) -> aiohttp.ClientSession:
+    """Open a session that reads its responses as `responses.Response`.
+
+    Parameters
+    ----------
+    connector : TCPConnector or None
+        Opens the connections; None for the usual one.
+    options : dict
+        Further options of the session.
+    """
+    return aiohttp.ClientSession(
+        connector=connector, response_class=responses.Response, **options
+    )
+
+
 def open_single_use(
     source: str = "", limit: int = DEFAULT_LIMIT
 ) -> aiohttp.ClientSession:
@@ -21,10 +42,9 @@
     limit : int
         Connections at one time; 0 for no limit.
     """
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=limit,
-            force_close=True,
-            local_addr=(source, 0) if source else None,
-        )
+    connector = aiohttp.TCPConnector(
+        limit=limit,
+        force_close=True,
+        local_addr=(source, 0) if source else None,
     )
+    return open_session(connector)
--- a/chervilshore/cmdline.py
+++ b/chervilshore/cmdline.py
@@ -8,12 +8,12 @@
 import pathlib
 import sys
 
-import aiohttp
 import msgspec
 import orjson
 
 from chervilshore.clients import admin as admin_clients
 from chervilshore.clients import platform as platforms
+from chervilshore.clients import sessions
 from chervilshore import clock as clocks
 from chervilshore import cmdarguments
 from chervilshore import commands
@@ -92,7 +92,7 @@
         if getattr(arguments, "logs", None):
             return _report_from_logs(arguments)
         async with contextlib.AsyncExitStack() as stack:
-            session = await stack.enter_async_context(aiohttp.ClientSession())
+            session = await stack.enter_async_context(sessions.open_session())
             platform = self._platform or _connect(arguments, stack)
             if arguments.command in _ORDER_COMMANDS:
                 return await _ORDER_COMMANDS[arguments.command](
--- /dev/null
+++ b/tests/test_odd_responses.py
@@ -0,0 +1,299 @@
+"""Responses of the own interface that end early.
+
+The load: a peer that answers a long request at once and resets the connection
+while the request is still being written.
+"""
+
+import asyncio
+import contextlib
+import socket
+
+import msgspec
+import pytest
+
+from chervilshore import client as clients
+from chervilshore.clients import admin as admin_clients
+from chervilshore.clients import completions
+from chervilshore.clients import endpoints
+from chervilshore.clients import engines
+from chervilshore.clients import models
+from chervilshore.clients import platform as platforms
+from chervilshore.clients import rest
+from chervilshore.clients import sessions
+from chervilshore.clients import sockets
+from chervilshore.decisions import orders
+from chervilshore import exceptions
+from chervilshore import records
+
+RECEIVE_BYTES = 4096
+"""Receive buffer of the peer, so that most of a request is not yet sent."""
+
+REQUEST_BYTES = 900_000
+
+TIMEOUT_MS = 3000.0
+
+LONG = "a" * REQUEST_BYTES
+
+HEADERS = (
+    b"%s: 7\r\nContent-Type: application/json\r\n"
+    % rest.VERSION_HEADER.encode()
+)
+
+FRAMINGS = {
+    "none": lambda body: b"Connection: close\r\n\r\n" + body,
+    "length": lambda body: b"Content-Length: %d\r\n\r\n%s" % (len(body), body),
+    "chunks": lambda body: (
+        b"Transfer-Encoding: chunked\r\n\r\n"
+        + (b"%x\r\n%s\r\n" % (len(body), body) if body else b"")
+        + b"0\r\n\r\n"
+    ),
+}
+
+
+class Peer:
+    """Writes one response to each request as soon as it has read the head.
+
+    Attributes
+    ----------
+    status : str
+        The status of the response.
+    framing : str
+        One of `FRAMINGS`.
+    reset_delay_seconds : float or None
+        Time after which it resets the connection; None to read the whole
+        request and to close the connection in order.
+    body : bytes
+        The body of the response.
+    """
+
+    def __init__(self):
+        self.status = "200"
+        self.framing = "none"
+        self.reset_delay_seconds = None
+        self.body = b""
+        self._serving = []
+
+    async def start(self):
+        listening = socket.create_server(("127.0.0.1", 0))
+        listening.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES
+        )
+        self._server = await asyncio.start_server(self._serve, sock=listening)
+        self.address = f"127.0.0.1:{listening.getsockname()[1]}"
+
+    async def stop(self):
+        self._server.close()
+        await self._server.wait_closed()
+        await asyncio.gather(*self._serving)
+
+    async def _serve(self, reader, writer):
+        self._serving.append(asyncio.current_task())
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._make_response(head))
+            await writer.drain()
+            if self.reset_delay_seconds is not None:
+                await asyncio.sleep(self.reset_delay_seconds)
+                sockets.set_reset_at_close(writer.transport, True)
+            else:
+                await self._read_request_body(reader, head)
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+    async def _read_request_body(self, reader, head):
+        if b"Content-Length: " in head:
+            length = head.partition(b"Content-Length: ")[2].split()[0]
+            await reader.readexactly(int(length))
+        elif b"chunked" in head:
+            received = b""
+            while not received.endswith(b"\r\n0\r\n\r\n"):
+                received = received[-8:] + await reader.read(REQUEST_BYTES)
+
+    def _make_response(self, head):
+        lines = head.split(b"\r\n")
+        names = [one for one in lines if one.startswith(b"X-Request-Id: ")]
+        return (
+            b"HTTP/1.1 %s X\r\n" % self.status.encode()
+            + b"".join(one + b"\r\n" for one in names)
+            + HEADERS
+            + FRAMINGS[self.framing](self.body)
+        )
+
+
+def make_record(address):
+    return records.EndpointRecord("e1", "p", "a", address)
+
+
+async def call_stage(client_type, value, address):
+    opened = endpoints.Sessions()
+    binding = records.Binding("r1", "do", 1, "e1")
+    call = endpoints.Call(binding, value, TIMEOUT_MS, path="/run")
+    try:
+        return await client_type(opened).call(make_record(address), call)
+    finally:
+        await opened.close()
+
+
+async def call_plain(address):
+    await call_stage(models.PlainClient, {"input": LONG}, address)
+
+
+async def call_encoder(address):
+    await call_stage(models.EncoderClient, {"input": LONG}, address)
+
+
+async def call_retriever(address):
+    value = {"embedding": [0.5] * (REQUEST_BYTES // 4)}
+    await call_stage(models.RetrieverClient, value, address)
+
+
+async def call_reranker(address):
+    value = {"input": LONG, "documents": [{"text": "a"}]}
+    await call_stage(models.RerankerClient, value, address)
+
+
+async def complete(address):
+    await call_stage(completions.CompletionClient, {"input": LONG}, address)
+
+
+async def send_order(address):
+    call = engines.OrderCall("one", orders.OrderKind.ADAPTER, LONG, 3)
+    async with sessions.open_single_use() as session:
+        client = engines.HttpEngineClient(session)
+        await client.send(make_record(address), call, lambda: True, TIMEOUT_MS)
+
+
+async def read_engine(address):
+    async with sessions.open_single_use() as session:
+        client = engines.HttpEngineClient(session)
+        await client.read(make_record(address), TIMEOUT_MS)
+
+
+async def fetch_status(address):
+    async with sessions.open_session() as session:
+        client = admin_clients.HttpStatusClient(session)
+        await client.fetch_status(address, TIMEOUT_MS)
+
+
+async def call_platform(address, name, *arguments):
+    platform = rest.RestPlatform(address, TIMEOUT_MS)
+    try:
+        await getattr(platform, name)(*arguments)
+    finally:
+        await platform.close()
+
+
+async def create(address):
+    await call_platform(address, "create", "k", bytes(REQUEST_BYTES))
+
+
+async def update(address):
+    await call_platform(address, "update", "k", bytes(REQUEST_BYTES), 6)
+
+
+async def delete(address):
+    await call_platform(address, "delete", "k", 6)
+
+
+async def get(address):
+    await call_platform(address, "get", "k")
+
+
+async def list_objects(address):
+    await call_platform(address, "list", "k")
+
+
+async def watch(address):
+    await call_platform(address, "watch", "k", 3, TIMEOUT_MS)
+
+
+async def list_hosts(address):
+    await call_platform(address, "hosts")
+
+
+async def request(address):
+    client = clients.Client([address], "t")
+    try:
+        await client.request(
+            "p", {"input": LONG}, TIMEOUT_MS, repeatable=False, resend=False
+        )
+    finally:
+        await client.close()
+
+
+async def request_stream(address):
+    client = clients.Client([address], "t")
+    try:
+        await client.request(
+            "p", {"input": LONG}, TIMEOUT_MS, text_sink=str, resend=False
+        )
+    finally:
+        await client.close()
+
+
+BROKEN = exceptions.EndpointBroken
+UNAVAILABLE = exceptions.PlatformUnavailable
+UNKNOWN = exceptions.PlatformUnknown
+STATUS = b'{"host": "h", "domain": "a", "generation": 1}'
+OBJECTS = msgspec.msgpack.encode([platforms.VersionedObject("k", b"v", 7)])
+HOSTS = msgspec.msgpack.encode(records.HostList())
+ANSWER = b'{"request": "r", "code": 0, "end": true}'
+COMPLETION = (
+    b'data: {"choices": [{"text": "a", "finish_reason": "stop"}]}\n\n'
+    b"data: [DONE]\n\n"
+)
+
+READERS = {
+    "plain": (call_plain, b'{"a": 1}', BROKEN),
+    "encoder": (call_encoder, b'{"data": [{"embedding": [1]}]}', BROKEN),
+    "retriever": (call_retriever, b'{"documents": []}', BROKEN),
+    "reranker": (call_reranker, b'{"results": []}', BROKEN),
+    "order": (send_order, b"", BROKEN),
+    "engine": (read_engine, b"{}", BROKEN),
+    "status": (fetch_status, STATUS, exceptions.PeerError),
+    "create": (create, b"", UNKNOWN),
+    "update": (update, b"", UNKNOWN),
+    "delete": (delete, b"", UNKNOWN),
+    "get": (get, b"v", UNAVAILABLE),
+    "list": (list_objects, OBJECTS, UNAVAILABLE),
+    "watch": (watch, OBJECTS, UNAVAILABLE),
+    "hosts": (list_hosts, HOSTS, UNAVAILABLE),
+    "caller": (request, ANSWER, clients.AnswerLost),
+}
+"""For each reader of responses a call, a whole body, and the error that says
+that there was no whole response."""
+
+STREAM_READERS = {
+    "completion": (complete, COMPLETION, BROKEN),
+    "stream": (request_stream, ANSWER, clients.AnswerLost),
+}
+"""The same for readers of streams, whose end has a mark of its own."""
+
+
+@pytest.fixture
+async def peer():
+    found = Peer()
+    await found.start()
+    yield found
+    await found.stop()
+
+
+# Guards against MIXED: a part of a response passed for a whole one.
+@pytest.mark.parametrize("delay_seconds", [0.0, 0.05])
+@pytest.mark.parametrize("name", READERS)
+async def test_unframed_response_that_is_reset_is_not_whole(
+    peer, name, delay_seconds
+):
+    call, peer.body, expected = READERS[name]
+    peer.reset_delay_seconds = delay_seconds
+    with pytest.raises(expected):
+        await call(peer.address)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("name", [*READERS, *STREAM_READERS])
+async def test_response_that_ends_in_order_is_whole(peer, name, framing):
+    call, peer.body, _ = (READERS | STREAM_READERS)[name]
+    peer.framing = framing
+    await call(peer.address)
