Take no invalid status for success in the own interface

Cause: readers took each status below 300 for success, and aiohttp takes any three digits for a status. The callers' library looked at no status at all.

Change: the class of responses that all sessions use accepts a final status from 200 to 599 (RFC 9110, section 15). It refuses 206 too, as no request asks for a part. What callers get is what a lost answer gives them: for orders, writes and requests that may run once "may have run", for reads "unavailable".

--- a/chervilshore/clients/responses.py
+++ b/chervilshore/clients/responses.py
@@ -1,12 +1,21 @@
-"""HTTP responses that fail unless they are whole."""
+"""HTTP responses that fail unless they are valid and whole."""
 
 import asyncio
 
 import aiohttp
 
+MIN_STATUS = 200
+"""Lowest status of a final response."""
+
+MAX_STATUS = 599
+"""Highest status of a response; see RFC 9110, section 15."""
+
+PARTIAL_STATUS = 206
+"""Status of a part of a body, for which no request asks."""
+
 
 class Response(aiohttp.ClientResponse):
-    """A response that fails if it was cut.
+    """A response that fails if it is invalid or was cut.
 
     Without a length and chunks the end of the connection is the end of the
     body. The base class takes a reset for that end, too.
@@ -15,7 +24,13 @@
     async def start(
         self, connection: aiohttp.connector.Connection
     ) -> "Response":
-        """Read the head."""
+        """Read the head.
+
+        Raises
+        ------
+        aiohttp.ClientResponseError
+            The status is not that of a final and whole response.
+        """
         protocol = connection.protocol
         # Until the connection is lost `closed` is a future, which then has the
         # error, if any. One that was lost before has its error in `protocol`.
@@ -25,6 +40,16 @@
             closed.remove_done_callback(_retrieve_error)
             closed.add_done_callback(_retrieve_error)
         await super().start(connection)
+        if (
+            not MIN_STATUS <= self.status <= MAX_STATUS
+            or self.status == PARTIAL_STATUS
+        ):
+            raise aiohttp.ClientResponseError(
+                self.request_info,
+                self.history,
+                status=self.status,
+                message="invalid status",
+            )
         if not self._is_self_delimiting():
             self.content.on_eof(lambda: self._check_end(closed, error))
         return self
--- a/tests/test_odd_responses.py
+++ b/tests/test_odd_responses.py
@@ -1,7 +1,7 @@
-"""Responses of the own interface that end early.
+"""Responses of the own interface that end early or have an odd status.
 
 The load: a peer that answers a long request at once and resets the connection
-while the request is still being written.
+while the request is still being written, and statuses that HTTP doesn't have.
 """
 
 import asyncio
@@ -291,6 +291,18 @@
         await call(peer.address)
 
 
+# Guards against MIXED: a peer in trouble whose status is no HTTP status, or
+# not one of a whole answer.
+@pytest.mark.parametrize("status", ["000", "099", "101", "206", "600", "999"])
+@pytest.mark.parametrize("name", [*READERS, *STREAM_READERS])
+async def test_invalid_status_is_no_success(peer, name, status):
+    call, peer.body, expected = (READERS | STREAM_READERS)[name]
+    peer.status = status
+    peer.framing = "length"
+    with pytest.raises(expected):
+        await call(peer.address)
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("name", [*READERS, *STREAM_READERS])
 async def test_response_that_ends_in_order_is_whole(peer, name, framing):
