--- a/standins/site.py
+++ b/standins/site.py
@@ -130,7 +130,7 @@
     ----------
     code : Path
         The checkout whose daemon runs.
-    bounds : dict
+    bounds, limits : dict
         Figures of the deployment, under the platform's names.
     """
 
@@ -143,6 +143,7 @@
         self.ready_address = ""
         self.control_address = ""
         self.bounds = dict(BOUNDS)
+        self.limits = {"link_mbps": 1000.0}
         self.process: asyncio.subprocess.Process | None = None
         self._restarting = asyncio.Lock()
         self._settings_path = folder / f"{name}.json"
@@ -185,7 +186,7 @@
             "port_range": [7740, 7755],
             "seeds": seeds,
             "platform": {"addr": store},
-            "limits": {"link_mbps": 1000.0},
+            "limits": self.limits,
             "bounds": self.bounds,
         }
         return settingsfile.render(SETTINGS_TEMPLATE.read_text(), fields)
--- a/tests/test_settingsfile.py
+++ b/tests/test_settingsfile.py
@@ -14,10 +14,11 @@
 SEEDS = ("127.0.0.1:7003", "127.0.0.1:7013")
 
 
-async def load(folder, bounds):
+async def load(folder, bounds, limits=None):
     """Load the settings of a deployment with the given figures alone."""
     host = site.Host("h0", "a", folder)
     host.bounds = bounds
+    host.limits = {} if limits is None else limits
     ports = [7001, 7002, 7003]
     await host.write_settings("127.0.0.1:7100", ports, list(SEEDS))
     file = settings.read_file(str(folder / "h0.json"))
@@ -76,6 +77,15 @@
     assertions.assert_that(getattr(options, name), matchers.Equals(expected))
 
 
+@pytest.mark.parametrize(
+    "limits, expected",
+    [({"link_mbps": 250}, 250.0), ({"link_mbps": 2.5}, 2.5), ({}, 1.0)],
+)
+async def test_capacity_is_the_link_or_its_default(tmp_path, limits, expected):
+    options = await load(tmp_path, site.BOUNDS, limits)
+    assertions.assert_that(options.capacity, matchers.Equals(expected))
+
+
 @pytest.mark.parametrize(
     "bound, value, name",
     [
