Write the readers of responses as tables in their test

test_odd_responses.py had one function for each call of the platform and each kind of stage; they are rows now, 317 lines in place of 340.

--- a/tests/test_odd_responses.py
+++ b/tests/test_odd_responses.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 
 import msgspec
@@ -140,33 +141,11 @@
     binding = records.Binding("r1", "do", 1, "e1")
     call = endpoints.Call(binding, value, TIMEOUT_MS, path="/run")
     try:
-        return await client_type(opened).call(make_record(address), call)
+        await client_type(opened).call(make_record(address), call)
     finally:
         await opened.close()
 
 
-async def call_plain(address):
-    await call_stage(models.PlainClient, {"input": LONG}, address)
-
-
-async def call_encoder(address):
-    await call_stage(models.EncoderClient, {"input": LONG}, address)
-
-
-async def call_retriever(address):
-    value = {"embedding": [0.5] * (REQUEST_BYTES // 4)}
-    await call_stage(models.RetrieverClient, value, address)
-
-
-async def call_reranker(address):
-    value = {"input": LONG, "documents": [{"text": "a"}]}
-    await call_stage(models.RerankerClient, value, address)
-
-
-async def complete(address):
-    await call_stage(completions.CompletionClient, {"input": LONG}, address)
-
-
 async def send_order(address):
     call = engines.OrderCall("one", orders.OrderKind.ADAPTER, LONG, 3)
     async with sessions.open_single_use() as session:
@@ -186,7 +165,7 @@
         await client.fetch_status(address, TIMEOUT_MS)
 
 
-async def call_platform(address, name, *arguments):
+async def call_platform(name, arguments, address):
     platform = rest.RestPlatform(address, TIMEOUT_MS)
     try:
         await getattr(platform, name)(*arguments)
@@ -194,49 +173,15 @@
         await platform.close()
 
 
-async def create(address):
-    await call_platform(address, "create", "k", bytes(REQUEST_BYTES))
-
-
-async def update(address):
-    await call_platform(address, "update", "k", bytes(REQUEST_BYTES), 6)
-
-
-async def delete(address):
-    await call_platform(address, "delete", "k", 6)
-
-
-async def get(address):
-    await call_platform(address, "get", "k")
-
-
-async def list_objects(address):
-    await call_platform(address, "list", "k")
-
-
-async def watch(address):
-    await call_platform(address, "watch", "k", 3, TIMEOUT_MS)
-
-
-async def list_hosts(address):
-    await call_platform(address, "hosts")
-
-
-async def request(address):
-    client = clients.Client([address], "t")
-    try:
-        await client.request(
-            "p", {"input": LONG}, TIMEOUT_MS, repeatable=False, resend=False
-        )
-    finally:
-        await client.close()
-
-
-async def request_stream(address):
+async def request(text_sink, address):
     client = clients.Client([address], "t")
     try:
         await client.request(
-            "p", {"input": LONG}, TIMEOUT_MS, text_sink=str, resend=False
+            "p",
+            {"input": LONG},
+            TIMEOUT_MS,
+            text_sink=text_sink,
+            resend=False,
         )
     finally:
         await client.close()
@@ -254,29 +199,61 @@
     b"data: [DONE]\n\n"
 )
 
+STAGES = {
+    "plain": (models.PlainClient, {"input": LONG}, b'{"a": 1}'),
+    "encoder": (
+        models.EncoderClient,
+        {"input": LONG},
+        b'{"data": [{"embedding": [1]}]}',
+    ),
+    "retriever": (
+        models.RetrieverClient,
+        {"embedding": [0.5] * (REQUEST_BYTES // 4)},
+        b'{"documents": []}',
+    ),
+    "reranker": (
+        models.RerankerClient,
+        {"input": LONG, "documents": [{"text": "a"}]},
+        b'{"results": []}',
+    ),
+}
+
+PLATFORM_CALLS = {
+    "create": (("k", bytes(REQUEST_BYTES)), b"", UNKNOWN),
+    "update": (("k", bytes(REQUEST_BYTES), 6), b"", UNKNOWN),
+    "delete": (("k", 6), b"", UNKNOWN),
+    "get": (("k",), b"v", UNAVAILABLE),
+    "list": (("k",), OBJECTS, UNAVAILABLE),
+    "watch": (("k", 3, TIMEOUT_MS), OBJECTS, UNAVAILABLE),
+    "hosts": ((), HOSTS, UNAVAILABLE),
+}
+
 READERS = {
-    "plain": (call_plain, b'{"a": 1}', BROKEN),
-    "encoder": (call_encoder, b'{"data": [{"embedding": [1]}]}', BROKEN),
-    "retriever": (call_retriever, b'{"documents": []}', BROKEN),
-    "reranker": (call_reranker, b'{"results": []}', BROKEN),
     "order": (send_order, b"", BROKEN),
     "engine": (read_engine, b"{}", BROKEN),
     "status": (fetch_status, STATUS, exceptions.PeerError),
-    "create": (create, b"", UNKNOWN),
-    "update": (update, b"", UNKNOWN),
-    "delete": (delete, b"", UNKNOWN),
-    "get": (get, b"v", UNAVAILABLE),
-    "list": (list_objects, OBJECTS, UNAVAILABLE),
-    "watch": (watch, OBJECTS, UNAVAILABLE),
-    "hosts": (list_hosts, HOSTS, UNAVAILABLE),
-    "caller": (request, ANSWER, clients.AnswerLost),
+    "caller": (functools.partial(request, None), ANSWER, clients.AnswerLost),
+}
+READERS |= {
+    name: (functools.partial(call_stage, client_type, value), body, BROKEN)
+    for name, (client_type, value, body) in STAGES.items()
+}
+READERS |= {
+    name: (functools.partial(call_platform, name, arguments), body, error)
+    for name, (arguments, body, error) in PLATFORM_CALLS.items()
 }
 """For each reader of responses a call, a whole body, and the error that says
 that there was no whole response."""
 
 STREAM_READERS = {
-    "completion": (complete, COMPLETION, BROKEN),
-    "stream": (request_stream, ANSWER, clients.AnswerLost),
+    "completion": (
+        functools.partial(
+            call_stage, completions.CompletionClient, {"input": LONG}
+        ),
+        COMPLETION,
+        BROKEN,
+    ),
+    "stream": (functools.partial(request, str), ANSWER, clients.AnswerLost),
 }
 """The same for readers of streams, whose end has a mark of its own."""
 
