--- a/chervilshore/clients/sessions.py
+++ b/chervilshore/clients/sessions.py
@@ -1,4 +1,4 @@
-"""HTTP sessions whose responses name no call."""
+"""HTTP sessions of the clients of the own interface."""
 
 import typing
 
