--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -183,8 +183,11 @@
                 content = await connection.read_whole_body(head, max_bytes)
             may_keep = check(head, content) and not single_use
         except TimeoutError as error:
+            received = connection.kept_bytes
             connection.close()
-            raise exceptions.EndpointBroken(f"{address}: timeout") from error
+            raise exceptions.EndpointBroken(
+                f"{address}: timeout after {received} bytes of the body"
+            ) from error
         except BaseException:
             connection.close()
             raise
--- a/chervilshore/controllers/storereader.py
+++ b/chervilshore/controllers/storereader.py
@@ -276,6 +276,7 @@
                 events.Event.OLDER_OBJECTS_SKIPPED,
                 kind=kind,
                 **objects.describe_position(self._caches[kind].revision),
+                answered=objects.read_revision(changes.revision),
                 objects=skipped,
             )
         if changes.changes:
--- a/chervilshore/metrics.py
+++ b/chervilshore/metrics.py
@@ -311,6 +311,11 @@
         ("call", "outcome"),
         "Calls to the platform.",
     )
+    STORE_BYTES = _counter(
+        "chervilshore_store_received_bytes_total",
+        ("kind",),
+        "Bytes of the bodies of whole answers of the store.",
+    )
     ENTRIES_SKIPPED = _gauge(
         "chervilshore_store_entries_skipped",
         ("kind",),
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -304,6 +304,10 @@
                 ) from error
             raise exceptions.PlatformUnknown(f"{path}: {error}") from error
         self._count_call(method, str(head.status))
+        if self._counters is not None:
+            self._counters.count(
+                metrics.Metric.STORE_BYTES, _find_kind(path), by=len(content)
+            )
         return head, content
 
     def _find_pool(self, path: str) -> connectionpool.ConnectionPool:
@@ -313,8 +317,7 @@
         the response to a later watch on its connection, which is of the same
         kind, so that its position shows that it is older.
         """
-        kind = path.removeprefix("/objects/").partition("?")[0]
-        kind = kind.partition("/")[0]
+        kind = _find_kind(path)
         pool = self._pools.get(kind)
         if pool is None:
             pool = connectionpool.ConnectionPool(
@@ -332,6 +335,12 @@
             )
 
 
+def _find_kind(path: str) -> str:
+    """Return the kind of objects that a path names."""
+    kind = path.removeprefix("/objects/").partition("?")[0]
+    return kind.partition("/")[0]
+
+
 def _read_era(path: str, head: connections.ResponseHead) -> int:
     text = head.get_header(names.ERA) or "0"
     if not _ERA.fullmatch(text):
