Give up an answer of the store that falls silent, not one that is large

Cause: a call to the store had one second for all of its answer. Over a link of 5 Mbit/s a configuration of more than 600 KB takes longer. It was thrown away and counted as an outage, in which nothing is watched; the next call began it anew.

Change: the time-out holds until the head of the answer, then for each silence of its body, and 20 s for all of it. A store that does not answer, or falls silent, is noticed as before.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -19,6 +19,42 @@
     return True
 
 
+class Transfer:
+    """How long the body of a response may take, as long as bytes arrive.
+
+    Parameters
+    ----------
+    max_silence_ms : float
+        Milliseconds without a byte after which it is given up.
+    max_ms : float
+        Milliseconds after which it is given up although bytes arrive.
+
+    Attributes
+    ----------
+    is_active : bool
+        Whether the body is arriving.
+    """
+
+    def __init__(self, max_silence_ms: float, max_ms: float) -> None:
+        self.is_active = False
+        self._max_silence_seconds = max_silence_ms / clocks.MILLIS_PER_SECOND
+        self._max_seconds = max_ms / clocks.MILLIS_PER_SECOND
+        self._bound: asyncio.Timeout | None = None
+        self._end = 0.0
+
+    def begin(self, bound: asyncio.Timeout) -> None:
+        """Set the time-out of a response whose head has arrived."""
+        self.is_active = True
+        self._bound = bound
+        self._end = asyncio.get_running_loop().time() + self._max_seconds
+        self.extend()
+
+    def extend(self) -> None:
+        """Set the time-out anew, as bytes of the body have arrived."""
+        now = asyncio.get_running_loop().time()
+        self._bound.reschedule(min(self._end, now + self._max_silence_seconds))
+
+
 class Presence(enum.Enum):
     """What a look at an address has found."""
 
@@ -144,6 +180,7 @@
         max_bytes: int = 1_000_000,
         check: Check = accept,
         single_use: bool = False,
+        transfer: Transfer | None = None,
     ) -> tuple[connections.ResponseHead, bytes]:
         """Send a request and read the complete response.
 
@@ -151,6 +188,8 @@
         ----------
         timeout_ms : float
             Milliseconds for the exchange, without the time to connect.
+        transfer : Transfer or None
+            How long the body may take beside that; None for no longer.
         max_bytes : int
             Largest response body.
         check : callable
@@ -177,10 +216,14 @@
             self._open(address) if single_use else self.acquire(address)
         )
         try:
-            async with asyncio.timeout(timeout_ms / 1000.0):
+            async with asyncio.timeout(timeout_ms / 1000.0) as bound:
                 connection.send(request)
                 head = await connection.read_head()
-                content = await connection.read_whole_body(head, max_bytes)
+                if transfer is not None:
+                    transfer.begin(bound)
+                content = await connection.read_whole_body(
+                    head, max_bytes, transfer and transfer.extend
+                )
             may_keep = check(head, content) and not single_use
         except TimeoutError as error:
             received = connection.kept_bytes
--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -261,10 +261,22 @@
                 raise self.make_error("incomplete response body")
 
     async def read_whole_body(
-        self, head: ResponseHead, max_bytes: int
+        self,
+        head: ResponseHead,
+        max_bytes: int,
+        on_data: collections_abc.Callable[[], None] | None = None,
     ) -> bytes:
         """Read the whole body.
 
+        Parameters
+        ----------
+        head : ResponseHead
+            The head that came before it.
+        max_bytes : int
+            Its largest length.
+        on_data : callable or None
+            Called whenever a part of it has arrived.
+
         Raises
         ------
         exceptions.ResponseTooLarge
@@ -278,6 +290,8 @@
             async for data in self.read_body():
                 content += data
                 del data
+                if on_data is not None:
+                    on_data()
                 if len(content) > max_bytes:
                     raise exceptions.ResponseTooLarge(
                         f"body of over {max_bytes} bytes"
--- a/chervilshore/controllers/sharedstore.py
+++ b/chervilshore/controllers/sharedstore.py
@@ -101,6 +101,10 @@
 
     # The store.
 
+    def is_receiving(self, kind: str) -> bool:
+        """See `ObjectStore.is_receiving`."""
+        return self._store.is_receiving(kind)
+
     async def list(
         self, kind: str, may_be_stale: bool = False
     ) -> objects.Listing:
--- a/chervilshore/objects.py
+++ b/chervilshore/objects.py
@@ -129,6 +129,13 @@
     lost, so that it may have taken effect.
     """
 
+    def is_receiving(self, kind: str) -> bool:
+        """Return whether an answer about a kind is arriving.
+
+        False for a store whose answers arrive at once.
+        """
+        return False
+
     @abc.abstractmethod
     async def list(self, kind: str, may_be_stale: bool = False) -> Listing:
         """Read all objects of a kind.
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -24,6 +24,10 @@
 WATCH_TIMEOUT_MARGIN_MS = 1000.0
 """Milliseconds that a watch call may take beyond its own wait time."""
 
+MAX_BODY_MS = 20_000.0
+"""Milliseconds for a body that arrives all the while; the largest response
+over a link of a few Mbit/s."""
+
 MAX_RESPONSE_BYTES = 8_000_000
 """Largest response body; a page has approximately 1 MB."""
 
@@ -46,7 +50,7 @@
     clock : Clock
         Measures the idle time of connections.
     timeout_ms : float
-        Milliseconds to wait for a response.
+        Milliseconds to wait for a response, and for more of one that arrives.
     counters : Metrics or None
         Where the calls are counted.
     """
@@ -63,12 +67,17 @@
         self._counters = counters
         self._clock = clock
         self._pools: dict[str, connectionpool.ConnectionPool] = {}
+        self._transfers: dict[str, set[connectionpool.Transfer]] = {}
 
     async def close(self) -> None:
         """See `ObjectStore.close`."""
         for pool in self._pools.values():
             pool.close()
 
+    def is_receiving(self, kind: str) -> bool:
+        """See `ObjectStore.is_receiving`."""
+        return any(one.is_active for one in self._transfers.get(kind, ()))
+
     async def list(
         self, kind: str, may_be_stale: bool = False
     ) -> objects.Listing:
@@ -285,6 +294,9 @@
             headers.append(("Content-Type", "application/json"))
         request = connections.Request(method, path, headers, body)
         limit_ms = self.timeout_ms if timeout_ms is None else timeout_ms
+        transfer = connectionpool.Transfer(self.timeout_ms, MAX_BODY_MS)
+        transfers = self._transfers.setdefault(_find_kind(path), set())
+        transfers.add(transfer)
         try:
             head, content = await self._find_pool(path).fetch(
                 self._address,
@@ -292,6 +304,7 @@
                 limit_ms,
                 MAX_RESPONSE_BYTES,
                 single_use=single_use,
+                transfer=transfer,
             )
         except exceptions.EndpointUnreached as error:
             self._count_call(method, "unavailable")
@@ -303,6 +316,8 @@
                     f"{path}: {error}"
                 ) from error
             raise exceptions.PlatformUnknown(f"{path}: {error}") from error
+        finally:
+            transfers.discard(transfer)
         self._count_call(method, str(head.status))
         if self._counters is not None:
             self._counters.count(
