Read a large configuration over one connection at a time

Cause: every 500 ms a host checks its watches by a short call. While a watch received a configuration the check asked for it too, from the same position, and each got half of the link. The check also won: the watch was replaced, and what it had received was thrown away. A watch that begins beside a check did the same the other way round, and so did the end of an outage.

Change: a kind whose answer is arriving is not checked, and its watch is not replaced when the store answers again. A watch waits for a check of its kind in progress, which may move its position on.

--- a/chervilshore/controllers/storereader.py
+++ b/chervilshore/controllers/storereader.py
@@ -85,6 +85,7 @@
         self._apply = apply
         self._on_restore = on_restore
         self._pending_watches: dict[str, asyncio.Future] = {}
+        self._checks = {kind: asyncio.Lock() for kind in caches}
         self._listed: set[str] = set()
         self._answering = asyncio.Event()
         self._answering.set()
@@ -171,9 +172,11 @@
         if cache.unreachable_since is not None:
             # A watch sent to a silent store would stay unanswered.
             await self._check(kind)
-        call = asyncio.ensure_future(
-            self._store.watch(kind, cache.revision, WATCH_TIMEOUT_MS)
-        )
+        # A check in progress may bring what the watch would read again.
+        async with self._checks[kind]:
+            call = asyncio.ensure_future(
+                self._store.watch(kind, cache.revision, WATCH_TIMEOUT_MS)
+            )
         self._pending_watches[kind] = call
         try:
             await asyncio.wait({call})
@@ -197,13 +200,21 @@
         """Check the kind that was confirmed the longest time ago, in turn."""
         while not self.should_stop:
             await self._clock.sleep(self._check_interval_ms)
+            # What is arriving shows by itself whether it goes on, and would
+            # only arrive later beside a second copy.
             kind = min(
-                self._watch_delays_ms,
-                key=lambda kind: self._caches[kind].confirmed_at,
+                (
+                    one
+                    for one in self._watch_delays_ms
+                    if not self._store.is_receiving(one)
+                ),
+                key=lambda one: self._caches[one].confirmed_at,
+                default="",
             )
             try:
                 self._expire_objects()
-                await self._check(kind)
+                if kind:
+                    await self._check(kind)
             except exceptions.HistoryGone as error:
                 self._list_again(kind, error)
             except exceptions.PlatformError:
@@ -233,6 +244,10 @@
 
     async def _check(self, kind: str) -> None:
         """Read at once what changed, and replace a watch that missed it."""
+        async with self._checks[kind]:
+            await self._poll(kind)
+
+    async def _poll(self, kind: str) -> None:
         try:
             changes = await self._store.poll(kind, self._caches[kind].revision)
         except exceptions.HistoryGone:
@@ -310,7 +325,8 @@
         self._answering.set()
         for known_kind in self._caches:
             self._record_readable(known_kind)
-            self._replace_watch(known_kind, "store answers again")
+            if not self._store.is_receiving(known_kind):
+                self._replace_watch(known_kind, "store answers again")
 
     def _record_readable(self, kind: str) -> None:
         cache = self._caches[kind]
--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -45,6 +45,9 @@
         self.timeout_ms = objectstore.CALL_TIMEOUT_MS
         self.delay_ms = 0.0
 
+    def is_receiving(self, kind):
+        return self._store.is_receiving(kind)
+
     async def list(self, kind, may_be_stale=False):
         return await self._carry(self._store.list(kind, may_be_stale), 0.0)
 
