List a configuration that has changed several times instead of watching it

Cause: the answer to a watch has each version of an object that has changed since, whole. Over 5 Mbit/s a configuration of 818 KB takes 1.3 s; with a change each 0.33 s the next answer has four versions, the one after it more. All but the last are read in vain.

Change: an answer of more than 1.5 times the largest object that is known of its kind, and of 256 KB, is not read (decisions/answersizes); the host lists the kind, as it does for one of over 8 MB. A response that says it is too large is given up at its head, not once so much of it has arrived.

The tests that read by poll and watch now begin from a large configuration, as a first growth is listed.

--- a/chervilshore/clients/connections.py
+++ b/chervilshore/clients/connections.py
@@ -280,10 +280,13 @@
         Raises
         ------
         exceptions.ResponseTooLarge
-            It is over `max_bytes`; its end was not awaited.
+            It is, or says that it is, over `max_bytes`.
         exceptions.EndpointBroken
             It is not complete.
         """
+        length = int(head.get_header("content-length") or 0)
+        if length > max_bytes:
+            raise exceptions.ResponseTooLarge(f"body of {length} bytes")
         self.expect_body(head, max_bytes)
         content = bytearray()
         try:
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -13,6 +13,7 @@
 from chervilshore.clients import connectors
 from chervilshore.clients import receiving
 from chervilshore import clock as clocks
+from chervilshore.decisions import answersizes
 from chervilshore import events
 from chervilshore import exceptions
 from chervilshore import ids
@@ -68,6 +69,7 @@
         self._clock = clock
         self._pools: dict[str, connectionpool.ConnectionPool] = {}
         self._transfers: dict[str, set[connectionpool.Transfer]] = {}
+        self._sizes = answersizes.AnswerSizes(MAX_RESPONSE_BYTES)
 
     async def close(self) -> None:
         """See `ObjectStore.close`."""
@@ -103,6 +105,9 @@
                 position = objects.make_position(era, page.current_rev)
             if era != objects.read_era(position):
                 raise exceptions.StoreRestored(path)
+            self._sizes.record(
+                kind, map(_measure, page.items), is_new=after is None
+            )
             for item in page.items:
                 objects_by_name[item.metadata.name] = _convert(item, era)
             if not page.has_more or not page.items:
@@ -138,12 +143,15 @@
         path = f"/objects/{kind}?watch={revision}&{query}"
         try:
             head, content = await self._read(
-                path, timeout_ms, single_use=False
+                path,
+                timeout_ms,
+                single_use=False,
+                max_bytes=self._sizes.bound(kind),
             )
         except exceptions.PlatformUnavailable as error:
             if isinstance(error.__cause__, exceptions.ResponseTooLarge):
                 # Listings come in parts, so that any number of large
-                # objects can be read.
+                # objects can be read, and have each object once.
                 raise exceptions.HistoryGone(path) from error
             raise
         era = _read_era(path, head)
@@ -156,6 +164,9 @@
         if position <= since:
             # Nothing has changed, or this is a late answer to an earlier call.
             return objects.Changes((), since)
+        self._sizes.record(
+            kind, (_measure(event.object) for event in response.events)
+        )
         changes = tuple(
             objects.Change(_convert(event.object, era), event.deleted)
             for event in response.events
@@ -241,10 +252,15 @@
         path: str,
         timeout_ms: float | None = None,
         single_use: bool = True,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> tuple[connections.ResponseHead, bytes]:
         """Return the response to a call that reads; see `_call`."""
         head, content = await self._call(
-            "GET", path, timeout_ms=timeout_ms, single_use=single_use
+            "GET",
+            path,
+            timeout_ms=timeout_ms,
+            single_use=single_use,
+            max_bytes=max_bytes,
         )
         if head.status == 410:
             raise exceptions.HistoryGone(path)
@@ -282,6 +298,7 @@
         body: bytes = b"",
         timeout_ms: float | None = None,
         single_use: bool = True,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> tuple[connections.ResponseHead, bytes]:
         """Make a call.
 
@@ -302,7 +319,7 @@
                 self._address,
                 request,
                 limit_ms,
-                MAX_RESPONSE_BYTES,
+                max_bytes,
                 single_use=single_use,
                 transfer=transfer,
             )
@@ -363,6 +380,11 @@
     return int(text)
 
 
+def _measure(item: storeanswers.Object) -> int:
+    """Return the bytes of an object's content and status."""
+    return len(bytes(item.spec)) + len(bytes(item.status))
+
+
 def _convert(item: storeanswers.Object, era: int) -> objects.StoredObject:
     return objects.StoredObject(
         item.metadata.name,
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -75,6 +75,7 @@
 # up after a second, and its routes are answered with 404 for ever.
 @pytest.mark.parametrize("call", ["list", "poll", "watch"])
 async def test_large_configuration_is_read_whole(deployment, link, call):
+    await configure(deployment)
     async with open_client(link) as client:
         since = (await client.list("config")).revision
         await configure(deployment)
@@ -91,6 +92,28 @@
     )
 
 
+# Guards against CONFIG: of several versions of a configuration all but the
+# last are read in vain.
+@pytest.mark.parametrize("call", ["poll", "watch"])
+async def test_several_versions_count_as_history_that_is_gone(
+    deployment, link, call
+):
+    await configure(deployment)
+    async with open_client(link) as client:
+        since = (await client.list("config")).revision
+        for _ in range(3):
+            await configure(deployment)
+        before = link.received
+        with pytest.raises(exceptions.HistoryGone):
+            if call == "poll":
+                await client.poll("config", since)
+            else:
+                await client.watch("config", since, 100.0)
+    assertions.assert_that(
+        link.received - before, matchers.LessThan(CONFIGURATION_BYTES)
+    )
+
+
 # Guards against a host that waits for a store which has fallen silent.
 async def test_answer_that_falls_silent_is_given_up(deployment, link):
     async with open_client(link) as client:
