Bound the answer to a watch by the size of the whole kind

The bound is 1.5 times a listing of the kind now, not 1.5 times its largest object; for the configuration, a kind of one object, this is the same.

Evidence: test_store_client_reads_all_objects_beside_odd_ones failed before; test_odd_entries, test_slow_links and test_large_entries pass.

--- a/chervilshore/decisions/answersizes.py
+++ b/chervilshore/decisions/answersizes.py
@@ -4,17 +4,15 @@
 listing has the last one alone, and is read instead of a larger answer.
 """
 
-from collections import abc
-
 MIN_BYTES = 262_144
 """Bytes that an answer may have whatever the kind."""
 
-MAX_VERSIONS = 1.5
-"""How often the largest object of its kind fits into an answer."""
+MAX_RATIO = 1.5
+"""How much larger than a listing of its kind an answer may be."""
 
 
 class AnswerSizes:
-    """The sizes of objects, by kind.
+    """The sizes of listings, by kind.
 
     Parameters
     ----------
@@ -24,30 +22,17 @@
 
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
-        self._largest: dict[str, int] = {}
-
-    def record(
-        self, kind: str, sizes: abc.Iterable[int], is_new: bool = True
-    ) -> None:
-        """Record the bytes of the objects of an answer.
-
-        Parameters
-        ----------
-        kind : str
-            The kind.
-        sizes : iterable of int
-            The bytes of each object; answers without any tell nothing.
-        is_new : bool
-            Whether it replaces earlier answers; False for a further page.
-        """
-        largest = max(sizes, default=None)
-        if largest is None:
-            return
-        if not is_new:
-            largest = max(largest, self._largest.get(kind, 0))
-        self._largest[kind] = largest
+        self._listed: dict[str, int] = {}
+
+    def record_listing(self, kind: str, size: int) -> None:
+        """Record the bytes of all objects of a kind."""
+        self._listed[kind] = size
+
+    def record_changes(self, kind: str, size: int) -> None:
+        """Record the bytes of the objects that have changed, each once."""
+        self._listed[kind] = max(size, self._listed.get(kind, 0))
 
     def bound(self, kind: str) -> int:
         """Return the largest answer to a watch, in bytes."""
-        wanted = int(MAX_VERSIONS * self._largest.get(kind, 0))
+        wanted = int(MAX_RATIO * self._listed.get(kind, 0))
         return min(self._max_bytes, max(MIN_BYTES, wanted))
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -105,15 +105,12 @@
                 position = objects.make_position(era, page.current_rev)
             if era != objects.read_era(position):
                 raise exceptions.StoreRestored(path)
-            self._sizes.record(
-                kind, map(_measure, page.items), is_new=after is None
-            )
             for item in page.items:
                 objects_by_name[item.metadata.name] = _convert(item, era)
             if not page.has_more or not page.items:
-                return objects.Listing(
-                    tuple(objects_by_name.values()), position
-                )
+                found = tuple(objects_by_name.values())
+                self._sizes.record_listing(kind, _measure(found))
+                return objects.Listing(found, position)
             last = page.items[-1].metadata.name
             if last == after:
                 # The same page would follow again and again.
@@ -164,13 +161,12 @@
         if position <= since:
             # Nothing has changed, or this is a late answer to an earlier call.
             return objects.Changes((), since)
-        self._sizes.record(
-            kind, (_measure(event.object) for event in response.events)
-        )
         changes = tuple(
             objects.Change(_convert(event.object, era), event.deleted)
             for event in response.events
         )
+        latest = {change.object.name: change.object for change in changes}
+        self._sizes.record_changes(kind, _measure(latest.values()))
         return objects.Changes(changes, position)
 
     async def put(self, kind: str, name: str, content: bytes) -> None:
@@ -380,9 +376,11 @@
     return int(text)
 
 
-def _measure(item: storeanswers.Object) -> int:
-    """Return the bytes of an object's content and status."""
-    return len(bytes(item.spec)) + len(bytes(item.status))
+def _measure(
+    stored: collections_abc.Iterable[objects.StoredObject],
+) -> int:
+    """Return the bytes of the content and status of objects."""
+    return sum(len(one.content) + len(one.status) for one in stored)
 
 
 def _convert(item: storeanswers.Object, era: int) -> objects.StoredObject:
