Copy a large configuration from peers in parts, each host once

A host without the store asks a random peer each 500 ms for what is newer and waits 400 ms. A configuration of 800 KB takes 1.3 s over 5 Mbit/s, came too late and was asked for again. The links of all peers were full of copies for nobody, and pings waited behind them.

Change: a reply names a kind of over 64 KB, and the host reads it in parts of 32 KB (controllers/catalogparts), one after the other, each kind once at a time. Pings go in between. Hosts of earlier builds ask and answer as before.

--- a/chervilshore/catalogmessages.py
+++ b/chervilshore/catalogmessages.py
@@ -39,15 +39,64 @@
     ----------
     revisions : dict of str to int
         The sender's revision of each kind that it cannot read.
+    max_bytes : int
+        Bytes of objects from which a kind is only named, as it is read in
+        parts; 0 for no limit, as hosts of earlier builds know no parts.
     """
 
     revisions: dict[str, int]
+    max_bytes: int = 0
 
 
 class CatalogReply(messages.Message, frozen=True, tag="vr"):
-    """Returns the requested kinds of which the replier has a newer state."""
+    """Returns the requested kinds of which the replier has a newer state.
+
+    Parameters
+    ----------
+    snapshots : tuple of KindSnapshot
+        Those that it returns.
+    large : tuple of str
+        Those that are to be read in parts.
+    """
 
     snapshots: tuple[KindSnapshot, ...]
+    large: tuple[str, ...] = ()
+
+
+class PartRequest(messages.Message, frozen=True, tag="vp"):
+    """Requests a part of a large snapshot.
+
+    Parameters
+    ----------
+    kind : str
+        The kind.
+    revision : int
+        The revision of the snapshot; 0 for the present one.
+    offset : int
+        Bytes of the encoded snapshot that the sender has.
+    """
+
+    kind: str
+    revision: int = 0
+    offset: int = 0
+
+
+class PartReply(messages.Message, frozen=True, tag="vq"):
+    """Returns a part of a large snapshot.
+
+    Parameters
+    ----------
+    revision : int
+        The revision of the snapshot; 0 if the replier does not have it.
+    size : int
+        Bytes of the encoded snapshot.
+    content : bytes
+        The part.
+    """
+
+    revision: int = 0
+    size: int = 0
+    content: bytes = b""
 
 
 class KindChanges(msgspec.Struct, frozen=True, array_like=True):
--- a/chervilshore/clients/memory.py
+++ b/chervilshore/clients/memory.py
@@ -8,6 +8,7 @@
 from collections import abc as collections_abc
 import enum
 import inspect
+import math
 
 from chervilshore.clients import peers
 from chervilshore.clients import platform
@@ -192,6 +193,8 @@
     should_drop : callable
         Gets the addresses of sender and receiver; returns whether a
         message between them is lost.
+    link_bytes_per_ms : float
+        Bytes that each host can send in a millisecond.
     messages, bytes : int
         Messages and bytes sent so far.
     """
@@ -199,6 +202,8 @@
     def __init__(self, clock: clocks.Clock, delay_ms: float = 1.0) -> None:
         self.clock = clock
         self.delay_ms = delay_ms
+        self.link_bytes_per_ms = math.inf
+        self._sent_at: dict[ids.Address, float] = {}
         self.should_drop = lambda sender, receiver: False
         self.messages = 0
         self.bytes = 0
@@ -224,13 +229,21 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _deliver(self, to: ids.Address, data: bytes) -> None:
-        await self.clock.sleep(self.delay_ms)
         envelope = wire.decode(data)
+        sent_in_ms = self._occupy_link(envelope.sender, len(data))
+        await self.clock.sleep(self.delay_ms + sent_in_ms)
         receiver = self._transports.get(to)
         if receiver is None or self.should_drop(envelope.sender, to):
             return
         await receiver.receive(envelope)
 
+    def _occupy_link(self, sender: ids.Address, size: int) -> float:
+        """Return the milliseconds until a message has left its sender."""
+        now = self.clock.now()
+        began_at = max(now, self._sent_at.get(sender, now))
+        self._sent_at[sender] = began_at + size / self.link_bytes_per_ms
+        return self._sent_at[sender] - now
+
 
 class MemoryTransport(peers.PeerTransport):
     """Transport of one host on a `MemoryNetwork`."""
--- /dev/null
+++ b/chervilshore/controllers/catalogparts.py
@@ -0,0 +1,117 @@
+"""Snapshots of kinds of objects that pass between hosts in parts.
+
+A message of a megabyte occupies a small link for more than a second, in which
+its host cannot answer others, who take it for down.
+"""
+
+from collections import abc
+
+import msgspec
+
+from chervilshore import catalogmessages
+from chervilshore.clients import peers as peer_types
+from chervilshore import clock as clocks
+from chervilshore import exceptions
+from chervilshore import ids
+
+PART_BYTES = 32_768
+"""Bytes of a part; 50 ms of a link of 5 Mbit/s."""
+
+PART_TIMEOUT_MS = 1000.0
+"""Milliseconds to wait for a part, as several hosts may read at once."""
+
+KEEP_MS = 2000.0
+"""Milliseconds for which a snapshot is kept after a part was requested."""
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(catalogmessages.KindSnapshot)
+
+MakeSnapshot = abc.Callable[[str], catalogmessages.KindSnapshot | None]
+"""Returns the snapshot of a kind; None for an unknown kind."""
+
+
+class _Encoded(msgspec.Struct):
+    revision: int
+    content: bytes
+    used_at: float
+
+
+class PartSender:
+    """Answers requests for parts.
+
+    A snapshot stays as it is while its parts are requested.
+
+    Parameters
+    ----------
+    make_snapshot : MakeSnapshot
+        Makes the present snapshot of a kind.
+    clock : Clock
+        Measures for how long snapshots are kept.
+    """
+
+    def __init__(
+        self, make_snapshot: MakeSnapshot, clock: clocks.Clock
+    ) -> None:
+        self._make_snapshot = make_snapshot
+        self._clock = clock
+        self._encoded: dict[str, _Encoded] = {}
+
+    def handle_request(
+        self, sender: ids.Address, request: catalogmessages.PartRequest
+    ) -> catalogmessages.PartReply:
+        """Return a part; an empty reply if its snapshot is gone."""
+        self.drop_unused()
+        encoded = self._encoded.get(request.kind)
+        if not request.revision and encoded is None:
+            snapshot = self._make_snapshot(request.kind)
+            if snapshot is not None:
+                encoded = _Encoded(
+                    snapshot.revision, _ENCODER.encode(snapshot), 0.0
+                )
+                self._encoded[request.kind] = encoded
+        if encoded is None or request.revision not in (0, encoded.revision):
+            return catalogmessages.PartReply()
+        encoded.used_at = self._clock.now()
+        part = encoded.content[request.offset : request.offset + PART_BYTES]
+        return catalogmessages.PartReply(
+            encoded.revision, len(encoded.content), part
+        )
+
+    def drop_unused(self) -> None:
+        """Drop the snapshots whose parts are not requested any more."""
+        now = self._clock.now()
+        for kind, encoded in tuple(self._encoded.items()):
+            if now - encoded.used_at > KEEP_MS:
+                del self._encoded[kind]
+
+
+async def read_snapshot(
+    peers: peer_types.PeerTransport, address: ids.Address, kind: str
+) -> catalogmessages.KindSnapshot:
+    """Read a snapshot of a peer in parts.
+
+    Raises
+    ------
+    exceptions.PeerError
+        A part did not come in time, or the peer does not have it.
+    """
+    content = bytearray()
+    revision = 0
+    while True:
+        reply = await peers.send_request(
+            address,
+            catalogmessages.PartRequest(kind, revision, len(content)),
+            PART_TIMEOUT_MS,
+        )
+        if not isinstance(reply, catalogmessages.PartReply) or not (
+            reply.content
+        ):
+            raise exceptions.PeerError(f"{address}: no part of {kind}")
+        revision = reply.revision
+        content += reply.content
+        if len(content) >= reply.size:
+            break
+    try:
+        return _DECODER.decode(content)
+    except msgspec.DecodeError as error:
+        raise exceptions.PeerError(f"{address}: {kind}: {error}") from error
--- a/chervilshore/controllers/catalogsync.py
+++ b/chervilshore/controllers/catalogsync.py
@@ -10,6 +10,7 @@
 from chervilshore.clients import peers as peer_types
 from chervilshore import clock as clocks
 from chervilshore.controllers import catalog as catalogs
+from chervilshore.controllers import catalogparts
 from chervilshore.controllers import membership as memberships
 from chervilshore import events
 from chervilshore import exceptions
@@ -23,6 +24,9 @@
 SYNC_TIMEOUT_MS = 400.0
 """Milliseconds to wait for the reply of a peer."""
 
+MAX_SNAPSHOT_BYTES = 65_536
+"""Bytes of objects of a kind from which its snapshot is read in parts."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -57,12 +61,17 @@
         self._peers = peers
         self._clock = clock
         self._rng = rng
+        self._parts = catalogparts.PartSender(self._find_snapshot, clock)
+        self._read_in_parts: set[str] = set()
 
     async def on_start(self) -> None:
         """Start to answer requests of peers and to send requests."""
         self._peers.handle(
             catalogmessages.CatalogRequest, self._handle_request
         )
+        self._peers.handle(
+            catalogmessages.PartRequest, self._parts.handle_request
+        )
         self.add_future(self._run())
 
     def _handle_request(
@@ -74,7 +83,23 @@
             if kind in self._catalog.caches
             and self._catalog.caches[kind].revision > revision
         ]
-        return catalogmessages.CatalogReply(tuple(found))
+        # What counts for a while longer must arrive at once.
+        large = {
+            one.kind
+            for one in found
+            if request.max_bytes
+            and not one.removed
+            and _measure(one) > request.max_bytes
+        }
+        return catalogmessages.CatalogReply(
+            tuple(one for one in found if one.kind not in large),
+            tuple(sorted(large)),
+        )
+
+    def _find_snapshot(self, kind: str) -> catalogmessages.KindSnapshot | None:
+        if kind not in self._catalog.caches:
+            return None
+        return self._make_snapshot(kind)
 
     def _make_snapshot(self, kind: str) -> catalogmessages.KindSnapshot:
         listing = self._catalog.caches[kind].make_listing(self._clock.now())
@@ -101,10 +126,12 @@
     async def _run(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(SYNC_INTERVAL_MS)
+            self._parts.drop_unused()
             unreadable = {
                 kind: cache.revision
                 for kind, cache in self._catalog.caches.items()
                 if cache.unreachable_since is not None
+                and kind not in self._read_in_parts
             }
             others = [
                 host
@@ -122,21 +149,40 @@
         try:
             reply = await self._peers.send_request(
                 peer.peer_address,
-                catalogmessages.CatalogRequest(unreadable),
+                catalogmessages.CatalogRequest(unreadable, MAX_SNAPSHOT_BYTES),
                 SYNC_TIMEOUT_MS,
             )
         except exceptions.PeerError:
             # The next round asks another random peer.
             return
-        if isinstance(reply, catalogmessages.CatalogReply):
-            self._apply_reply(peer, reply)
+        if not isinstance(reply, catalogmessages.CatalogReply):
+            return
+        self._apply_snapshots(peer, reply.snapshots)
+        for kind in reply.large:
+            if kind in unreadable and kind not in self._read_in_parts:
+                self._read_in_parts.add(kind)
+                self.add_future(self._copy_in_parts(peer, kind))
+
+    async def _copy_in_parts(
+        self, peer: records.HostRecord, kind: str
+    ) -> None:
+        try:
+            snapshot = await catalogparts.read_snapshot(
+                self._peers, peer.peer_address, kind
+            )
+        except exceptions.PeerError:
+            # The next round asks another random peer.
+            return
+        finally:
+            self._read_in_parts.discard(kind)
+        self._apply_snapshots(peer, (snapshot,))
 
-    def _apply_reply(
+    def _apply_snapshots(
         self,
         peer: records.HostRecord,
-        reply: catalogmessages.CatalogReply,
+        snapshots: tuple[catalogmessages.KindSnapshot, ...],
     ) -> None:
-        for snapshot in reply.snapshots:
+        for snapshot in snapshots:
             cache = self._catalog.caches.get(snapshot.kind)
             if cache is None or snapshot.revision <= cache.revision:
                 continue
@@ -161,3 +207,10 @@
                 peer=peer.host,
             )
             self._catalog.apply(snapshot.kind)
+
+
+def _measure(snapshot: catalogmessages.KindSnapshot) -> int:
+    """Return the bytes of the objects of a snapshot."""
+    return sum(len(content) for _, _, content in snapshot.objects) + sum(
+        len(status) for status, _ in snapshot.details
+    )
--- a/chervilshore/wire.py
+++ b/chervilshore/wire.py
@@ -52,6 +52,8 @@
     capacitymessages.CapacityTable,
     catalogmessages.CatalogRequest,
     catalogmessages.CatalogReply,
+    catalogmessages.PartRequest,
+    catalogmessages.PartReply,
     catalogmessages.ReadRequest,
     catalogmessages.ReadReply,
     quarantinemessages.CrashReport,
--- a/tests/catalog_helpers.py
+++ b/tests/catalog_helpers.py
@@ -194,14 +194,18 @@
             await host.start(with_peers)
         await self.clock.sleep(3000.0)
 
-    def configure(self, version):
-        """Write a version of the configuration, as the operator does."""
+    def configure(self, version, size=0):
+        """Write a version of the configuration, as the operator does.
+
+        A field that hosts do not know makes it as large as `size`.
+        """
+        route = gateway_helpers.make_route("look", "ledger", note="x" * size)
         self.store.write(
             "config",
             "main",
             gateway_helpers.make_config(
                 version,
-                [gateway_helpers.make_route("look", "ledger")],
+                [route],
                 [gateway_helpers.make_service("ledger")],
             ),
         )
--- a/tests/test_catalogsync.py
+++ b/tests/test_catalogsync.py
@@ -12,6 +12,7 @@
 
 from chervilshore import catalogmessages
 from chervilshore.controllers import catalog as catalogs
+from chervilshore import records
 from tests import catalog_helpers as helpers
 from tests import virtual
 
@@ -21,6 +22,13 @@
 REWRITE_MS = 1000.0
 """Milliseconds after which writers write again what a restored store lacks."""
 
+CONFIGURATION_BYTES = 800_000
+LINK_BYTES_PER_MS = 625.0
+"""Bytes of a large configuration, and 5 Mbit/s, the smallest link of hosts."""
+
+COPY_MS = 10_000.0
+"""Milliseconds in which hosts without the store have it from others."""
+
 SETTLE_MS = (
     helpers.IN_TOUCH_MS + catalogs.RESTORE_GRACE_MS + helpers.IN_FORCE_MS
 )
@@ -110,6 +118,34 @@
     virtual.run(run())
 
 
+# Guards against links full of copies that come too late: hosts without the
+# store ask again and again for a configuration that takes a second to send,
+# and those that send it are taken for down.
+def test_large_configuration_is_copied_once_over_small_links():
+    async def run():
+        cluster = helpers.Cluster(3)
+        await cluster.start()
+        cluster.network.link_bytes_per_ms = LINK_BYTES_PER_MS
+        cluster.cut_store(True, slice(1, None))
+        cluster.configure(2, CONFIGURATION_BYTES)
+        await cluster.wait(2000.0)
+        before = cluster.network.bytes
+        await cluster.wait(COPY_MS)
+        down = [
+            record.host
+            for host in cluster.hosts
+            for record in host.membership.hosts()
+            if record.state is not records.HostState.ALIVE
+        ]
+        versions = [host.version for host in cluster.hosts]
+        return versions, down, cluster.network.bytes - before
+
+    versions, down, sent = virtual.run(run())
+    assertions.assert_that((versions, down), matchers.Equals(([2, 2, 2], [])))
+    # Each of two hosts gets a copy; the rest are small messages.
+    assertions.assert_that(sent, matchers.LessThan(3 * CONFIGURATION_BYTES))
+
+
 # Guards against EVAC: a zone stays out for good at a host that copied its
 # evacuation from a peer, after the store had lost it in a restore.
 def test_copy_marks_an_evacuation_that_a_restored_store_lacks():
