Bound the silence of an answer of the store from its first byte on

The time-out of a body began with its head, so that a watch of a store that sends the head before anything has changed would end after a second, and its kind would not be checked meanwhile. Found when the diff was read; the stores that we know send both at once.

Change: until the first byte of the body the time-out of the call holds.

Evidence: test_watch_waits_for_the_body_of_an_early_head failed before, and passes, in 3 of 3 runs of the module.

--- a/chervilshore/clients/connectionpool.py
+++ b/chervilshore/clients/connectionpool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc as collections_abc
 import enum
+import functools
 
 from chervilshore.clients import connections
 from chervilshore.clients import connectors
@@ -25,7 +26,8 @@
     Parameters
     ----------
     max_silence_ms : float
-        Milliseconds without a byte after which it is given up.
+        Milliseconds without a byte, once it has begun, after which it is
+        given up.
     max_ms : float
         Milliseconds after which it is given up although bytes arrive.
 
@@ -39,20 +41,15 @@
         self.is_active = False
         self._max_silence_seconds = max_silence_ms / clocks.MILLIS_PER_SECOND
         self._max_seconds = max_ms / clocks.MILLIS_PER_SECOND
-        self._bound: asyncio.Timeout | None = None
         self._end = 0.0
 
-    def begin(self, bound: asyncio.Timeout) -> None:
-        """Set the time-out of a response whose head has arrived."""
-        self.is_active = True
-        self._bound = bound
-        self._end = asyncio.get_running_loop().time() + self._max_seconds
-        self.extend()
-
-    def extend(self) -> None:
-        """Set the time-out anew, as bytes of the body have arrived."""
+    def extend(self, timeout: asyncio.Timeout) -> None:
+        """Set the time-out of an exchange anew, as bytes have arrived."""
         now = asyncio.get_running_loop().time()
-        self._bound.reschedule(min(self._end, now + self._max_silence_seconds))
+        if not self.is_active:
+            self.is_active = True
+            self._end = now + self._max_seconds
+        timeout.reschedule(min(self._end, now + self._max_silence_seconds))
 
 
 class Presence(enum.Enum):
@@ -216,13 +213,14 @@
             self._open(address) if single_use else self.acquire(address)
         )
         try:
-            async with asyncio.timeout(timeout_ms / 1000.0) as bound:
+            async with asyncio.timeout(timeout_ms / 1000.0) as timeout:
                 connection.send(request)
                 head = await connection.read_head()
+                on_data = None
                 if transfer is not None:
-                    transfer.begin(bound)
+                    on_data = functools.partial(transfer.extend, timeout)
                 content = await connection.read_whole_body(
-                    head, max_bytes, transfer and transfer.extend
+                    head, max_bytes, on_data
                 )
             may_keep = check(head, content) and not single_use
         except TimeoutError as error:
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -127,6 +127,32 @@
         link.is_silent = False
 
 
+# Guards against watches that end early, again and again: a store may send the
+# head of its answer before anything has changed.
+async def test_watch_waits_for_the_body_of_an_early_head():
+    body = b'{"events":[],"current_rev":5}'
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        length = str(len(body)).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %b\r\n\r\n" % length)
+        await asyncio.sleep(1.5)
+        writer.write(body)
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = stores.MetadataStore(f"{host}:{port}", clocks.SystemClock())
+    watch = asyncio.ensure_future(client.watch("config", 1, 2000.0))
+    await asyncio.sleep(1.0)
+    is_receiving = client.is_receiving("config")
+    changes = await watch
+    await client.close()
+    server.close()
+    assertions.assert_that(
+        (is_receiving, changes.revision), matchers.Equals((False, 5))
+    )
+
+
 # Guards against CONFIG: checks read again what a watch is just receiving, and
 # each takes a part of the link.
 async def test_large_configuration_is_read_once(deployment, link):
