Let writes and the own interface's calls pass small links too

Change: a write may take as long as its body needs at 1 Mbit/s beside its time-out. Calls to the platform of the own interface end by silence, and after 20 s in all.

--- a/chervilshore/clients/rest.py
+++ b/chervilshore/clients/rest.py
@@ -9,11 +9,15 @@
 from chervilshore.clients import platform
 from chervilshore.clients import receiving
 from chervilshore.clients import sessions
+from chervilshore.clients import sockets
 from chervilshore import exceptions
 from chervilshore import ids
 from chervilshore import metrics
 from chervilshore import records
 
+MAX_BODY_MS = 20_000.0
+"""Milliseconds for a value that arrives all the while."""
+
 VERSION_HEADER = "X-Version"
 
 _STORED = msgspec.msgpack.Decoder(tuple[platform.VersionedObject, ...])
@@ -28,7 +32,7 @@
     address : Address
         Host and port of the platform.
     timeout_ms : float
-        Milliseconds to wait for a response.
+        Milliseconds to wait for a response, and for more of one that arrives.
     counters : Metrics or None
         Where the calls are counted.
     source : str
@@ -119,7 +123,15 @@
         value: bytes | None = None,
         wait_ms: float = 0.0,
     ) -> tuple[aiohttp.typedefs.LooseHeaders, bytes]:
-        seconds = (self._timeout_ms + wait_ms) / 1000.0
+        # A value leaves this host long after it was handed to the kernel.
+        sending_ms = sockets.allow_sending_ms(len(value or b""))
+        silence_seconds = (self._timeout_ms + wait_ms + sending_ms) / 1000.0
+        body_ms = MAX_BODY_MS if method == "GET" else 0.0
+        timeout = aiohttp.ClientTimeout(
+            total=silence_seconds + body_ms / 1000.0,
+            connect=silence_seconds,
+            sock_read=silence_seconds,
+        )
         try:
             async with self._get_session().request(
                 method,
@@ -127,7 +139,7 @@
                 params=query,
                 headers=headers,
                 data=value,
-                timeout=aiohttp.ClientTimeout(total=seconds),
+                timeout=timeout,
                 allow_redirects=False,
             ) as response:
                 content = await bodies.read_body(
--- a/chervilshore/clients/sockets.py
+++ b/chervilshore/clients/sockets.py
@@ -20,6 +20,9 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 """Seconds between TCP keepalive probes on an idle connection."""
 
+MIN_LINK_BYTES_PER_MS = 125.0
+"""Bytes that the smallest link sends in a millisecond: 1 Mbit/s."""
+
 _ESTABLISHED = 1
 """State of a TCP connection that is open and that neither side has ended."""
 
@@ -75,6 +78,11 @@
     return [(family, socket.SOCK_STREAM, 0, "", (host, port))]
 
 
+def allow_sending_ms(size: int) -> float:
+    """Return the milliseconds that a body may take to leave this host."""
+    return size / MIN_LINK_BYTES_PER_MS
+
+
 def _check_connected(sock: socket.socket) -> None:
     """Raise an error if a socket is not connected."""
     code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -12,6 +12,7 @@
 from chervilshore.clients import connections
 from chervilshore.clients import connectors
 from chervilshore.clients import receiving
+from chervilshore.clients import sockets
 from chervilshore import clock as clocks
 from chervilshore.decisions import answersizes
 from chervilshore import events
@@ -307,6 +308,7 @@
             headers.append(("Content-Type", "application/json"))
         request = connections.Request(method, path, headers, body)
         limit_ms = self.timeout_ms if timeout_ms is None else timeout_ms
+        limit_ms += sockets.allow_sending_ms(len(body))
         transfer = connectionpool.Transfer(self.timeout_ms, MAX_BODY_MS)
         transfers = self._transfers.setdefault(_find_kind(path), set())
         transfers.add(transfer)
--- a/standins/slowlink.py
+++ b/standins/slowlink.py
@@ -14,7 +14,8 @@
     target : str
         The address, as ``host:port``.
     bytes_per_second : int
-        Bytes a second that all connections together receive from it.
+        Bytes a second that all connections together receive from it, and as
+        many that they send to it.
 
     Attributes
     ----------
@@ -29,7 +30,8 @@
         self.is_silent = False
         self._target = target
         self._bytes_per_second = bytes_per_second
-        self._turn = asyncio.Lock()
+        self._receiving = asyncio.Lock()
+        self._sending = asyncio.Lock()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -73,6 +75,8 @@
         self, reader: asyncio.StreamReader, target: asyncio.StreamWriter
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
+            async with self._sending:
+                await asyncio.sleep(len(data) / self._bytes_per_second)
             target.write(data)
         target.transport.abort()
 
@@ -80,7 +84,7 @@
         self, target: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while data := await target.read(CHUNK_BYTES):
-            async with self._turn:
+            async with self._receiving:
                 while self.is_silent:
                     await asyncio.sleep(0.01)
                 await asyncio.sleep(len(data) / self._bytes_per_second)
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -7,13 +7,17 @@
 import asyncio
 import contextlib
 
+from aiohttp import test_utils
+import msgspec
 import pytest
 from testtools import assertions
 from testtools import matchers
 
+from chervilshore.clients import rest
 from chervilshore import clock as clocks
 from chervilshore import exceptions
 from chervilshore.platform import store as stores
+from standins import platform as platforms
 from standins import slowlink
 from tests import gateway_helpers as helpers
 
@@ -114,6 +118,35 @@
     )
 
 
+# Guards against writes that are taken for unknown, again and again, while they
+# still arrive at the store.
+async def test_large_object_is_written(deployment, link):
+    content = msgspec.json.encode("x" * CONFIGURATION_BYTES)
+    async with open_client(link) as client:
+        await client.put("own", "large", content)
+        (stored,) = (await client.list("own")).objects
+    assertions.assert_that(stored.content, matchers.Equals(content))
+
+
+# Guards against the same for the platform of the own interface.
+async def test_large_object_of_the_own_interface_passes_a_small_link():
+    app = platforms.PlatformServer().make_app()
+    value = b"x" * CONFIGURATION_BYTES
+    async with test_utils.TestServer(app) as server:
+        link = slowlink.SlowLink(f"127.0.0.1:{server.port}", LINK_BYTES)
+        client = rest.RestPlatform(await link.start())
+        try:
+            await client.create("large", value)
+            stored = await client.get("large")
+            (watched,) = await client.watch("large", 0, 100.0)
+        finally:
+            await client.close()
+            await link.stop()
+    assertions.assert_that(
+        (stored.value, watched.value), matchers.Equals((value, value))
+    )
+
+
 # Guards against a host that waits for a store which has fallen silent.
 async def test_answer_that_falls_silent_is_given_up(deployment, link):
     async with open_client(link) as client:
