--- a/chervilshore/controllers/catalogparts.py
+++ b/chervilshore/controllers/catalogparts.py
@@ -23,15 +23,17 @@
 KEEP_MS = 2000.0
 """Milliseconds for which a snapshot is kept after a part was requested."""
 
+MAX_KEPT = 4
+"""Snapshots that are kept, as a kind may change while others read it."""
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(catalogmessages.KindSnapshot)
 
 MakeSnapshot = abc.Callable[[str], catalogmessages.KindSnapshot | None]
-"""Returns the snapshot of a kind; None for an unknown kind."""
+"""Returns the snapshot of a kind; None if it has none to read in parts."""
 
 
 class _Encoded(msgspec.Struct):
-    revision: int
     content: bytes
     used_at: float
 
@@ -54,35 +56,43 @@
     ) -> None:
         self._make_snapshot = make_snapshot
         self._clock = clock
-        self._encoded: dict[str, _Encoded] = {}
+        # By kind and revision, the one that was used last at the end.
+        self._encoded: dict[tuple[str, int], _Encoded] = {}
 
     def handle_request(
         self, sender: ids.Address, request: catalogmessages.PartRequest
     ) -> catalogmessages.PartReply:
         """Return a part; an empty reply if its snapshot is gone."""
         self.drop_unused()
-        encoded = self._encoded.get(request.kind)
-        if not request.revision and encoded is None:
-            snapshot = self._make_snapshot(request.kind)
-            if snapshot is not None:
-                encoded = _Encoded(
-                    snapshot.revision, _ENCODER.encode(snapshot), 0.0
-                )
-                self._encoded[request.kind] = encoded
-        if encoded is None or request.revision not in (0, encoded.revision):
+        revision = request.revision or self._encode_present(request.kind)
+        key = (request.kind, revision)
+        encoded = self._encoded.pop(key, None)
+        if encoded is None:
             return catalogmessages.PartReply()
+        self._encoded[key] = encoded
         encoded.used_at = self._clock.now()
         part = encoded.content[request.offset : request.offset + PART_BYTES]
-        return catalogmessages.PartReply(
-            encoded.revision, len(encoded.content), part
-        )
+        return catalogmessages.PartReply(revision, len(encoded.content), part)
+
+    def _encode_present(self, kind: str) -> int:
+        """Return the revision of the present snapshot; 0 if there is none."""
+        snapshot = self._make_snapshot(kind)
+        if snapshot is None:
+            return 0
+        key = (kind, snapshot.revision)
+        if key not in self._encoded:
+            if len(self._encoded) >= MAX_KEPT:
+                del self._encoded[next(iter(self._encoded))]
+            content = _ENCODER.encode(snapshot)
+            self._encoded[key] = _Encoded(content, self._clock.now())
+        return snapshot.revision
 
     def drop_unused(self) -> None:
         """Drop the snapshots whose parts are not requested any more."""
         now = self._clock.now()
-        for kind, encoded in tuple(self._encoded.items()):
+        for key, encoded in tuple(self._encoded.items()):
             if now - encoded.used_at > KEEP_MS:
-                del self._encoded[kind]
+                del self._encoded[key]
 
 
 async def read_snapshot(
--- a/chervilshore/controllers/catalogsync.py
+++ b/chervilshore/controllers/catalogsync.py
@@ -83,7 +83,7 @@
             if kind in self._catalog.caches
             and self._catalog.caches[kind].revision > revision
         ]
-        # What counts for a while longer must arrive at once.
+        # What counts for a while longer must arrive before that ends.
         large = {
             one.kind
             for one in found
@@ -99,7 +99,8 @@
     def _find_snapshot(self, kind: str) -> catalogmessages.KindSnapshot | None:
         if kind not in self._catalog.caches:
             return None
-        return self._make_snapshot(kind)
+        snapshot = self._make_snapshot(kind)
+        return None if snapshot.removed else snapshot
 
     def _make_snapshot(self, kind: str) -> catalogmessages.KindSnapshot:
         listing = self._catalog.caches[kind].make_listing(self._clock.now())
