Log no error for a request that fails as its caller leaves

Cause: if a caller left in the turn of the event loop in which its work had failed, CutoffFilter dropped the work without reading its exception.

Change: work that has ended is detached like work that goes on.

Evidence: test_failure_is_not_logged_when_its_caller_leaves_with_it failed before; test_stage passes.

--- a/chervilshore/filters/cutoff.py
+++ b/chervilshore/filters/cutoff.py
@@ -61,8 +61,6 @@
     def _detach(self, exchange: base.Exchange, task: asyncio.Task) -> None:
         """Cancel the work, or let it continue without its caller."""
         exchange.abandoned = True
-        if task.done():
-            return
         if not exchange.continues_without_caller:
             task.cancel()
         self._background_tasks.add(task)
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -1,6 +1,7 @@
 """Tests of stages: retries, hedges, resumed streams, and result codes."""
 
 import asyncio
+import gc
 
 import pytest
 from testtools import assertions
@@ -204,6 +205,28 @@
     waiting.set()
 
 
+# Guards against errors in the log for requests that fail as callers leave.
+async def test_failure_is_not_logged_when_its_caller_leaves_with_it(clock):
+    tasks = []
+
+    async def fail(exchange):
+        tasks.pop().cancel()
+        raise exceptions.RefusalError(results.Code.DEADLINE_HOPELESS)
+
+    async def run():
+        exchange = helpers.make_exchange(helpers.make_rules())
+        await cutoff.CutoffFilter(clock).handle(exchange, fail)
+
+    logged = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: logged.append(context))
+    tasks.append(asyncio.ensure_future(run()))
+    await asyncio.wait(tasks)
+    await asyncio.sleep(0)
+    gc.collect()
+    assertions.assert_that(logged, matchers.Equals([]))
+
+
 async def test_nonrepeatable_call_continues_after_the_deadline(clock):
     may_finish = asyncio.Event()
     finished = []
