Keep one bound of transfers, and one measure of stored objects

Found in the last reading: MAX_BODY_MS stood in platform/store and clients/rest, and the bytes of stored objects were counted in sharedstore already when platform/store began to count them. sockets.MAX_BODY_MS and objects.measure serve both. No change of behaviour: lint passes, and 16 modules of tests on calls to the store and to the platform, which ran on this tree.

--- a/chervilshore/clients/rest.py
+++ b/chervilshore/clients/rest.py
@@ -15,9 +15,6 @@
 from chervilshore import metrics
 from chervilshore import records
 
-MAX_BODY_MS = 20_000.0
-"""Milliseconds for a value that arrives all the while."""
-
 VERSION_HEADER = "X-Version"
 
 _STORED = msgspec.msgpack.Decoder(tuple[platform.VersionedObject, ...])
@@ -126,7 +123,7 @@
         # A value leaves this host long after it was handed to the kernel.
         sending_ms = sockets.allow_sending_ms(len(value or b""))
         silence_seconds = (self._timeout_ms + wait_ms + sending_ms) / 1000.0
-        body_ms = MAX_BODY_MS if method == "GET" else 0.0
+        body_ms = sockets.MAX_BODY_MS if method == "GET" else 0.0
         timeout = aiohttp.ClientTimeout(
             total=silence_seconds + body_ms / 1000.0,
             connect=silence_seconds,
--- a/chervilshore/clients/sockets.py
+++ b/chervilshore/clients/sockets.py
@@ -23,6 +23,10 @@
 MIN_LINK_BYTES_PER_MS = 125.0
 """Bytes that the smallest link sends in a millisecond: 1 Mbit/s."""
 
+MAX_BODY_MS = 20_000.0
+"""Milliseconds for a body that arrives all the while; a few megabytes over a
+link of a few Mbit/s."""
+
 _ESTABLISHED = 1
 """State of a TCP connection that is open and that neither side has ended."""
 
--- a/chervilshore/controllers/sharedstore.py
+++ b/chervilshore/controllers/sharedstore.py
@@ -264,10 +264,7 @@
             return catalogmessages.KindChanges(kind, since, None)
         if not changes.changes:
             return None
-        size = sum(
-            len(change.object.content) + len(change.object.status)
-            for change in changes.changes
-        )
+        size = objects.measure(change.object for change in changes.changes)
         if size > MAX_CHANGES_BYTES:
             return catalogmessages.KindChanges(kind, since, None)
         return catalogmessages.KindChanges(
--- a/chervilshore/objects.py
+++ b/chervilshore/objects.py
@@ -1,6 +1,7 @@
 """The interface of an object store whose objects are watched by kind."""
 
 import abc
+from collections import abc as collections_abc
 
 import msgspec
 
@@ -73,6 +74,11 @@
     created: str = ""
 
 
+def measure(stored: collections_abc.Iterable[StoredObject]) -> int:
+    """Return the bytes of the content and status of objects."""
+    return sum(len(one.content) + len(one.status) for one in stored)
+
+
 class RemovedObject(msgspec.Struct, frozen=True):
     """An object that is gone from the store and counts for a while longer.
 
--- a/chervilshore/platform/store.py
+++ b/chervilshore/platform/store.py
@@ -26,10 +26,6 @@
 WATCH_TIMEOUT_MARGIN_MS = 1000.0
 """Milliseconds that a watch call may take beyond its own wait time."""
 
-MAX_BODY_MS = 20_000.0
-"""Milliseconds for a body that arrives all the while; the largest response
-over a link of a few Mbit/s."""
-
 MAX_RESPONSE_BYTES = 8_000_000
 """Largest response body; a page has approximately 1 MB."""
 
@@ -110,7 +106,7 @@
                 objects_by_name[item.metadata.name] = _convert(item, era)
             if not page.has_more or not page.items:
                 found = tuple(objects_by_name.values())
-                self._sizes.record_listing(kind, _measure(found))
+                self._sizes.record_listing(kind, objects.measure(found))
                 return objects.Listing(found, position)
             last = page.items[-1].metadata.name
             if last == after:
@@ -167,7 +163,7 @@
             for event in response.events
         )
         latest = {change.object.name: change.object for change in changes}
-        self._sizes.record_changes(kind, _measure(latest.values()))
+        self._sizes.record_changes(kind, objects.measure(latest.values()))
         return objects.Changes(changes, position)
 
     async def put(self, kind: str, name: str, content: bytes) -> None:
@@ -309,7 +305,9 @@
         request = connections.Request(method, path, headers, body)
         limit_ms = self.timeout_ms if timeout_ms is None else timeout_ms
         limit_ms += sockets.allow_sending_ms(len(body))
-        transfer = connectionpool.Transfer(self.timeout_ms, MAX_BODY_MS)
+        transfer = connectionpool.Transfer(
+            self.timeout_ms, sockets.MAX_BODY_MS
+        )
         transfers = self._transfers.setdefault(_find_kind(path), set())
         transfers.add(transfer)
         try:
@@ -378,13 +376,6 @@
     return int(text)
 
 
-def _measure(
-    stored: collections_abc.Iterable[objects.StoredObject],
-) -> int:
-    """Return the bytes of the content and status of objects."""
-    return sum(len(one.content) + len(one.status) for one in stored)
-
-
 def _convert(item: storeanswers.Object, era: int) -> objects.StoredObject:
     return objects.StoredObject(
         item.metadata.name,
